--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3
+PY = PYTHONPATH=src $(VENV)/bin/python
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: demo test lint format type behave bench soak proof binary clean
+
+$(VENV)/ready: requirements.lock
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+demo: $(VENV)/ready
+	$(PY) scripts/demo.py
+
+test: lint type behave
+
+lint: $(VENV)/ready
+	$(PY) -m black --quiet --check src tests scripts .ci
+	$(PY) -m ruff check --quiet src tests scripts .ci
+
+format: $(VENV)/ready
+	$(PY) -m ruff check --quiet --fix src tests scripts .ci
+	$(PY) -m black --quiet src tests scripts .ci
+
+type: $(VENV)/ready
+	$(PY) -m mypy
+
+behave: $(VENV)/ready
+	mkdir -p build
+	rm -f build/behave.json
+	$(PY) -m behave --no-summary --format json.pretty --outfile build/behave.json --format progress tests || true
+	$(PY) .ci/report.py build/behave.json KNOWN-RED.txt
+
+binary: $(VENV)/ready
+	$(PY) -m shiv --quiet --console-script galenavane --output-file build/galenavane . --requirement requirements-run.lock
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/galenavane/__init__.py
@@ -0,0 +1,1 @@
+"""Serves models whose replicas span several instances."""
--- /dev/null
+++ b/src/galenavane/cli/__init__.py
@@ -0,0 +1,1 @@
+"""One module per subcommand."""
--- /dev/null
+++ b/src/galenavane/cli/standin.py
@@ -0,0 +1,119 @@
+"""``galenavane standin``."""
+
+from __future__ import annotations
+
+import functools
+from collections import abc
+
+import trio
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, message, transport_error
+from galenavane.observe import events
+from galenavane.platform import instance
+from galenavane.standin import engine as engines
+from galenavane.standin import engine_faults
+from galenavane.standin import plain as plains
+from galenavane.standin import platform as platforms
+
+REGISTER_SECONDS = 5.0
+REGISTER_PAUSE_SECONDS = 0.2
+
+
+def platform(listen: addresses.Address, /) -> int:
+    """Run the stand-in platform.
+
+    :param listen: IP:port to listen on
+    """
+    events.start("platform", "")
+    trio.run(platforms.run, listen)
+    return 0
+
+
+def engine(
+    name: str,
+    listen: addresses.Address,
+    /,
+    *,
+    platform: addresses.Address,
+    data_centre: str,
+    fabric_domain: str,
+    ignore_tokens: bool = False,
+    capacity: int = 32,
+    token_seconds: float = 0.02,
+) -> int:
+    """Run one member of a group.
+
+    :param name: name of the instance
+    :param listen: IP:port to listen on
+    :param platform: IP:port of the platform, which lists this instance
+    :param data_centre: data centre of the instance
+    :param fabric_domain: fabric domain of the instance
+    :param ignore_tokens: carry out commands with old fencing tokens
+    :param capacity: requests in one batch
+    :param token_seconds: time of one decoding step
+    """
+    events.start(name, data_centre)
+    sizes = engine_faults.Sizes(capacity=capacity, token_seconds=token_seconds)
+    faults = engine_faults.Faults(checks_token=not ignore_tokens)
+    listed = instance.Instance(
+        name, str(listen), data_centre, instance.Kind.ENGINE, fabric_domain=fabric_domain
+    )
+    serve = functools.partial(engines.run, name, listen, sizes, faults)
+    trio.run(_serve_listed, platform, listed, serve)
+    return 0
+
+
+def plain(
+    name: str,
+    listen: addresses.Address,
+    /,
+    *,
+    platform: addresses.Address,
+    data_centre: str,
+    service: str,
+) -> int:
+    """Run one process of a plain service.
+
+    :param name: name of the instance
+    :param listen: IP:port to listen on
+    :param platform: IP:port of the platform, which lists this instance
+    :param data_centre: data centre of the instance
+    :param service: service that the instance belongs to
+    """
+    events.start(name, data_centre)
+    listed = instance.Instance(
+        name, str(listen), data_centre, instance.Kind.PLAIN, service=service, accelerators=0
+    )
+    serve = functools.partial(plains.run, name, listen)
+    trio.run(_serve_listed, platform, listed, serve)
+    return 0
+
+
+async def _serve_listed(
+    platform_address: addresses.Address,
+    listed: instance.Instance,
+    serve: abc.Callable[..., abc.Awaitable[None]],
+) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve)
+        await register(platform_address, listed)
+
+
+async def register(where: addresses.Address, listed: instance.Instance) -> None:
+    """Have the stand-in platform list an instance.
+
+    :raises failure.UserError: when it does not answer in time.
+    """
+    req = message.json_request("POST", "/v1/instances", listed)
+    with trio.move_on_after(REGISTER_SECONDS):
+        while True:
+            try:
+                await http_connection.round_trip(where, req, REGISTER_SECONDS, 10_000)
+                return
+            except transport_error.TransportError:
+                await trio.sleep(REGISTER_PAUSE_SECONDS)
+    text = f"the stand-in platform at {where} does not answer"
+    raise failure.UserError(failure.Failure(codes.Code.PLATFORM_DOWN, text))
--- /dev/null
+++ b/src/galenavane/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and declarations of a deployment."""
--- /dev/null
+++ b/src/galenavane/config/canonical.py
@@ -0,0 +1,24 @@
+"""Canonical sections of declarations: equal declarations give equal text."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenavane.config import declaration
+
+
+def split(declared: declaration.Declarations) -> dict[str, str]:
+    """Return the canonical text of each section by its name."""
+    return {
+        field: msgspec.json.encode(getattr(declared, field), order="deterministic").decode()
+        for field in declaration.Declarations.__struct_fields__
+    }
+
+
+def join(sections: dict[str, str]) -> declaration.Declarations:
+    """Build declarations from their sections.
+
+    :raises msgspec.DecodeError: when a section is missing or damaged.
+    """
+    parts = {name: msgspec.json.decode(text) for name, text in sections.items()}
+    return msgspec.convert(parts, declaration.Declarations)
--- /dev/null
+++ b/src/galenavane/config/declaration.py
@@ -0,0 +1,111 @@
+"""What operators declare."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class ServiceKind(enum.StrEnum):
+    """What answers the requests of a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class Fencing(enum.StrEnum):
+    """Whether a service's targets refuse commands with an old fencing token."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class Weights(msgspec.Struct, frozen=True):
+    """The deployment as a whole.
+
+    :ivar downtime_weight: cost of a second in which a group can't serve.
+    :ivar stranded_weight: cost of a second of an idle accelerator.
+    """
+
+    name: str
+    downtime_weight: float = 1.0
+    stranded_weight: float = 1.0
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service that callers reach.
+
+    :ivar priority: 0 goes first.
+    :ivar members: instances that one replica spans; 1 for a plain service.
+    :ivar idempotent: ``METHOD /path`` patterns that may be repeated; ``*`` at the end matches all.
+    """
+
+    name: str
+    kind: ServiceKind
+    priority: int = 1
+    members: int = 1
+    fencing: Fencing = Fencing.CHECKED
+    idempotent: list[str] = []
+
+
+class Model(msgspec.Struct, frozen=True):
+    """A model with its versions and adapters."""
+
+    name: str
+    versions: list[str]
+    adapters: list[str] = []
+
+
+class Account(msgspec.Struct, frozen=True):
+    """A client account.
+
+    :ivar key_sha256: hash of its bearer key, as hexadecimal digits.
+    :ivar weight: share of a queue relative to other accounts.
+    """
+
+    name: str
+    key_sha256: str
+    requests_per_second: float = 100.0
+    tokens_per_second: float = 100_000.0
+    weight: float = 1.0
+
+
+class Run(msgspec.Struct, frozen=True):
+    """How a preset runs one model service.
+
+    :ivar replicas: groups to run in each data centre.
+    """
+
+    preset: str
+    service: str
+    model: str
+    version: str
+    replicas: dict[str, int]
+    adapters: list[str] = []
+
+
+class Preset(msgspec.Struct, frozen=True):
+    """A named set of runs, of which one preset is in force."""
+
+    name: str
+    description: str = ""
+
+
+class Declarations(msgspec.Struct, frozen=True):
+    """Everything that is declared, sorted by name."""
+
+    deployment: Weights
+    services: list[Service]
+    models: list[Model]
+    accounts: list[Account]
+    presets: list[Preset]
+    runs: list[Run]
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of a name."""
+        return next((one for one in self.services if one.name == name), None)
+
+    def runs_of(self, preset: str) -> list[Run]:
+        """Return the runs of a preset."""
+        return [one for one in self.runs if one.preset == preset]
--- /dev/null
+++ b/src/galenavane/config/settings.py
@@ -0,0 +1,116 @@
+"""All settings of an entry process."""
+
+from __future__ import annotations
+
+import configparser
+import pathlib
+import typing
+
+from galenavane.config import ini, setting
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.net import address as addresses
+
+_S = setting.Setting
+
+NAME = _S("entry", "name", setting.parse_text, None, "", "Name of this entry, unique.")
+DATA_CENTRE = _S("entry", "data_centre", setting.parse_text, None, "", "Where this entry runs.")
+REGION = _S("entry", "region", setting.parse_text, "default", "", "Region of the data centre.")
+CALLERS = _S("entry", "callers", addresses.parse, None, "IP:port", "Where callers are served.")
+OPERATORS = _S(
+    "entry", "operators", addresses.parse, None, "IP:port", "Where operators are served."
+)
+PEERS = _S("entry", "peers", addresses.parse, None, "IP:port", "Where other entries are heard.")
+PLATFORM = _S("platform", "address", addresses.parse, None, "IP:port", "The platform's object API.")
+PLATFORM_TIMEOUT = _S(
+    "platform", "timeout", setting.parse_number, 2.0, "seconds", "Longest wait for a call."
+)
+TARGET_TIMEOUT = _S(
+    "targets", "timeout", setting.parse_number, 1.0, "seconds", "Longest wait for a control call."
+)
+REPORT_EVERY = _S(
+    "targets", "report_every", setting.parse_number, 0.5, "seconds", "Time between two reports."
+)
+FIRST_TOKEN_DEADLINE = _S(
+    "requests", "first_token", setting.parse_number, 10.0, "seconds", "Longest wait for a token."
+)
+PROGRESS_DEADLINE = _S(
+    "requests", "progress", setting.parse_number, 3.0, "seconds", "Longest pause in a stream."
+)
+DRAIN_DEADLINE = _S(
+    "requests",
+    "drain",
+    setting.parse_number,
+    60.0,
+    "seconds",
+    "Longest wait for streams at a stop.",
+)
+
+ALL: tuple[_S[typing.Any], ...] = (
+    NAME,
+    DATA_CENTRE,
+    REGION,
+    CALLERS,
+    OPERATORS,
+    PEERS,
+    PLATFORM,
+    PLATFORM_TIMEOUT,
+    TARGET_TIMEOUT,
+    REPORT_EVERY,
+    FIRST_TOKEN_DEADLINE,
+    PROGRESS_DEADLINE,
+    DRAIN_DEADLINE,
+)
+
+_T = typing.TypeVar("_T", str, int, float, bool, addresses.Address)
+
+
+class Settings:
+    """The settings of one process, checked."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self, values: dict[tuple[str, str], setting.Value]) -> None:
+        self._values = values
+
+    def get(self, wanted: setting.Setting[_T]) -> _T:
+        """Return the value of a setting."""
+        return typing.cast("_T", self._values[(wanted.section, wanted.key)])
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises failure.UserError: naming file, section and key.
+    """
+    parser = ini.read_file(path)
+    _check_known(path, parser)
+    values = {(one.section, one.key): _read(path, parser, one) for one in ALL}
+    return Settings(values)
+
+
+def _check_known(path: pathlib.Path, parser: configparser.ConfigParser) -> None:
+    known = {(one.section, one.key) for one in ALL}
+    for section in parser.sections():
+        for key in parser[section]:
+            if (section, key) not in known:
+                raise _wrong(f'{path}: key "{key}" is not known in section "{section}"')
+
+
+def _read(
+    path: pathlib.Path, parser: configparser.ConfigParser, wanted: setting.Setting[typing.Any]
+) -> setting.Value:
+    text = parser.get(wanted.section, wanted.key, fallback=None)
+    if text is None and wanted.default is not None:
+        return typing.cast("setting.Value", wanted.default)
+    where = f'{path}: key "{wanted.key}" in section "{wanted.section}"'
+    if text is None:
+        raise _wrong(f"{where} is missing")
+    try:
+        return typing.cast("setting.Value", wanted.parse(text))
+    except ValueError as exc:
+        raise _wrong(f"{where}: {exc}") from None
+
+
+def _wrong(text: str) -> failure.UserError:
+    return failure.UserError(failure.Failure(codes.Code.BAD_SETTING, text))
--- /dev/null
+++ b/src/galenavane/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replica groups: formation, repair and commands to targets."""
--- /dev/null
+++ b/src/galenavane/control/completeness.py
@@ -0,0 +1,33 @@
+"""Decides from reports which groups are complete."""
+
+from __future__ import annotations
+
+from collections import abc
+
+from galenavane.control import sighting, table
+
+PROOF_SECONDS = 2.0
+
+
+def is_complete(group: table.Group, seen: abc.Mapping[str, sighting.Sighting], now: float) -> bool:
+    """Whether every member has lately confirmed the group, the epoch and its incarnation."""
+    return all(is_confirmed(group, member, seen, now) for member in group.members)
+
+
+def is_confirmed(
+    group: table.Group,
+    member: table.Member,
+    seen: abc.Mapping[str, sighting.Sighting],
+    now: float,
+) -> bool:
+    """Whether one member has lately confirmed its place."""
+    found = seen.get(member.instance)
+    if found is None or found.report is None or now - found.reported_at > PROOF_SECONDS:
+        return False
+    answer = found.report
+    return (answer.group, answer.epoch, answer.incarnation, answer.ready) == (
+        group.name,
+        group.epoch,
+        member.incarnation,
+        True,
+    )
--- /dev/null
+++ b/src/galenavane/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of one entry process."""
--- /dev/null
+++ b/src/galenavane/entry/process.py
@@ -0,0 +1,72 @@
+"""One entry process: starts its tasks and stops them gracefully."""
+
+from __future__ import annotations
+
+import random
+import signal
+
+import trio
+
+from galenavane.config import settings
+from galenavane.entry import (
+    configuration_task,
+    control_task,
+    instances_task,
+    lease_task,
+    operators,
+    reports_task,
+    tables_task,
+)
+from galenavane.entry import view as views
+from galenavane.net import http_server
+from galenavane.observe import events
+from galenavane.peer import task as peer_task
+from galenavane.platform import client as platform_client
+from galenavane.serve import front
+from galenavane.target import client as target_client
+
+
+async def run(cfg: settings.Settings) -> None:
+    """Serve until SIGTERM or SIGINT, then end what is in flight."""
+    incarnation = events.start(cfg.get(settings.NAME), cfg.get(settings.DATA_CENTRE))
+    platform = platform_client.make(cfg.get(settings.PLATFORM), cfg.get(settings.PLATFORM_TIMEOUT))
+    targets = target_client.make(cfg.get(settings.TARGET_TIMEOUT))
+    view = views.View(cfg, incarnation, platform, targets, random.Random(incarnation))
+    events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
+    async with trio.open_nursery() as nursery:
+        for task in _TASKS:
+            nursery.start_soon(task, view)
+        await nursery.start(
+            http_server.listen, cfg.get(settings.OPERATORS), operators.make_handler(view)
+        )
+        await nursery.start(http_server.listen, cfg.get(settings.CALLERS), front.make_handler(view))
+        async with trio.open_nursery() as lease:
+            lease.start_soon(lease_task.run, view)
+            await _wait_signal()
+            events.log("entry.leaving")
+            view.leaving.publish(True)
+        await _wait_idle(view)
+        events.log("entry.stop")
+        nursery.cancel_scope.cancel()
+
+
+_TASKS = (
+    configuration_task.run,
+    instances_task.run,
+    tables_task.run,
+    reports_task.run,
+    control_task.run,
+    peer_task.run,
+)
+
+
+async def _wait_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
+
+
+async def _wait_idle(view: views.View) -> None:
+    with trio.move_on_after(view.cfg.get(settings.DRAIN_DEADLINE)):
+        while view.active.value > 0:
+            await view.active.wait_change()
--- /dev/null
+++ b/src/galenavane/entry/view.py
@@ -0,0 +1,61 @@
+"""What the tasks of one entry have published."""
+
+from __future__ import annotations
+
+import random
+
+from galenavane.config import in_force, settings
+from galenavane.control import sighting, table
+from galenavane.entry import latest
+from galenavane.peer import members
+from galenavane.platform import api, instance
+from galenavane.target import api as target_api
+
+
+class View:
+    """The latest facts, each published by the one task that owns it.
+
+    :ivar seen: reports of targets by instance name.
+    :ivar tables: assignment tables by data centre.
+    :ivar token: fencing token while the lease of the data centre is held.
+    :ivar leaving: whether this entry is stopping.
+    :ivar active: callers' requests in flight.
+    """
+
+    __slots__ = (
+        "active",
+        "cfg",
+        "configuration",
+        "incarnation",
+        "instances",
+        "leaving",
+        "peers",
+        "platform",
+        "rng",
+        "seen",
+        "tables",
+        "targets",
+        "token",
+    )
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        incarnation: str,
+        platform: api.Api,
+        targets: target_api.Api,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.incarnation = incarnation
+        self.platform = platform
+        self.targets = targets
+        self.rng = rng
+        self.configuration = latest.Latest[in_force.InForce | None](None)
+        self.instances = latest.Latest[list[instance.Instance]]([])
+        self.tables = latest.Latest[dict[str, table.Table]]({})
+        self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
+        self.token = latest.Latest[int | None](None)
+        self.peers = latest.Latest[list[members.Member]]([])
+        self.leaving = latest.Latest[bool](False)
+        self.active = latest.Latest[int](0)
--- /dev/null
+++ b/src/galenavane/failure/__init__.py
@@ -0,0 +1,1 @@
+"""What went wrong, as numbered codes and outcomes."""
--- /dev/null
+++ b/src/galenavane/failure/code.py
@@ -0,0 +1,43 @@
+"""The numbered result codes."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Code(enum.IntEnum):
+    """A number for each way a request, command or setting can fail."""
+
+    BAD_REQUEST = 1001
+    UNKNOWN_ACCOUNT = 1002
+    UNKNOWN_MODEL = 1003
+    UNKNOWN_SERVICE = 1004
+    BODY_TOO_LARGE = 1005
+    BAD_RESUME_TOKEN = 1006
+    KEY_REUSED = 1007
+    NO_SUCH_PATH = 1008
+    NO_GROUP = 2001
+    QUEUE_FULL = 2002
+    DEADLINE = 2003
+    ACCOUNT_LIMIT = 2004
+    LEAVING = 2005
+    NO_CONFIGURATION = 2006
+    TARGET_UNREACHABLE = 3001
+    TARGET_REFUSED = 3002
+    TARGET_LOST = 3003
+    TARGET_SILENT = 3004
+    TARGET_FAILED = 3005
+    WRONG_ANSWER = 3006
+    IN_PROGRESS = 3101
+    OUTCOME_UNKNOWN = 3102
+    PLATFORM_DOWN = 4001
+    PLATFORM_CONFLICT = 4002
+    PLATFORM_UNKNOWN = 4003
+    PLATFORM_REFUSED = 4004
+    VALUE_TOO_LARGE = 4005
+    STALE_TOKEN = 5001
+    BAD_SETTING = 6001
+    BAD_DECLARATION = 6002
+    FILE_MISSING = 6003
+    NOT_ACCEPTED = 6004
+    INTERNAL = 9001
--- /dev/null
+++ b/src/galenavane/failure/table.py
@@ -0,0 +1,90 @@
+"""Meaning of every result code; ``docs/errors.md`` is rendered from it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenavane.failure import code as codes
+
+_C = codes.Code
+
+
+class Row(msgspec.Struct, frozen=True):
+    """What a code means to the caller.
+
+    :ivar status: HTTP status, 0 where the code is not an HTTP answer.
+    :ivar meaning: what happened.
+    :ivar run: whether the request was run.
+    :ivar action: what the caller does.
+    """
+
+    status: int
+    meaning: str
+    run: str
+    action: str
+
+
+ROWS: dict[codes.Code, Row] = {
+    _C.BAD_REQUEST: Row(400, "the request is malformed", "no", "correct it"),
+    _C.UNKNOWN_ACCOUNT: Row(401, "the bearer key belongs to no account", "no", "use a valid key"),
+    _C.UNKNOWN_MODEL: Row(404, "the preset in force runs no such model", "no", "see /v1/models"),
+    _C.UNKNOWN_SERVICE: Row(404, "no such service is declared", "no", "correct the path"),
+    _C.BODY_TOO_LARGE: Row(413, "the body or head is over the limit", "no", "send less"),
+    _C.BAD_RESUME_TOKEN: Row(400, "the resume token is not valid", "no", "start a new request"),
+    _C.KEY_REUSED: Row(
+        422, "the idempotency key was used with another body", "no", "use a new key"
+    ),
+    _C.NO_SUCH_PATH: Row(404, "the path or method is not served", "no", "correct the path"),
+    _C.NO_GROUP: Row(
+        503, "no complete group serves the model", "no", "retry after the stated time"
+    ),
+    _C.QUEUE_FULL: Row(503, "the queue is full", "no", "retry after the stated time"),
+    _C.DEADLINE: Row(504, "the predicted wait passes the deadline", "no", "retry later"),
+    _C.ACCOUNT_LIMIT: Row(
+        429, "the account is over its limit", "no", "retry after the stated time"
+    ),
+    _C.LEAVING: Row(503, "this entry is stopping", "no", "retry at another entry"),
+    _C.NO_CONFIGURATION: Row(503, "this entry has no configuration yet", "no", "retry elsewhere"),
+    _C.TARGET_UNREACHABLE: Row(503, "no connection to the target", "no", "retry"),
+    _C.TARGET_REFUSED: Row(503, "the target refused before running", "no", "retry"),
+    _C.TARGET_LOST: Row(
+        502, "the connection broke after sending", "perhaps", "look up, then retry"
+    ),
+    _C.TARGET_SILENT: Row(504, "the target stopped answering", "perhaps", "look up, then retry"),
+    _C.TARGET_FAILED: Row(502, "the target ran it and failed", "yes", "see the message"),
+    _C.WRONG_ANSWER: Row(502, "the answer belonged to another request", "perhaps", "report it"),
+    _C.IN_PROGRESS: Row(409, "the same key is being run now", "perhaps", "ask again with the key"),
+    _C.OUTCOME_UNKNOWN: Row(502, "an earlier run's outcome is unknown", "perhaps", "look it up"),
+    _C.PLATFORM_DOWN: Row(503, "the platform can't be reached", "no", "retry later"),
+    _C.PLATFORM_CONFLICT: Row(409, "another write came first", "no", "read, then write again"),
+    _C.PLATFORM_UNKNOWN: Row(503, "a write's answer was lost", "perhaps", "read it back"),
+    _C.PLATFORM_REFUSED: Row(503, "the platform refused the call", "no", "retry later"),
+    _C.VALUE_TOO_LARGE: Row(413, "a value is over 1 MB", "no", "send less"),
+    _C.STALE_TOKEN: Row(409, "the fencing token is old", "no", "none: a newer holder acts"),
+    _C.BAD_SETTING: Row(0, "a setting of the process is wrong", "no", "correct the file"),
+    _C.BAD_DECLARATION: Row(0, "a declaration is wrong", "no", "correct the file"),
+    _C.FILE_MISSING: Row(0, "a file does not exist", "no", "correct the path"),
+    _C.NOT_ACCEPTED: Row(0, "the configuration was not accepted", "no", "see the message"),
+    _C.INTERNAL: Row(500, "a defect in galenavane", "perhaps", "report it with the request id"),
+}
+
+
+def render_page() -> str:
+    """Return the text of ``docs/errors.md``."""
+    head = [
+        "# Result codes",
+        "",
+        "Every error that a caller or operator sees carries one of these numbers. *Run* says",
+        "whether the request was run: only `no` makes a repeat safe for a non-idempotent request.",
+        "",
+        "| code | name | HTTP | meaning | run | what to do |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    rows = [_render_row(code, row) for code, row in ROWS.items()]
+    return "\n".join(head + rows) + "\n"
+
+
+def _render_row(code: codes.Code, row: Row) -> str:
+    status = str(row.status) if row.status else "-"
+    cells = [str(code.value), code.name, status, row.meaning, row.run, row.action]
+    return f"| {' | '.join(cells)} |"
--- /dev/null
+++ b/src/galenavane/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/galenavane/load/report.py
@@ -0,0 +1,63 @@
+"""Summary of a load for people and for later comparison."""
+
+from __future__ import annotations
+
+import msgspec
+from hdrh import histogram
+
+from galenavane.load import result as results
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Percentiles in milliseconds."""
+
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    count: int
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """A result as JSON."""
+
+    answered: int
+    wrong: int
+    placed: int
+    refused: dict[str, int]
+    first_token: Latency
+    between_tokens: Latency
+
+
+def summarise(result: results.Result) -> Summary:
+    """Return the summary of a result."""
+    return Summary(
+        result.answered,
+        result.wrong,
+        len(result.placed),
+        dict(sorted(result.refused.items())),
+        _latency(result.first_token),
+        _latency(result.between_tokens),
+    )
+
+
+def render(result: results.Result) -> str:
+    """Return the summary as text; its last line is the verdict."""
+    found = summarise(result)
+    lines = [
+        f"completions answered  {found.answered}",
+        f"first token           {_render(found.first_token)}",
+        f"between tokens        {_render(found.between_tokens)}",
+        f"jobs placed           {found.placed} of {len(result.sent_jobs)}",
+    ]
+    lines += [f"refused               {count} x {name}" for name, count in found.refused.items()]
+    lines.append(f"wrong answers         {found.wrong}")
+    return "\n".join(lines)
+
+
+def _latency(found: histogram.HdrHistogram) -> Latency:
+    p50, p95, p99 = (found.get_value_at_percentile(one) / 1000 for one in (50, 95, 99))
+    return Latency(p50, p95, p99, found.get_total_count())
+
+
+def _render(one: Latency) -> str:
+    return f"p50 {one.p50_ms:.1f} ms, p95 {one.p95_ms:.1f} ms, p99 {one.p99_ms:.1f} ms"
--- /dev/null
+++ b/src/galenavane/net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections and message sockets."""
--- /dev/null
+++ b/src/galenavane/net/headers.py
@@ -0,0 +1,33 @@
+"""HTTP header fields."""
+
+from __future__ import annotations
+
+from collections import abc
+
+_Pair = tuple[bytes, bytes]
+
+
+class Headers:
+    """An ordered list of header fields with lower-case names."""
+
+    __slots__ = ("pairs",)
+
+    def __init__(self, pairs: abc.Iterable[_Pair] = ()) -> None:
+        self.pairs: list[_Pair] = [(name.lower(), value) for name, value in pairs]
+
+    def get(self, name: str, default: str = "") -> str:
+        """Return the first value of a field, or the default."""
+        wanted = name.lower().encode()
+        for key, value in self.pairs:
+            if key == wanted:
+                return value.decode("latin-1")
+        return default
+
+    def add(self, name: str, value: str) -> Headers:
+        """Append a field and return this object."""
+        self.pairs.append((name.lower().encode(), value.encode("latin-1")))
+        return self
+
+    def without(self, names: abc.Set[bytes]) -> Headers:
+        """Return a copy without the named fields."""
+        return Headers(pair for pair in self.pairs if pair[0] not in names)
--- /dev/null
+++ b/src/galenavane/net/http_connection.py
@@ -0,0 +1,147 @@
+"""One HTTP/1.1 connection, used on the server's and the client's side."""
+
+from __future__ import annotations
+
+import typing
+
+import h11
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import headers as header_lists
+from galenavane.net import message, transport_error
+
+READ_SIZE_BYTES = 65536
+MAX_HEAD_BYTES = 32768
+_HEAD_ERRORS = (400, 431)
+
+
+class HttpConnection:
+    """An h11 state machine and the stream it speaks over."""
+
+    __slots__ = ("bytes_sent", "machine", "stream")
+
+    def __init__(self, stream: trio.abc.Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.stream = stream
+        self.machine = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.bytes_sent = False
+
+    async def send(self, *events: h11.Event) -> None:
+        """Send events as one write.
+
+        :raises TransportError: ``RESET`` when the other end is gone.
+        """
+        data = b"".join(self.machine.send(event) or b"" for event in events)
+        if not data:
+            return
+        self.bytes_sent = True
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise self._error(transport_error.Kind.RESET, str(exc)) from exc
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event from the other end.
+
+        :raises TransportError: ``RESET`` or ``MALFORMED``.
+        """
+        while True:
+            try:
+                event = self.machine.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise self._error(transport_error.Kind.MALFORMED, str(exc)) from exc
+            if event is not h11.NEED_DATA:
+                return typing.cast("h11.Event | type[h11.PAUSED]", event)
+            await self._receive()
+
+    async def _receive(self) -> None:
+        try:
+            data = await self.stream.receive_some(READ_SIZE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise self._error(transport_error.Kind.RESET, str(exc)) from exc
+        try:
+            self.machine.receive_data(bytes(data))
+        except h11.RemoteProtocolError as exc:
+            raise self._error(transport_error.Kind.RESET, str(exc)) from exc
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Read data events up to the end of the message.
+
+        :raises TransportError: also ``TOO_LARGE`` when the body passes the limit.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise self._error(transport_error.Kind.RESET, "connection closed inside a body")
+            size += len(event.data)
+            if size > limit_bytes:
+                raise self._error(transport_error.Kind.TOO_LARGE, f"body over {limit_bytes} bytes")
+            parts.append(bytes(event.data))
+
+    async def send_request(self, req: message.Request, host: str) -> None:
+        """Send a whole request."""
+        fields = req.headers.without({b"host", b"content-length", b"transfer-encoding"})
+        pairs = [(b"host", host.encode()), *fields.pairs]
+        if req.body or req.method in ("POST", "PUT"):
+            pairs.append((b"content-length", str(len(req.body)).encode()))
+        head = h11.Request(method=req.method, target=req.target, headers=pairs)
+        await self.send(head, h11.Data(data=req.body), h11.EndOfMessage())
+
+    async def read_response_head(self) -> message.Response:
+        """Read up to the end of the response's head; its body is left to be read."""
+        event = await self.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event()
+        if not isinstance(event, h11.Response):
+            raise self._error(transport_error.Kind.RESET, "connection closed before the answer")
+        return message.Response(event.status_code, header_lists.Headers(event.headers))
+
+    async def close(self) -> None:
+        """Close the stream; never raises."""
+        await trio.aclose_forcefully(self.stream)
+
+    def _error(self, kind: transport_error.Kind, text: str) -> transport_error.TransportError:
+        return transport_error.TransportError(kind, self.bytes_sent, text)
+
+
+async def connect(where: addresses.Address, timeout_seconds: float) -> HttpConnection:
+    """Open a client connection.
+
+    :raises TransportError: ``NOT_CONNECTED``.
+    """
+    try:
+        with trio.fail_after(timeout_seconds):
+            stream = await trio.open_tcp_stream(where.host, where.port)
+    except (OSError, trio.TooSlowError) as exc:
+        kind = transport_error.Kind.NOT_CONNECTED
+        raise transport_error.TransportError(kind, False, f"{where}: {exc}") from exc
+    return HttpConnection(stream, h11.CLIENT)
+
+
+async def round_trip(
+    where: addresses.Address,
+    req: message.Request,
+    timeout_seconds: float,
+    limit_bytes: int,
+) -> message.Response:
+    """Send a request over a fresh connection and read the whole response.
+
+    :raises TransportError: with whether any byte of the request was sent.
+    """
+    conn = await connect(where, timeout_seconds)
+    try:
+        with trio.fail_after(timeout_seconds):
+            await conn.send_request(req, str(where))
+            response = await conn.read_response_head()
+            response.body = await conn.read_body(limit_bytes)
+            return response
+    except trio.TooSlowError:
+        kind = transport_error.Kind.SILENT
+        text = f"{where}: no answer within {timeout_seconds} s"
+        raise transport_error.TransportError(kind, conn.bytes_sent, text) from None
+    finally:
+        await conn.close()
--- /dev/null
+++ b/src/galenavane/net/http_server.py
@@ -0,0 +1,141 @@
+"""Serves HTTP/1.1 connections to a handler."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from collections import abc
+
+import h11
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import headers as header_lists
+from galenavane.net import http_connection, message, transport_error
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limits:
+    """What a client may take.
+
+    :ivar body_bytes: largest request body.
+    :ivar idle_seconds: wait for the next request on an open connection.
+    :ivar read_seconds: time to send one whole request.
+    """
+
+    body_bytes: int = 1_100_000
+    idle_seconds: float = 60.0
+    read_seconds: float = 20.0
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    __slots__ = ("_conn", "_streaming", "answered", "request")
+
+    def __init__(self, conn: http_connection.HttpConnection, req: message.Request) -> None:
+        self._conn = conn
+        self._streaming = False
+        self.request = req
+        self.answered = False
+
+    async def respond(self, response: message.Response) -> None:
+        """Send a whole response."""
+        self.answered = True
+        fields = response.headers.without({b"content-length", b"transfer-encoding"})
+        fields.add("content-length", str(len(response.body)))
+        head = h11.Response(status_code=response.status, headers=fields.pairs)
+        await self._conn.send(head, h11.Data(data=response.body), h11.EndOfMessage())
+
+    async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
+        """Send the head of a chunked response."""
+        self.answered = True
+        fields.add("transfer-encoding", "chunked")
+        await self._conn.send(h11.Response(status_code=status, headers=fields.pairs))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send one chunk of a started stream."""
+        await self._conn.send(h11.Data(data=data))
+
+    async def end_stream(self) -> None:
+        """End a started stream."""
+        await self._conn.send(h11.EndOfMessage())
+
+    async def wait_disconnect(self) -> None:
+        """Return when the client has closed its connection or sent more bytes."""
+        try:
+            await self._conn.stream.receive_some(1)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
+
+
+async def listen(
+    where: addresses.Address,
+    handler: Handler,
+    limits: Limits | None = None,
+    *,
+    task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept connections until cancelled; reports the bound address when ready."""
+    listeners = await trio.open_tcp_listeners(where.port, host=where.host)
+    port = listeners[0].socket.getsockname()[1]
+    task_status.started(addresses.Address(where.host, port))
+    serve = functools.partial(_serve_connection, handler=handler, limits=limits or Limits())
+    await trio.serve_listeners(serve, listeners)
+
+
+async def _serve_connection(stream: trio.SocketStream, handler: Handler, limits: Limits) -> None:
+    conn = http_connection.HttpConnection(stream, h11.SERVER)
+    try:
+        while await _serve_request(conn, handler, limits):
+            conn.machine.start_next_cycle()
+    except (transport_error.TransportError, h11.LocalProtocolError):
+        pass
+    finally:
+        await conn.close()
+
+
+async def _serve_request(
+    conn: http_connection.HttpConnection, handler: Handler, limits: Limits
+) -> bool:
+    """Serve one request; return whether the connection may carry another."""
+    try:
+        req = await _read_request(conn, limits)
+    except transport_error.TransportError as exc:
+        await _refuse(conn, exc)
+        return False
+    if req is None:
+        return False
+    exchange = Exchange(conn, req)
+    await handler(exchange)
+    return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
+
+
+async def _read_request(
+    conn: http_connection.HttpConnection, limits: Limits
+) -> message.Request | None:
+    with trio.move_on_after(limits.idle_seconds) as idle:
+        event = await conn.next_event()
+    if idle.cancelled_caught or not isinstance(event, h11.Request):
+        return None
+    with trio.move_on_after(limits.read_seconds) as reading:
+        body = await conn.read_body(limits.body_bytes)
+    if reading.cancelled_caught:
+        return None
+    method = event.method.decode("ascii")
+    target = event.target.decode("latin-1")
+    return message.Request(method, target, header_lists.Headers(event.headers), body)
+
+
+async def _refuse(
+    conn: http_connection.HttpConnection, exc: transport_error.TransportError
+) -> None:
+    if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    too_large = exc.kind is transport_error.Kind.TOO_LARGE
+    response = message.json_response(413 if too_large else 400, {"error": str(exc)})
+    response.headers.add("connection", "close")
+    await Exchange(conn, message.Request("", "")).respond(response)
--- /dev/null
+++ b/src/galenavane/net/transport_error.py
@@ -0,0 +1,28 @@
+"""Why an HTTP exchange with another process failed."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Kind(enum.StrEnum):
+    """What happened on the connection."""
+
+    NOT_CONNECTED = "not_connected"
+    RESET = "reset"
+    SILENT = "silent"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+
+
+class TransportError(Exception):
+    """The exchange broke off.
+
+    :ivar kind: what happened.
+    :ivar bytes_sent: whether any byte of the request was handed to the socket.
+    """
+
+    def __init__(self, kind: Kind, bytes_sent: bool, message: str = "") -> None:
+        super().__init__(message or kind.value)
+        self.kind = kind
+        self.bytes_sent = bytes_sent
--- /dev/null
+++ b/src/galenavane/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line."""
--- /dev/null
+++ b/src/galenavane/observe/clock.py
@@ -0,0 +1,53 @@
+"""Hybrid logical clock, which orders events of several processes."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+
+class Stamp(msgspec.Struct, frozen=True, order=True):
+    """A point in causal order.
+
+    :ivar wall_ms: wall clock in milliseconds, never falling.
+    :ivar count: order among events of one millisecond.
+    """
+
+    wall_ms: int
+    count: int
+
+    def __str__(self) -> str:
+        """Return the usual text form."""
+        return f"{self.wall_ms}.{self.count:04d}"
+
+
+class Clock:
+    """The clock of one process."""
+
+    __slots__ = ("_last",)
+
+    def __init__(self) -> None:
+        self._last = Stamp(0, 0)
+
+    def tick(self) -> Stamp:
+        """Return the stamp of a new local event."""
+        return self._advance(Stamp(0, 0))
+
+    def receive(self, remote: Stamp) -> Stamp:
+        """Return the stamp of an event caused by a message with a stamp."""
+        return self._advance(remote)
+
+    def _advance(self, remote: Stamp) -> Stamp:
+        wall = time.time_ns() // 1_000_000
+        base = max(self._last, remote)
+        self._last = Stamp(wall, 0) if wall > base.wall_ms else Stamp(base.wall_ms, base.count + 1)
+        return self._last
+
+
+def parse(text: str) -> Stamp | None:
+    """Parse a stamp from a header or a log line; ``None`` when it is damaged."""
+    wall, _, count = text.partition(".")
+    if not (wall.isdigit() and count.isdigit()):
+        return None
+    return Stamp(int(wall), int(count))
--- /dev/null
+++ b/src/galenavane/peer/__init__.py
@@ -0,0 +1,1 @@
+"""What entries tell each other."""
--- /dev/null
+++ b/src/galenavane/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and the leases kept in it."""
--- /dev/null
+++ b/src/galenavane/platform/client.py
@@ -0,0 +1,112 @@
+"""Client of the platform's object API over HTTP and JSON."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, message, transport_error
+from galenavane.platform import api, instance, stored
+
+WATCH_MARGIN_SECONDS = 2.0
+MAX_ANSWER_BYTES = 64_000_000
+
+_T = typing.TypeVar("_T")
+
+
+class _Client:
+    """State of the client: where the platform is and how long a call may take."""
+
+    __slots__ = ("_timeout", "_where", "calls")
+
+    def __init__(self, where: addresses.Address, timeout_seconds: float) -> None:
+        self._where = where
+        self._timeout = timeout_seconds
+        self.calls = 0
+
+    async def get(self, key: str) -> expression.Result[stored.Stored, failure.Failure]:
+        req = message.Request("GET", f"/v1/objects/{_quote(key)}")
+        return await self._call(req, stored.Stored)
+
+    async def put(
+        self, key: str, value: str, if_version: int | None
+    ) -> expression.Result[int, failure.Failure]:
+        if len(value.encode()) > stored.MAX_VALUE_BYTES:
+            text = f'value of "{key}" is over {stored.MAX_VALUE_BYTES} bytes'
+            return expression.Error(failure.Failure(codes.Code.VALUE_TOO_LARGE, text))
+        body = stored.Put(value, if_version)
+        req = message.json_request("PUT", f"/v1/objects/{_quote(key)}", body)
+        written = await self._call(req, stored.Written)
+        return written.map(lambda answer: answer.version)
+
+    async def delete(
+        self, key: str, if_version: int | None
+    ) -> expression.Result[int, failure.Failure]:
+        query = "" if if_version is None else f"?if_version={if_version}"
+        req = message.Request("DELETE", f"/v1/objects/{_quote(key)}{query}")
+        written = await self._call(req, stored.Written)
+        return written.map(lambda answer: answer.version)
+
+    async def list_objects(self, prefix: str) -> expression.Result[stored.Listing, failure.Failure]:
+        req = message.Request("GET", f"/v1/list?prefix={_quote(prefix)}")
+        return await self._call(req, stored.Listing)
+
+    async def watch(
+        self, prefix: str, after: int, wait_seconds: float
+    ) -> expression.Result[stored.Listing, failure.Failure]:
+        query = f"prefix={_quote(prefix)}&after={after}&wait={wait_seconds}"
+        req = message.Request("GET", f"/v1/watch?{query}")
+        timeout = wait_seconds + WATCH_MARGIN_SECONDS
+        return await self._call(req, stored.Listing, timeout)
+
+    async def instances(self) -> expression.Result[instance.InstanceList, failure.Failure]:
+        return await self._call(message.Request("GET", "/v1/instances"), instance.InstanceList)
+
+    async def _call(
+        self, req: message.Request, kind: type[_T], timeout_seconds: float | None = None
+    ) -> expression.Result[_T, failure.Failure]:
+        self.calls += 1
+        timeout = timeout_seconds or self._timeout
+        try:
+            response = await http_connection.round_trip(self._where, req, timeout, MAX_ANSWER_BYTES)
+        except transport_error.TransportError as exc:
+            return expression.Error(_broken_call(req, exc))
+        if response.status != 200:
+            return expression.Error(_refused_call(req, response))
+        return expression.Ok(msgspec.json.decode(response.body, type=kind))
+
+
+def make(where: addresses.Address, timeout_seconds: float) -> api.Api:
+    """Return a client of the platform at an address."""
+    return _Client(where, timeout_seconds)
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="/")
+
+
+def _broken_call(req: message.Request, exc: transport_error.TransportError) -> failure.Failure:
+    if exc.bytes_sent and req.method != "GET":
+        text = f"the answer to {req.method} {req.path} was lost: {exc}"
+        return failure.Failure(codes.Code.PLATFORM_UNKNOWN, text, outcomes.Outcome.UNKNOWN)
+    return failure.Failure(codes.Code.PLATFORM_DOWN, f"platform: {exc}")
+
+
+def _refused_call(req: message.Request, response: message.Response) -> failure.Failure:
+    text = f"{req.method} {req.path}: status {response.status}"
+    if response.status == 409:
+        return failure.Failure(codes.Code.PLATFORM_CONFLICT, text)
+    if response.status == 413:
+        return failure.Failure(codes.Code.VALUE_TOO_LARGE, text)
+    if response.status == 429:
+        return failure.Failure(codes.Code.PLATFORM_REFUSED, text)
+    if response.status >= 500 and req.method != "GET":
+        return failure.Failure(codes.Code.PLATFORM_UNKNOWN, text, outcomes.Outcome.UNKNOWN)
+    return failure.Failure(codes.Code.PLATFORM_DOWN, text)
--- /dev/null
+++ b/src/galenavane/route/__init__.py
@@ -0,0 +1,1 @@
+"""Which group gets a request, when, and what is refused."""
--- /dev/null
+++ b/src/galenavane/route/candidate.py
@@ -0,0 +1,33 @@
+"""A group or plain target that may get a request."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from galenavane.target import report
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """What is known of one complete group or live plain target.
+
+    :ivar name: group name, or the instance's name for a plain target.
+    :ivar address: of the group's leader.
+    :ivar epoch: 0 for a plain target.
+    :ivar load: lagging load of the leader.
+    :ivar unreported: sends of this entry and its peers that the load can't show yet.
+    :ivar cached_tokens: prompt tokens that are probably cached there.
+    :ivar distance_seconds: round trip to its data centre.
+    :ivar has_adapter: whether the adapter that is asked for is loaded.
+    :ivar suspicion: factor by which it is slower than others, 1 for a healthy one.
+    """
+
+    name: str
+    address: str
+    epoch: int = 0
+    load: report.Load = dataclasses.field(default_factory=report.Load)
+    unreported: int = 0
+    cached_tokens: int = 0
+    distance_seconds: float = 0.0
+    has_adapter: bool = True
+    suspicion: float = 1.0
--- /dev/null
+++ b/src/galenavane/run.py
@@ -0,0 +1,58 @@
+"""The command line: finds the subcommand and prints errors as one line."""
+
+from __future__ import annotations
+
+import sys
+import typing
+from collections import abc
+
+import defopt
+
+from galenavane.cli import apply, check, entry, errors, load, preset, standin, status
+from galenavane.failure import failure
+from galenavane.net import address as addresses
+
+EXIT_USER_ERROR = 2
+EXIT_INTERRUPTED = 130
+
+COMMANDS: dict[str, typing.Any] = {
+    "entry": entry.entry,
+    "check": check.check,
+    "apply": apply.apply,
+    "preset": preset.preset,
+    "status": status.status,
+    "errors": errors.errors,
+    "load": load.load,
+    "standin": {
+        "platform": standin.platform,
+        "engine": standin.engine,
+        "plain": standin.plain,
+    },
+}
+
+
+def main(argv: abc.Sequence[str] | None = None) -> typing.NoReturn:
+    """Run one subcommand and exit.
+
+    Exit codes: 0 success, 1 the command's answer is bad news, 2 wrong input, 130 interrupted.
+    """
+    try:
+        sys.exit(_run(argv))
+    except failure.UserError as exc:
+        print(f"galenavane: error {exc.failure.code.value}: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USER_ERROR)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
+
+
+def _run(argv: abc.Sequence[str] | None) -> int:
+    code = defopt.run(
+        COMMANDS,
+        argv=argv,
+        argparse_kwargs={"prog": "galenavane"},
+        parsers={addresses.Address: addresses.parse},
+        cli_options="has_default",
+        no_negated_flags=True,
+        show_types=False,
+    )
+    return int(code or 0)
--- /dev/null
+++ b/src/galenavane/serve/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests from first byte to last."""
--- /dev/null
+++ b/src/galenavane/serve/caller.py
@@ -0,0 +1,70 @@
+"""What is known of one caller's request before it is routed."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import hmac
+
+import expression
+
+from galenavane.config import declaration
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.net import http_server
+
+DEADLINE_HEADER = "x-deadline-seconds"
+KEY_HEADER = "idempotency-key"
+REQUEST_ID_HEADER = "x-request-id"
+DEFAULT_DEADLINE_SECONDS = 60.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Caller:
+    """One request with its account.
+
+    :ivar request_id: unique id given by this entry.
+    :ivar idempotency_key: empty when the caller gave none.
+    :ivar deadline: monotonic time after which the answer is of no use.
+    """
+
+    exchange: http_server.Exchange
+    request_id: str
+    account: declaration.Account
+    idempotency_key: str
+    deadline: float
+
+
+def identify(
+    exchange: http_server.Exchange,
+    declared: declaration.Declarations,
+    request_id: str,
+    now: float,
+) -> expression.Result[Caller, failure.Failure]:
+    """Find the account of the request's bearer key."""
+    headers = exchange.request.headers
+    scheme, _, bearer = headers.get("authorization").partition(" ")
+    account = _find_account(declared, bearer) if scheme.lower() == "bearer" else None
+    if account is None:
+        text = "the bearer key belongs to no account"
+        return expression.Error(failure.Failure(codes.Code.UNKNOWN_ACCOUNT, text))
+    wait = _parse_seconds(headers.get(DEADLINE_HEADER))
+    key = headers.get(KEY_HEADER)
+    return expression.Ok(Caller(exchange, request_id, account, key, now + wait))
+
+
+def _find_account(declared: declaration.Declarations, bearer: str) -> declaration.Account | None:
+    digest = hashlib.sha256(bearer.encode()).hexdigest()
+    found = None
+    for account in declared.accounts:
+        if hmac.compare_digest(account.key_sha256, digest):
+            found = account
+    return found
+
+
+def _parse_seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return DEFAULT_DEADLINE_SECONDS
+    return seconds if 0 < seconds < DEFAULT_DEADLINE_SECONDS * 10 else DEFAULT_DEADLINE_SECONDS
--- /dev/null
+++ b/src/galenavane/serve/front.py
@@ -0,0 +1,85 @@
+"""Callers' HTTP: finds account and path, and answers every request."""
+
+from __future__ import annotations
+
+import uuid
+
+import trio
+
+from galenavane.entry import view as views
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.net import http_server, message, transport_error
+from galenavane.observe import events
+from galenavane.serve import caller as callers
+from galenavane.serve import errors, model_request, plain_request
+
+_COMPLETIONS = ("/v1/completions", "/v1/chat/completions")
+_SERVICES = "/services/"
+RETRY_AFTER_SECONDS = 1.0
+
+
+def make_handler(view: views.View) -> http_server.Handler:
+    """Return the handler of callers' requests."""
+
+    async def handle(exchange: http_server.Exchange) -> None:
+        if exchange.request.path in ("/healthz", "/readyz"):
+            await exchange.respond(_answer_health(view, exchange.request.path))
+            return
+        view.active.publish(view.active.value + 1)
+        try:
+            await _serve(view, exchange)
+        finally:
+            view.active.publish(view.active.value - 1)
+
+    return handle
+
+
+def _answer_health(view: views.View, path: str) -> message.Response:
+    ready = view.configuration.value is not None and not view.leaving.value
+    if path == "/healthz" or ready:
+        return message.json_response(200, {"status": "ok"})
+    return message.json_response(503, {"status": "not ready"})
+
+
+async def _serve(view: views.View, exchange: http_server.Exchange) -> None:
+    request_id = uuid.uuid4().hex
+    events.log("request.begin", request=request_id, path=exchange.request.path)
+    try:
+        found = await _route(view, exchange, request_id)
+    except transport_error.TransportError:
+        events.log("request.end", request=request_id, code="caller_gone")
+        return
+    if found is None:
+        events.log("request.end", request=request_id, code="answered")
+        return
+    events.log("request.end", request=request_id, code=found.code.name, outcome=found.outcome.value)
+    if not exchange.answered:
+        await exchange.respond(errors.response(found, request_id))
+
+
+async def _route(
+    view: views.View, exchange: http_server.Exchange, request_id: str
+) -> failure.Failure | None:
+    """Answer a request; return the failure to tell, or ``None`` when it was answered."""
+    if view.leaving.value:
+        text = "this entry is stopping"
+        return failure.Failure(codes.Code.LEAVING, text, retry_after_seconds=RETRY_AFTER_SECONDS)
+    configuration = view.configuration.value
+    if configuration is None:
+        text = "this entry has no configuration yet"
+        return failure.Failure(
+            codes.Code.NO_CONFIGURATION, text, retry_after_seconds=RETRY_AFTER_SECONDS
+        )
+    found = callers.identify(exchange, configuration.declared, request_id, trio.current_time())
+    if found.is_error():
+        return found.error
+    req = exchange.request
+    if req.path == "/v1/models" and req.method == "GET":
+        await exchange.respond(model_request.list_models(configuration))
+        return None
+    if req.path in _COMPLETIONS and req.method == "POST":
+        return await model_request.serve(view, configuration, found.ok)
+    if req.path.startswith(_SERVICES):
+        return await plain_request.serve(view, configuration, found.ok)
+    return failure.Failure(codes.Code.NO_SUCH_PATH, f'"{req.method} {req.path}" is not served')
--- /dev/null
+++ b/src/galenavane/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
--- /dev/null
+++ b/src/galenavane/standin/engine.py
@@ -0,0 +1,213 @@
+"""Stand-in for one member of a replica group."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+import msgspec
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import headers as header_lists
+from galenavane.net import http_server, message
+from galenavane.observe import events
+from galenavane.standin import engine_batch, engine_faults, engine_state, engine_text
+from galenavane.target import client, command, completion
+
+HEARTBEAT_SECONDS = 0.4
+LOAD_SAMPLE_SECONDS = 0.1
+CALL_TIMEOUT_SECONDS = 1.0
+
+
+class _Blocks(msgspec.Struct, frozen=True):
+    """Body of a KV cache export and import."""
+
+    blocks: list[int]
+
+
+class _Engine:
+    """State of the stand-in."""
+
+    __slots__ = ("batch", "state", "streams")
+
+    def __init__(self, name: str, sizes: engine_faults.Sizes) -> None:
+        self.state = engine_state.State(name, sizes)
+        self.batch = engine_batch.Batch(sizes)
+        self.streams: dict[str, trio.CancelScope] = {}
+
+    def token_seconds(self) -> float:
+        """Time of one decoding step now."""
+        return self.state.sizes.token_seconds * self.state.faults.slow_factor
+
+
+async def run(
+    name: str,
+    where: addresses.Address,
+    sizes: engine_faults.Sizes,
+    faults: engine_faults.Faults,
+    *,
+    task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve as one member until cancelled."""
+    engine = _Engine(name, sizes)
+    engine.state.faults = faults
+
+    async def handle(exchange: http_server.Exchange) -> None:
+        await _handle(engine, exchange)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_hear_members, engine)
+        nursery.start_soon(_sample_load, engine)
+        await http_server.listen(where, handle, task_status=task_status)
+
+
+async def _hear_members(engine: _Engine) -> None:
+    targets = client.make(CALL_TIMEOUT_SECONDS)
+    state = engine.state
+
+    async def hear(peer: command.Peer) -> None:
+        answer = await targets.fetch_report(peer.address)
+        if answer.is_ok():
+            state.confirm(peer, answer.ok, trio.current_time())
+
+    while True:
+        if state.rank == 0:
+            async with trio.open_nursery() as nursery:
+                for peer in state.peers[1:]:
+                    nursery.start_soon(hear, peer)
+        await trio.sleep(HEARTBEAT_SECONDS)
+
+
+async def _sample_load(engine: _Engine) -> None:
+    while True:
+        load = engine.batch.current_load(engine.token_seconds())
+        engine.batch.loads.append((trio.current_time(), load))
+        await trio.sleep(LOAD_SAMPLE_SECONDS)
+
+
+async def _handle(engine: _Engine, exchange: http_server.Exchange) -> None:
+    req = exchange.request
+    if req.path in ("/v1/completions", "/v1/chat/completions"):
+        await _complete(engine, exchange)
+        return
+    await exchange.respond(_answer(engine, req))
+
+
+def _answer(engine: _Engine, req: message.Request) -> message.Response:
+    state = engine.state
+    now = trio.current_time()
+    if req.path == "/v1/report":
+        load = engine.batch.lagging_load(now, state.faults.report_lag_seconds)
+        return message.json_response(200, state.report(now, load))
+    if req.path == "/v1/commands":
+        return _take_command(engine, req, now)
+    if req.path == "/v1/cache/events":
+        after = int(urllib.parse.parse_qs(req.target.partition("?")[2])["after"][0])
+        found = engine.batch.published(after, now, state.faults)
+        answer = {"incarnation": state.incarnation, "events": found}
+        return message.json_response(200, answer)
+    if req.path.startswith("/v1/cancel/"):
+        scope = engine.streams.get(req.path.removeprefix("/v1/cancel/"))
+        if scope is not None:
+            scope.cancel()
+        return message.json_response(200, {"cancelled": scope is not None})
+    if req.path == "/v1/kv/export":
+        return message.json_response(200, _Blocks(engine.batch.export_blocks()))
+    if req.path == "/v1/kv/import":
+        blocks = msgspec.json.decode(req.body, type=_Blocks)
+        engine.batch.import_blocks(blocks.blocks, now)
+        return message.json_response(200, {})
+    if req.path == "/faults":
+        state.faults = msgspec.json.decode(req.body, type=engine_faults.Faults)
+        return message.json_response(200, state.faults)
+    return message.json_response(404, {"error": f"no such path {req.path}"})
+
+
+def _take_command(engine: _Engine, req: message.Request, now: float) -> message.Response:
+    order = msgspec.json.decode(req.body, type=command.Command)
+    state = engine.state
+    refusal = state.refusal(order)
+    events.log(
+        "target.command",
+        instance=state.name,
+        kind=order.kind.value,
+        group=order.group,
+        epoch=order.epoch,
+        token=order.token,
+        refused=refusal,
+    )
+    if refusal:
+        response = message.json_response(409, {"error": refusal})
+        if refusal == "token":
+            response.headers.add("x-stale-token", "1")
+        return response
+    before = (state.group, state.epoch)
+    state.carry_out(order, now)
+    if before != (state.group, state.epoch):
+        _stop_streams(engine)
+    return message.json_response(200, state.report(now, engine.batch.current_load(0.0)))
+
+
+def _stop_streams(engine: _Engine) -> None:
+    for scope in engine.streams.values():
+        scope.cancel()
+
+
+async def _complete(engine: _Engine, exchange: http_server.Exchange) -> None:
+    req = exchange.request
+    state = engine.state
+    meant = (req.headers.get("x-group"), req.headers.get("x-epoch"))
+    if meant != (state.group, str(state.epoch)) or not state.is_complete(trio.current_time()):
+        refusal = message.json_response(503, {"error": "not a complete leader of this group"})
+        refusal.headers.add("x-not-run", "1")
+        await exchange.respond(refusal)
+        return
+    request_id = req.headers.get("x-request-id")
+    body = msgspec.json.decode(req.body, type=completion.CompletionRequest)
+    events.log("target.request", instance=state.name, group=state.group, request=request_id)
+    scope = trio.CancelScope()
+    engine.streams[request_id] = scope
+    with scope:
+        await _run_stream(engine, exchange, request_id, body)
+    if engine.streams.get(request_id) is scope:
+        del engine.streams[request_id]
+    state.finished += 1
+    events.log("target.end", instance=state.name, request=request_id, cut=scope.cancelled_caught)
+
+
+async def _run_stream(
+    engine: _Engine,
+    exchange: http_server.Exchange,
+    request_id: str,
+    body: completion.CompletionRequest,
+) -> None:
+    headers = exchange.request.headers
+    await engine.batch.enter(int(headers.get("x-priority", "1")))
+    try:
+        prompt = body.text()
+        await engine.batch.prefill(prompt, trio.current_time())
+        fields = header_lists.Headers().add("content-type", "text/event-stream")
+        fields.add("x-request-id", request_id)
+        await exchange.start_stream(200, fields)
+        is_chat = exchange.request.path == "/v1/chat/completions"
+        for offset in range(int(headers.get("x-resume-offset", "0")), body.max_tokens):
+            await _decode_step(engine)
+            text = engine_text.token(prompt, offset)
+            await exchange.send_chunk(_event(request_id, offset, text, is_chat))
+        await exchange.send_chunk(b"data: [DONE]\n\n")
+        await exchange.end_stream()
+    finally:
+        engine.batch.leave()
+
+
+async def _decode_step(engine: _Engine) -> None:
+    await trio.sleep(engine.token_seconds())
+    while engine.state.faults.silent or not engine.state.is_complete(trio.current_time()):
+        await trio.sleep(LOAD_SAMPLE_SECONDS)
+
+
+def _event(request_id: str, offset: int, text: str, is_chat: bool) -> bytes:
+    delta = completion.Delta(text if is_chat else "")
+    choice = completion.ChunkChoice(delta=delta, text="" if is_chat else text)
+    chunk = completion.Chunk(request_id, offset, [choice])
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
--- /dev/null
+++ b/src/galenavane/standin/engine_state.py
@@ -0,0 +1,136 @@
+"""Membership of the stand-in engine: which group it is in and by whose command."""
+
+from __future__ import annotations
+
+import uuid
+
+from galenavane.standin import engine_faults
+from galenavane.target import command, report
+
+MEMBER_SILENCE_SECONDS = 1.5
+
+
+class State:
+    """What one member knows.
+
+    :ivar heard: when each other member last confirmed this group, on the monotonic clock.
+    :ivar loaded_at: when the weights are loaded.
+    """
+
+    __slots__ = (
+        "adapters",
+        "epoch",
+        "faults",
+        "finished",
+        "group",
+        "heard",
+        "incarnation",
+        "joins",
+        "loaded_at",
+        "model",
+        "name",
+        "peers",
+        "rank",
+        "role",
+        "sizes",
+        "token",
+        "version",
+    )
+
+    def __init__(self, name: str, sizes: engine_faults.Sizes) -> None:
+        self.name = name
+        self.sizes = sizes
+        self.faults = engine_faults.Faults()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.token = 0
+        self.joins = 0
+        self.finished = 0
+        self.leave()
+
+    def leave(self) -> None:
+        """Leave the group and unload."""
+        self.group = ""
+        self.epoch = 0
+        self.rank = 0
+        self.model = ""
+        self.version = ""
+        self.adapters: list[str] = []
+        self.role = command.Role.BOTH
+        self.peers: list[command.Peer] = []
+        self.heard: dict[str, float] = {}
+        self.loaded_at = 0.0
+
+    def refusal(self, order: command.Command) -> str:
+        """Return why a command is refused, or an empty text."""
+        if order.incarnation != self.incarnation:
+            return "incarnation"
+        if self.faults.checks_token and order.token < self.token:
+            return "token"
+        return ""
+
+    def carry_out(self, order: command.Command, now: float) -> None:
+        """Carry out a command that was not refused."""
+        self.token = max(self.token, order.token)
+        if order.kind is command.Kind.LEAVE:
+            if (order.group, order.epoch) == (self.group, self.epoch):
+                self.leave()
+        elif order.kind is command.Kind.LOAD_ADAPTER:
+            self.adapters = list(order.adapters)
+        elif order.kind is command.Kind.SET_ROLE:
+            self.role = order.role
+        else:
+            self._join(order, now)
+
+    def _join(self, order: command.Command, now: float) -> None:
+        if (order.group, order.epoch) == (self.group, self.epoch):
+            return
+        self.leave()
+        self.joins += 1
+        self.group = order.group
+        self.epoch = order.epoch
+        self.model = order.model
+        self.version = order.version
+        self.adapters = list(order.adapters)
+        self.role = order.role
+        self.peers = list(order.peers)
+        self.rank = [peer.instance for peer in order.peers].index(self.name)
+        self.loaded_at = now + self.sizes.load_seconds
+
+    def is_ready(self, now: float) -> bool:
+        """Whether this member is in a group and its weights are loaded."""
+        return bool(self.group) and now >= self.loaded_at
+
+    def is_complete(self, now: float) -> bool:
+        """On the leader, whether every other member has lately confirmed the group."""
+        if not self.is_ready(now) or self.rank != 0:
+            return False
+        others = self.peers[1:]
+        return all(
+            now - self.heard.get(peer.instance, -MEMBER_SILENCE_SECONDS) < MEMBER_SILENCE_SECONDS
+            for peer in others
+        )
+
+    def confirm(self, peer: command.Peer, answer: report.Report, now: float) -> None:
+        """Take in another member's report."""
+        same_group = (answer.group, answer.epoch) == (self.group, self.epoch)
+        if same_group and answer.incarnation == peer.incarnation and answer.ready:
+            self.heard[peer.instance] = now
+
+    def report(self, now: float, load: report.Load) -> report.Report:
+        """Return the report of this moment."""
+        return report.Report(
+            instance=self.name,
+            incarnation=self.incarnation,
+            token=self.token,
+            group=self.group,
+            epoch=self.epoch,
+            rank=self.rank,
+            model=self.model,
+            version=self.version,
+            adapters=self.adapters,
+            role=self.role,
+            ready=self.is_ready(now),
+            complete=self.is_complete(now),
+            load=load,
+            finished=self.finished,
+        )
--- /dev/null
+++ b/src/galenavane/standin/engine_text.py
@@ -0,0 +1,16 @@
+"""The stand-in engine's answers, which a load tool can check."""
+
+from __future__ import annotations
+
+import zlib
+
+
+def token(prompt: str, index: int) -> str:
+    """Return the token at an index of the answer to a prompt."""
+    mark = zlib.crc32(prompt.encode()) & 0xFFFF
+    return f"{mark:04x}-{index} "
+
+
+def answer(prompt: str, count: int) -> str:
+    """Return a whole answer of a number of tokens."""
+    return "".join(token(prompt, index) for index in range(count))
--- /dev/null
+++ b/src/galenavane/target/__init__.py
@@ -0,0 +1,1 @@
+"""What the system tells targets and what they report."""
--- /dev/null
+++ b/src/galenavane/target/client.py
@@ -0,0 +1,68 @@
+"""Control calls to engines over HTTP and JSON."""
+
+from __future__ import annotations
+
+import typing
+
+import expression
+import msgspec
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, message, transport_error
+from galenavane.target import api, command, report
+
+MAX_ANSWER_BYTES = 4_000_000
+
+_T = typing.TypeVar("_T")
+
+
+class _Client:
+    __slots__ = ("_timeout",)
+
+    def __init__(self, timeout_seconds: float) -> None:
+        self._timeout = timeout_seconds
+
+    async def fetch_report(self, address: str) -> expression.Result[report.Report, failure.Failure]:
+        return await self._call(address, message.Request("GET", "/v1/report"), report.Report)
+
+    async def send(
+        self, address: str, order: command.Command
+    ) -> expression.Result[report.Report, failure.Failure]:
+        req = message.json_request("POST", "/v1/commands", order)
+        return await self._call(address, req, report.Report)
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> expression.Result[report.CacheEvents, failure.Failure]:
+        req = message.Request("GET", f"/v1/cache/events?after={after}")
+        return await self._call(address, req, report.CacheEvents)
+
+    async def _call(
+        self, address: str, req: message.Request, kind: type[_T]
+    ) -> expression.Result[_T, failure.Failure]:
+        where = addresses.parse(address)
+        try:
+            response = await http_connection.round_trip(where, req, self._timeout, MAX_ANSWER_BYTES)
+        except transport_error.TransportError as exc:
+            return expression.Error(_broken_call(address, exc))
+        if response.status == 200:
+            return expression.Ok(msgspec.json.decode(response.body, type=kind))
+        stale = response.headers.get("x-stale-token") != ""
+        code = codes.Code.STALE_TOKEN if stale else codes.Code.TARGET_REFUSED
+        text = f"{address}: status {response.status}: {response.body.decode('utf-8', 'replace')}"
+        return expression.Error(failure.Failure(code, text))
+
+
+def make(timeout_seconds: float) -> api.Api:
+    """Return a client whose calls end within a time."""
+    return _Client(timeout_seconds)
+
+
+def _broken_call(address: str, exc: transport_error.TransportError) -> failure.Failure:
+    text = f"{address}: {exc}"
+    if exc.bytes_sent:
+        return failure.Failure(codes.Code.TARGET_LOST, text, outcomes.Outcome.UNKNOWN)
+    return failure.Failure(codes.Code.TARGET_UNREACHABLE, text)
