--- a/src/galenavane/cli/acceptance.py
+++ b/src/galenavane/cli/acceptance.py
@@ -11,6 +11,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
+from galenavane.net import tcp
 from galenavane.platform import client
 
 TIMEOUT_SECONDS = 5.0
@@ -33,7 +34,7 @@
 
     :raises failure.UserError: when it was not accepted.
     """
-    platform = client.make(where, TIMEOUT_SECONDS)
+    platform = client.make(tcp.make(), where, TIMEOUT_SECONDS)
     current = await accept.read_current(platform)
     if current.is_error():
         raise failure.UserError(current.error)
--- a/src/galenavane/cli/standin.py
+++ b/src/galenavane/cli/standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import uuid
 from collections import abc
 
 import trio
@@ -10,7 +11,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import message, round_trip, tcp, transport_error
 from galenavane.observe import events
 from galenavane.platform import instance
 from galenavane.standin import engine as engines
@@ -27,8 +28,8 @@
 
     :param listen: IP:port to listen on
     """
-    events.start("platform", "")
-    trio.run(platforms.run, listen)
+    events.start("platform", "", uuid.uuid4().hex, None)
+    trio.run(platforms.run, tcp.make(), listen)
     return 0
 
 
@@ -55,13 +56,14 @@
     :param capacity: requests in one batch
     :param token_seconds: time of one decoding step
     """
-    events.start(name, data_centre)
+    incarnation = uuid.uuid4().hex
+    events.start(name, data_centre, incarnation, None)
     sizes = engine_faults.Sizes(capacity=capacity, token_seconds=token_seconds)
     faults = engine_faults.Faults(checks_token=not ignore_tokens)
     listed = instance.Instance(
         name, str(listen), data_centre, instance.Kind.ENGINE, fabric_domain=fabric_domain
     )
-    serve = functools.partial(engines.run, name, listen, sizes, faults)
+    serve = functools.partial(engines.run, tcp.make(), name, listen, sizes, faults, incarnation)
     trio.run(_serve_listed, platform, listed, serve)
     return 0
 
@@ -83,11 +85,11 @@
     :param data_centre: data centre of the instance
     :param service: service that the instance belongs to
     """
-    events.start(name, data_centre)
+    events.start(name, data_centre, uuid.uuid4().hex, None)
     listed = instance.Instance(
         name, str(listen), data_centre, instance.Kind.PLAIN, service=service, accelerators=0
     )
-    serve = functools.partial(plains.run, name, listen)
+    serve = functools.partial(plains.run, tcp.make(), name, listen)
     trio.run(_serve_listed, platform, listed, serve)
     return 0
 
@@ -111,7 +113,7 @@
     with trio.move_on_after(REGISTER_SECONDS):
         while True:
             try:
-                await http_connection.round_trip(where, req, REGISTER_SECONDS, 10_000)
+                await round_trip.send(tcp.make(), where, req, REGISTER_SECONDS, 10_000)
                 return
             except transport_error.TransportError:
                 await trio.sleep(REGISTER_PAUSE_SECONDS)
--- a/src/galenavane/cli/status.py
+++ b/src/galenavane/cli/status.py
@@ -9,7 +9,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import message, round_trip, tcp, transport_error
 
 TIMEOUT_SECONDS = 3.0
 MAX_ANSWER_BYTES = 64_000_000
@@ -32,7 +32,7 @@
 async def _ask(where: addresses.Address) -> operators.EntryStatus:
     req = message.Request("GET", "/status")
     try:
-        response = await http_connection.round_trip(where, req, TIMEOUT_SECONDS, MAX_ANSWER_BYTES)
+        response = await round_trip.send(tcp.make(), where, req, TIMEOUT_SECONDS, MAX_ANSWER_BYTES)
     except transport_error.TransportError as exc:
         text = f"entry {where} does not answer: {exc}"
         raise failure.UserError(failure.Failure(codes.Code.TARGET_UNREACHABLE, text)) from None
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -4,6 +4,8 @@
 
 import random
 import signal
+import uuid
+from collections import abc
 
 import trio
 
@@ -18,9 +20,10 @@
     tables_task,
 )
 from galenavane.entry import view as views
-from galenavane.net import http_server
+from galenavane.net import tcp
 from galenavane.observe import events
 from galenavane.peer import task as peer_task
+from galenavane.peer import zmq_transport
 from galenavane.platform import client as platform_client
 from galenavane.serve import front
 from galenavane.target import client as target_client
@@ -28,21 +31,37 @@
 
 async def run(cfg: settings.Settings) -> None:
     """Serve until SIGTERM or SIGINT, then end what is in flight."""
-    incarnation = events.start(cfg.get(settings.NAME), cfg.get(settings.DATA_CENTRE))
-    platform = platform_client.make(cfg.get(settings.PLATFORM), cfg.get(settings.PLATFORM_TIMEOUT))
-    targets = target_client.make(cfg.get(settings.TARGET_TIMEOUT))
-    view = views.View(cfg, incarnation, platform, targets, random.Random(incarnation))
+    incarnation = uuid.uuid4().hex
+    events.start(cfg.get(settings.NAME), cfg.get(settings.DATA_CENTRE), incarnation, None)
+    net = tcp.make()
+    view = views.View(
+        cfg=cfg,
+        incarnation=incarnation,
+        platform=platform_client.make(
+            net, cfg.get(settings.PLATFORM), cfg.get(settings.PLATFORM_TIMEOUT)
+        ),
+        targets=target_client.make(net, cfg.get(settings.TARGET_TIMEOUT)),
+        rng=random.SystemRandom(),
+        net=net,
+        transport=zmq_transport.make(cfg.get(settings.PEERS)),
+    )
+    await serve(view, _wait_signal)
+
+
+async def serve(view: views.View, wait_stop: abc.Callable[[], abc.Awaitable[None]]) -> None:
+    """Serve until ``wait_stop`` returns, then end what is in flight."""
+    cfg = view.cfg
     events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
     async with trio.open_nursery() as nursery:
         for task in _TASKS:
             nursery.start_soon(task, view)
         await nursery.start(
-            http_server.listen, cfg.get(settings.OPERATORS), operators.make_handler(view)
+            view.net.listen, cfg.get(settings.OPERATORS), operators.make_handler(view)
         )
-        await nursery.start(http_server.listen, cfg.get(settings.CALLERS), front.make_handler(view))
+        await nursery.start(view.net.listen, cfg.get(settings.CALLERS), front.make_handler(view))
         async with trio.open_nursery() as lease:
             lease.start_soon(lease_task.run, view)
-            await _wait_signal()
+            await wait_stop()
             events.log("entry.leaving")
             view.leaving.publish(True)
         await _wait_idle(view)
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -7,7 +7,8 @@
 from galenavane.config import in_force, settings
 from galenavane.control import sighting, table
 from galenavane.entry import latest
-from galenavane.peer import members
+from galenavane.net import network
+from galenavane.peer import members, transport
 from galenavane.platform import api, instance
 from galenavane.target import api as target_api
 
@@ -29,6 +30,7 @@
         "incarnation",
         "instances",
         "leaving",
+        "net",
         "peers",
         "platform",
         "rng",
@@ -36,6 +38,7 @@
         "tables",
         "targets",
         "token",
+        "transport",
     )
 
     def __init__(
@@ -45,12 +48,16 @@
         platform: api.Api,
         targets: target_api.Api,
         rng: random.Random,
+        net: network.Network,
+        transport: transport.Transport,
     ) -> None:
         self.cfg = cfg
         self.incarnation = incarnation
         self.platform = platform
         self.targets = targets
         self.rng = rng
+        self.net = net
+        self.transport = transport
         self.configuration = latest.Latest[in_force.InForce | None](None)
         self.instances = latest.Latest[list[instance.Instance]]([])
         self.tables = latest.Latest[dict[str, table.Table]]({})
@@ -59,3 +66,7 @@
         self.peers = latest.Latest[list[members.Member]]([])
         self.leaving = latest.Latest[bool](False)
         self.active = latest.Latest[int](0)
+
+    def new_id(self) -> str:
+        """Return a unique id of 32 hexadecimal digits."""
+        return f"{self.rng.getrandbits(128):032x}"
--- a/src/galenavane/load/generator.py
+++ b/src/galenavane/load/generator.py
@@ -13,7 +13,7 @@
 from galenavane.load import result as results
 from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import http_connection, message, round_trip, tcp, transport_error
 from galenavane.serve import errors, sse
 from galenavane.standin import engine_text
 from galenavane.target import completion
@@ -100,7 +100,7 @@
     plan: Plan,
     result: results.Result,
 ) -> None:
-    conn = await http_connection.connect(where, CONNECT_SECONDS)
+    conn = await tcp.make().dial(where, CONNECT_SECONDS)
     try:
         await conn.send_request(req, str(where))
         head = await conn.read_response_head()
@@ -166,8 +166,8 @@
     req = message.Request("POST", f"/services/{plan.service}/jobs", fields, job.encode())
     for _ in range(MAX_JOB_TRIES):
         try:
-            response = await http_connection.round_trip(
-                where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES
+            response = await round_trip.send(
+                tcp.make(), where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES
             )
         except transport_error.TransportError as exc:
             result.refused[f"job connection {exc.kind.value}"] += 1
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -7,7 +7,6 @@
 import h11
 import trio
 
-from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
 from galenavane.net import message, transport_error
 
@@ -106,42 +105,3 @@
 
     def _error(self, kind: transport_error.Kind, text: str) -> transport_error.TransportError:
         return transport_error.TransportError(kind, self.bytes_sent, text)
-
-
-async def connect(where: addresses.Address, timeout_seconds: float) -> HttpConnection:
-    """Open a client connection.
-
-    :raises TransportError: ``NOT_CONNECTED``.
-    """
-    try:
-        with trio.fail_after(timeout_seconds):
-            stream = await trio.open_tcp_stream(where.host, where.port)
-    except (OSError, trio.TooSlowError) as exc:
-        kind = transport_error.Kind.NOT_CONNECTED
-        raise transport_error.TransportError(kind, False, f"{where}: {exc}") from exc
-    return HttpConnection(stream, h11.CLIENT)
-
-
-async def round_trip(
-    where: addresses.Address,
-    req: message.Request,
-    timeout_seconds: float,
-    limit_bytes: int,
-) -> message.Response:
-    """Send a request over a fresh connection and read the whole response.
-
-    :raises TransportError: with whether any byte of the request was sent.
-    """
-    conn = await connect(where, timeout_seconds)
-    try:
-        with trio.fail_after(timeout_seconds):
-            await conn.send_request(req, str(where))
-            response = await conn.read_response_head()
-            response.body = await conn.read_body(limit_bytes)
-            return response
-    except trio.TooSlowError:
-        kind = transport_error.Kind.SILENT
-        text = f"{where}: no answer within {timeout_seconds} s"
-        raise transport_error.TransportError(kind, conn.bytes_sent, text) from None
-    finally:
-        await conn.close()
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 from collections import abc
 
 import h11
 import trio
 
-from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
 
@@ -72,22 +70,8 @@
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
 
 
-async def listen(
-    where: addresses.Address,
-    handler: Handler,
-    limits: Limits | None = None,
-    *,
-    task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Accept connections until cancelled; reports the bound address when ready."""
-    listeners = await trio.open_tcp_listeners(where.port, host=where.host)
-    port = listeners[0].socket.getsockname()[1]
-    task_status.started(addresses.Address(where.host, port))
-    serve = functools.partial(_serve_connection, handler=handler, limits=limits or Limits())
-    await trio.serve_listeners(serve, listeners)
-
-
-async def _serve_connection(stream: trio.SocketStream, handler: Handler, limits: Limits) -> None:
+async def serve_stream(stream: trio.abc.Stream, handler: Handler, limits: Limits) -> None:
+    """Serve the requests of one connection until it closes."""
     conn = http_connection.HttpConnection(stream, h11.SERVER)
     try:
         while await _serve_request(conn, handler, limits):
--- /dev/null
+++ b/src/galenavane/net/network.py
@@ -0,0 +1,32 @@
+"""How processes reach each other; real TCP in production, memory in simulations."""
+
+from __future__ import annotations
+
+import typing
+
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, http_server
+
+
+class Network(typing.Protocol):
+    """Opens and accepts HTTP connections."""
+
+    async def dial(
+        self, where: addresses.Address, timeout_seconds: float
+    ) -> http_connection.HttpConnection:
+        """Open a client connection.
+
+        :raises TransportError: ``NOT_CONNECTED``.
+        """
+
+    async def listen(
+        self,
+        where: addresses.Address,
+        handler: http_server.Handler,
+        limits: http_server.Limits | None = None,
+        *,
+        task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve connections until cancelled; reports the bound address when ready."""
--- /dev/null
+++ b/src/galenavane/net/round_trip.py
@@ -0,0 +1,34 @@
+"""One whole request and response over a fresh connection."""
+
+from __future__ import annotations
+
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import message, network, transport_error
+
+
+async def send(
+    net: network.Network,
+    where: addresses.Address,
+    req: message.Request,
+    timeout_seconds: float,
+    limit_bytes: int,
+) -> message.Response:
+    """Send a request and read the whole response.
+
+    :raises TransportError: with whether any byte of the request was sent.
+    """
+    conn = await net.dial(where, timeout_seconds)
+    try:
+        with trio.fail_after(timeout_seconds):
+            await conn.send_request(req, str(where))
+            response = await conn.read_response_head()
+            response.body = await conn.read_body(limit_bytes)
+            return response
+    except trio.TooSlowError:
+        kind = transport_error.Kind.SILENT
+        text = f"{where}: no answer within {timeout_seconds} s"
+        raise transport_error.TransportError(kind, conn.bytes_sent, text) from None
+    finally:
+        await conn.close()
--- /dev/null
+++ b/src/galenavane/net/tcp.py
@@ -0,0 +1,47 @@
+"""The network of real processes: TCP."""
+
+from __future__ import annotations
+
+import functools
+
+import h11
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, http_server, network, transport_error
+
+
+class _Tcp:
+    __slots__ = ()
+
+    async def dial(
+        self, where: addresses.Address, timeout_seconds: float
+    ) -> http_connection.HttpConnection:
+        try:
+            with trio.fail_after(timeout_seconds):
+                stream = await trio.open_tcp_stream(where.host, where.port)
+        except (OSError, trio.TooSlowError) as exc:
+            kind = transport_error.Kind.NOT_CONNECTED
+            raise transport_error.TransportError(kind, False, f"{where}: {exc}") from exc
+        return http_connection.HttpConnection(stream, h11.CLIENT)
+
+    async def listen(
+        self,
+        where: addresses.Address,
+        handler: http_server.Handler,
+        limits: http_server.Limits | None = None,
+        *,
+        task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(where.port, host=where.host)
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(addresses.Address(where.host, port))
+        serve = functools.partial(
+            http_server.serve_stream, handler=handler, limits=limits or http_server.Limits()
+        )
+        await trio.serve_listeners(serve, listeners)
+
+
+def make() -> network.Network:
+    """Return the TCP network."""
+    return _Tcp()
--- a/src/galenavane/observe/clock.py
+++ b/src/galenavane/observe/clock.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+from collections import abc
 
 import msgspec
 
@@ -25,9 +25,10 @@
 class Clock:
     """The clock of one process."""
 
-    __slots__ = ("_last",)
+    __slots__ = ("_last", "_wall")
 
-    def __init__(self) -> None:
+    def __init__(self, wall: abc.Callable[[], float]) -> None:
+        self._wall = wall
         self._last = Stamp(0, 0)
 
     def tick(self) -> Stamp:
@@ -39,7 +40,7 @@
         return self._advance(remote)
 
     def _advance(self, remote: Stamp) -> Stamp:
-        wall = time.time_ns() // 1_000_000
+        wall = int(self._wall() * 1000)
         base = max(self._last, remote)
         self._last = Stamp(wall, 0) if wall > base.wall_ms else Stamp(base.wall_ms, base.count + 1)
         return self._last
--- a/src/galenavane/observe/events.py
+++ b/src/galenavane/observe/events.py
@@ -1,10 +1,12 @@
-"""Events of this process, logged as JSON lines for the time line."""
+"""Events of a process, logged as JSON lines for the time line."""
 
 from __future__ import annotations
 
+import contextvars
 import sys
+import time
 import typing
-import uuid
+from collections import abc
 
 import eliot
 
@@ -13,48 +15,64 @@
 Field = str | int | float | bool | None
 
 
-class _Process:
-    """Who logs."""
+class Source:
+    """Who logs: one process, or one simulated process.
 
-    __slots__ = ("clock", "data_centre", "incarnation", "name")
+    :ivar wall: returns the wall clock in seconds.
+    """
 
-    def __init__(self) -> None:
-        self.clock = clock.Clock()
-        self.name = ""
-        self.data_centre = ""
-        self.incarnation = uuid.uuid4().hex[:12]
+    __slots__ = ("clock", "data_centre", "incarnation", "name", "wall")
 
+    def __init__(
+        self, name: str, data_centre: str, incarnation: str, wall: abc.Callable[[], float]
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.wall = wall
+        self.clock = clock.Clock(wall)
 
-_process = _Process()
 
+_source: contextvars.ContextVar[Source] = contextvars.ContextVar("source")
+_unnamed = Source("", "", "", time.time)
 
-def start(name: str, data_centre: str, stream: typing.IO[str] | None = None) -> str:
-    """Name this process and send its events to a stream; return its incarnation."""
-    _process.name = name
-    _process.data_centre = data_centre
+
+def become(source: Source) -> None:
+    """Log as a source in this task and the tasks that it starts."""
+    _source.set(source)
+
+
+def start(name: str, data_centre: str, incarnation: str, stream: typing.IO[str] | None) -> None:
+    """Name this process and send its events to a stream, standard error by default."""
+    become(Source(name, data_centre, incarnation, time.time))
     eliot.to_file(stream or sys.stderr)
-    return _process.incarnation
 
 
 def log(event: str, **fields: Field) -> None:
-    """Log one event with the process's clock and identity."""
+    """Log one event with its source's clock and identity."""
+    source = _source.get(_unnamed)
     eliot.log_message(
         message_type=event,
-        hlc=str(_process.clock.tick()),
-        process=_process.name,
-        incarnation=_process.incarnation,
-        data_centre=_process.data_centre,
+        hlc=str(source.clock.tick()),
+        process=source.name,
+        incarnation=source.incarnation,
+        data_centre=source.data_centre,
         **fields,
     )
 
 
 def stamp() -> str:
     """Return a stamp to send along with a message."""
-    return str(_process.clock.tick())
+    return str(_source.get(_unnamed).clock.tick())
 
 
 def receive(text: str) -> None:
     """Take in the stamp of a received message."""
     remote = clock.parse(text)
     if remote is not None:
-        _process.clock.receive(remote)
+        _source.get(_unnamed).clock.receive(remote)
+
+
+def wall_seconds() -> float:
+    """Return the source's wall clock."""
+    return _source.get(_unnamed).wall()
--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -6,12 +6,10 @@
 
 import msgspec
 import trio
-import zmq
 
 from galenavane.config import canonical, in_force, settings
 from galenavane.config import head as heads
 from galenavane.entry import view as views
-from galenavane.net import message_socket
 from galenavane.observe import events
 from galenavane.peer import members, messages
 from galenavane.platform import instance
@@ -21,12 +19,10 @@
 
 
 class _State:
-    __slots__ = ("context", "dropped", "known", "sockets", "view")
+    __slots__ = ("dropped", "known", "view")
 
     def __init__(self, view: views.View) -> None:
         self.view = view
-        self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
-        self.sockets: dict[str, message_socket.MessageSocket] = {}
         self.known: dict[str, members.Member] = {}
         self.dropped = 0
 
@@ -34,26 +30,21 @@
 async def run(view: views.View) -> None:
     """Exchange messages until cancelled."""
     state = _State(view)
-    endpoint = f"tcp://{view.cfg.get(settings.PEERS)}"
-    router = message_socket.bind_router(state.context, endpoint)
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_receive, state, router)
+            nursery.start_soon(_receive, state)
             nursery.start_soon(_beat, state)
     finally:
-        router.close()
-        for socket in state.sockets.values():
-            socket.close()
-        state.context.term()
+        view.transport.close()
 
 
-async def _receive(state: _State, router: message_socket.MessageSocket) -> None:
+async def _receive(state: _State) -> None:
     while True:
-        frames = await router.receive()
-        message = messages.decode(frames[-1])
+        data = await state.view.transport.receive()
+        message = messages.decode(data)
         if message is None:
             state.dropped += 1
-            events.log("peer.dropped", size=len(frames[-1]))
+            events.log("peer.dropped", size=len(data))
         elif isinstance(message, messages.Heartbeat):
             _hear(state, message)
         else:
@@ -98,13 +89,13 @@
     message = messages.Configuration(
         messages.PROTOCOL_VERSION, events.stamp(), heads.encode(current.head), sections
     )
-    _socket_to(state, address).send([messages.encode(message)])
+    state.view.transport.send(address, messages.encode(message))
 
 
 async def _beat(state: _State) -> None:
     while True:
         for address in _addresses(state):
-            _socket_to(state, address).send([messages.encode(_heartbeat(state.view))])
+            state.view.transport.send(address, messages.encode(_heartbeat(state.view)))
         _publish(state)
         with trio.move_on_after(HEARTBEAT_SECONDS):
             await state.view.leaving.wait_change()
@@ -142,10 +133,3 @@
     ]
     heard = [one.address for one in state.known.values()]
     return sorted({*listed, *heard} - {own})
-
-
-def _socket_to(state: _State, address: str) -> message_socket.MessageSocket:
-    if address not in state.sockets:
-        endpoint = f"tcp://{address}"
-        state.sockets[address] = message_socket.connect_dealer(state.context, endpoint)
-    return state.sockets[address]
--- a/src/galenavane/platform/client.py
+++ b/src/galenavane/platform/client.py
@@ -12,7 +12,7 @@
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import message, network, round_trip, transport_error
 from galenavane.platform import api, instance, stored
 
 WATCH_MARGIN_SECONDS = 2.0
@@ -24,9 +24,12 @@
 class _Client:
     """State of the client: where the platform is and how long a call may take."""
 
-    __slots__ = ("_timeout", "_where", "calls")
+    __slots__ = ("_net", "_timeout", "_where", "calls")
 
-    def __init__(self, where: addresses.Address, timeout_seconds: float) -> None:
+    def __init__(
+        self, net: network.Network, where: addresses.Address, timeout_seconds: float
+    ) -> None:
+        self._net = net
         self._where = where
         self._timeout = timeout_seconds
         self.calls = 0
@@ -75,7 +78,7 @@
         self.calls += 1
         timeout = timeout_seconds or self._timeout
         try:
-            response = await http_connection.round_trip(self._where, req, timeout, MAX_ANSWER_BYTES)
+            response = await round_trip.send(self._net, self._where, req, timeout, MAX_ANSWER_BYTES)
         except transport_error.TransportError as exc:
             return expression.Error(_broken_call(req, exc))
         if response.status != 200:
@@ -83,9 +86,9 @@
         return expression.Ok(msgspec.json.decode(response.body, type=kind))
 
 
-def make(where: addresses.Address, timeout_seconds: float) -> api.Api:
+def make(net: network.Network, where: addresses.Address, timeout_seconds: float) -> api.Api:
     """Return a client of the platform at an address."""
-    return _Client(where, timeout_seconds)
+    return _Client(net, where, timeout_seconds)
 
 
 def _quote(text: str) -> str:
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
-
 import trio
 
 from galenavane.entry import view as views
@@ -43,7 +41,7 @@
 
 
 async def _serve(view: views.View, exchange: http_server.Exchange) -> None:
-    request_id = uuid.uuid4().hex
+    request_id = view.new_id()
     events.log("request.begin", request=request_id, path=exchange.request.path)
     try:
         found = await _route(view, exchange, request_id)
--- a/src/galenavane/serve/model_request.py
+++ b/src/galenavane/serve/model_request.py
@@ -6,7 +6,6 @@
 import trio
 
 from galenavane.config import declaration, in_force, settings
-from galenavane.control import completeness, table
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
@@ -15,15 +14,14 @@
 from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
 from galenavane.route import candidate as candidates
-from galenavane.route import pick
+from galenavane.route import grant as grants
 from galenavane.serve import caller as callers
-from galenavane.serve import classify, sse, stream_state
+from galenavane.serve import classify, dispatch, sse, stream_state
 from galenavane.target import completion
 
 CHARACTERS_PER_TOKEN = 4
 CONNECT_SECONDS = 1.0
 MAX_TRIES = 5
-RETRY_PAUSE_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 1.0
 
 
@@ -47,24 +45,72 @@
     if run is None:
         text = f'the preset in force runs no model "{body.model}"'
         return failure.Failure(codes.Code.UNKNOWN_MODEL, text)
-    state = stream_state.StreamState(caller.request_id, body)
-    last = failure.Failure(codes.Code.NO_GROUP, f'no complete group serves "{model}"')
-    while trio.current_time() < caller.deadline and state.tries < MAX_TRIES:
-        state.tries += 1
-        chosen = pick.pick(
-            _candidates(view, run, state.tried), len(body.text()) // CHARACTERS_PER_TOKEN, view.rng
-        )
-        if chosen is None:
-            state.tried.clear()
-            await trio.sleep(RETRY_PAUSE_SECONDS)
-            continue
-        failed = await _try(view, caller, state, chosen)
+    ask = _make_ask(configuration, caller, body, run, adapter)
+    return await _run(view, caller, stream_state.StreamState(caller.request_id, body), ask)
+
+
+def _make_ask(
+    configuration: in_force.InForce,
+    caller: callers.Caller,
+    body: completion.CompletionRequest,
+    run: declaration.Run,
+    adapter: str,
+) -> grants.Ask:
+    service = configuration.declared.service(run.service)
+    assert service is not None
+    prompt = body.text()
+    return grants.Ask(
+        request_id=caller.request_id,
+        account=caller.account.name,
+        service=run.service,
+        model=run.model,
+        version=run.version,
+        adapter=adapter,
+        priority=service.priority,
+        prompt=prompt,
+        prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
+        max_tokens=body.max_tokens,
+        deadline=caller.deadline,
+    )
+
+
+async def _run(
+    view: views.View,
+    caller: callers.Caller,
+    state: stream_state.StreamState,
+    ask: grants.Ask,
+) -> failure.Failure | None:
+    """Get the answer from one group after another, each going on where the last stopped."""
+    last: failure.Failure | None = None
+    while state.tries < MAX_TRIES:
+        state.begin_try()
+        held = await dispatch.acquire(view, ask, state.tried)
+        if held.is_error():
+            return last or held.error
+        failed = await _try_granted(view, caller, state, held.ok)
         if failed is None:
             return None
-        events.log("request.retry", request=caller.request_id, group=chosen.name)
-        state.tried.add(chosen.name)
-        last = failed
-    return msgspec.structs.replace(last, retry_after_seconds=RETRY_AFTER_SECONDS)
+        events.log("request.retry", request=caller.request_id, group=held.ok.chosen.name)
+        state.tried.add(held.ok.chosen.name)
+        last = msgspec.structs.replace(failed, retry_after_seconds=RETRY_AFTER_SECONDS)
+    return last
+
+
+async def _try_granted(
+    view: views.View,
+    caller: callers.Caller,
+    state: stream_state.StreamState,
+    held: grants.Grant,
+) -> failure.Failure | None:
+    before = state.delivered
+    failed: failure.Failure | None = None
+    try:
+        failed = await _try(view, caller, state, held.chosen)
+        return failed
+    finally:
+        first = state.first_token_at - held.sent_at if state.delivered > before else None
+        ended = grants.Ended(first, state.delivered - before, failed is not None)
+        dispatch.release(view, held, ended)
 
 
 def _find_run(configuration: in_force.InForce, model: str, adapter: str) -> declaration.Run | None:
@@ -74,30 +120,6 @@
     return None
 
 
-def _candidates(
-    view: views.View, run: declaration.Run, tried: set[str]
-) -> list[candidates.Candidate]:
-    now = trio.current_time()
-    seen = view.seen.value
-    return [
-        _candidate(view, group)
-        for one in view.tables.value.values()
-        for group in one.groups
-        if group.service == run.service
-        and (group.model, group.version) == (run.model, run.version)
-        and group.phase is table.Phase.ACTIVE
-        and group.name not in tried
-        and completeness.is_complete(group, seen, now)
-    ]
-
-
-def _candidate(view: views.View, group: table.Group) -> candidates.Candidate:
-    leader = group.members[0]
-    answer = view.seen.value[leader.instance].report
-    assert answer is not None
-    return candidates.Candidate(group.name, leader.address, group.epoch, answer.load)
-
-
 async def _try(
     view: views.View,
     caller: callers.Caller,
@@ -113,7 +135,7 @@
         offset=state.delivered,
     )
     try:
-        conn = await http_connection.connect(addresses.parse(chosen.address), CONNECT_SECONDS)
+        conn = await view.net.dial(addresses.parse(chosen.address), CONNECT_SECONDS)
     except transport_error.TransportError as exc:
         return classify.broken(exc)
     try:
@@ -171,7 +193,7 @@
 
 async def _deliver(caller: callers.Caller, state: stream_state.StreamState, data: bytes) -> None:
     chunk = msgspec.json.decode(data, type=completion.Chunk)
-    if not state.accept(chunk):
+    if not state.accept(chunk, trio.current_time()):
         return
     if not state.body.stream:
         return
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import time
-import uuid
-
 import msgspec
 import trio
 
@@ -15,7 +12,7 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
 from galenavane.platform import instance
 from galenavane.route import candidate as candidates
@@ -96,9 +93,9 @@
     key = records.key(caller.account.name, service.name, caller.idempotency_key)
     wanted = records.Record(
         body_hash=records.hash_request(req.method, req.target, req.body),
-        attempt=uuid.uuid4().hex,
+        attempt=view.new_id(),
         phase=records.Phase.STARTED,
-        started_at=time.time(),
+        started_at=events.wall_seconds(),
     )
     claimed = await claims.claim(view.platform, key, wanted)
     if claimed.is_error():
@@ -151,7 +148,7 @@
         if chosen is None:
             break
         tried.add(chosen.name)
-        answer = await _try(caller, chosen, req)
+        answer = await _try(view, caller, chosen, req)
         if not isinstance(answer, failure.Failure):
             return answer
         last = answer
@@ -175,13 +172,13 @@
 
 
 async def _try(
-    caller: callers.Caller, chosen: candidates.Candidate, req: message.Request
+    view: views.View, caller: callers.Caller, chosen: candidates.Candidate, req: message.Request
 ) -> Answer:
     events.log("request.send", request=caller.request_id, instance=chosen.name)
     wait = max(0.1, caller.deadline - trio.current_time())
     where = addresses.parse(chosen.address)
     try:
-        response = await http_connection.round_trip(where, req, wait, MAX_ANSWER_BYTES)
+        response = await round_trip.send(view.net, where, req, wait, MAX_ANSWER_BYTES)
     except transport_error.TransportError as exc:
         return classify.broken(exc)
     found = classify.refused(response)
--- a/src/galenavane/serve/stream_state.py
+++ b/src/galenavane/serve/stream_state.py
@@ -10,10 +10,21 @@
     """Progress of one answer over all tries.
 
     :ivar delivered: tokens delivered, which is the offset to resume from.
+    :ivar first_token_at: monotonic time of the first token of the present try.
     :ivar tried: groups that failed since the last success.
     """
 
-    __slots__ = ("body", "caller_gone", "delivered", "request_id", "texts", "tried", "tries")
+    __slots__ = (
+        "_try_start",
+        "body",
+        "caller_gone",
+        "delivered",
+        "first_token_at",
+        "request_id",
+        "texts",
+        "tried",
+        "tries",
+    )
 
     def __init__(self, request_id: str, body: completion.CompletionRequest) -> None:
         self.request_id = request_id
@@ -23,8 +34,15 @@
         self.tried: set[str] = set()
         self.tries = 0
         self.caller_gone = False
+        self.first_token_at = 0.0
+        self._try_start = 0
 
-    def accept(self, chunk: completion.Chunk) -> bool:
+    def begin_try(self) -> None:
+        """Note that a further group goes on with the answer."""
+        self.tries += 1
+        self._try_start = self.delivered
+
+    def accept(self, chunk: completion.Chunk, now: float) -> bool:
         """Take in a chunk; return whether it is new. A hole or a foreign id is a defect."""
         invariant.check(
             invariant.Number.OWN_ANSWER,
@@ -38,6 +56,8 @@
             chunk.offset == self.delivered,
             f"token {chunk.offset} after {self.delivered} tokens",
         )
+        if self.delivered == self._try_start:
+            self.first_token_at = now
         self.delivered += 1
         choice = chunk.choices[0]
         self.texts.append(choice.delta.content or choice.text)
--- /dev/null
+++ b/src/galenavane/simulate/deployment.py
@@ -0,0 +1,215 @@
+"""A whole deployment in one process: the real tasks over a network in memory."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import random
+from collections import abc
+
+import trio
+
+from galenavane.config import setting, settings
+from galenavane.entry import process
+from galenavane.entry import view as views
+from galenavane.net import address as addresses
+from galenavane.net import message, network, round_trip
+from galenavane.observe import events
+from galenavane.platform import client as platform_client
+from galenavane.platform import instance
+from galenavane.simulate import net as nets
+from galenavane.simulate import owner as owners
+from galenavane.standin import engine, engine_faults, plain
+from galenavane.standin import platform as platforms
+from galenavane.target import client as target_client
+
+LATENCY_SECONDS = 0.0005
+WALL_START_SECONDS = 1_800_000_000.0
+CALL_SECONDS = 5.0
+MAX_ANSWER_BYTES = 10_000_000
+
+
+class Deployment:
+    """Simulated processes by name, with where they listen.
+
+    :ivar entries: callers' address of each entry by name.
+    """
+
+    __slots__ = (
+        "_hosts",
+        "entries",
+        "net",
+        "nursery",
+        "operator",
+        "owners",
+        "platform",
+        "rng",
+        "stops",
+        "targets",
+        "views",
+    )
+
+    def __init__(self, nursery: trio.Nursery, rng: random.Random) -> None:
+        self.nursery = nursery
+        self.rng = rng
+        self.net = nets.Net(LATENCY_SECONDS)
+        self.owners: dict[str, owners.Owner] = {}
+        self.entries: dict[str, addresses.Address] = {}
+        self.targets: dict[str, addresses.Address] = {}
+        self.views: dict[str, views.View] = {}
+        self.stops: dict[str, trio.Event] = {}
+        self._hosts = itertools.count(1)
+        self.platform = self.new_address()
+        self.operator = self.net.face(owners.Owner("operator"))
+
+    def new_address(self) -> addresses.Address:
+        """Return an unused address."""
+        number = next(self._hosts)
+        return addresses.Address(f"10.0.{number // 250}.{number % 250 + 1}", 8000)
+
+    def new_id(self) -> str:
+        """Return a unique id that the seed determines."""
+        return f"{self.rng.getrandbits(128):032x}"
+
+    async def start_platform(self) -> None:
+        """Start the stand-in platform."""
+        await self._start(
+            "platform", "", lambda net: functools.partial(platforms.run, net, self.platform)
+        )
+
+    async def start_engine(
+        self,
+        name: str,
+        data_centre: str,
+        fabric_domain: str,
+        sizes: engine_faults.Sizes | None = None,
+        faults: engine_faults.Faults | None = None,
+    ) -> None:
+        """Start one member's engine, as a new incarnation, and have it listed."""
+        where = self.targets.setdefault(name, self.new_address())
+        await self._start(
+            name,
+            data_centre,
+            lambda net: functools.partial(
+                engine.run,
+                net,
+                name,
+                where,
+                sizes or engine_faults.Sizes(),
+                faults or engine_faults.Faults(),
+                self.new_id(),
+            ),
+        )
+        await self.list_instance(
+            instance.Instance(
+                name, str(where), data_centre, instance.Kind.ENGINE, fabric_domain=fabric_domain
+            )
+        )
+
+    async def start_plain(self, name: str, data_centre: str, service: str) -> None:
+        """Start one process of a plain service and have it listed."""
+        where = self.targets.setdefault(name, self.new_address())
+        await self._start(
+            name, data_centre, lambda net: functools.partial(plain.run, net, name, where)
+        )
+        await self.list_instance(
+            instance.Instance(name, str(where), data_centre, instance.Kind.PLAIN, service=service)
+        )
+
+    async def start_entry(self, name: str, data_centre: str) -> None:
+        """Start one entry as a new incarnation."""
+        where = self.entries.setdefault(name, self.new_address())
+        cfg = _settings(name, data_centre, where, self.platform)
+        stop = trio.Event()
+        self.stops[name] = stop
+
+        def prepare(net: network.Network) -> abc.Callable[..., abc.Awaitable[None]]:
+            view = self._make_view(cfg, net, self.owners[name])
+            self.views[name] = view
+            return functools.partial(_serve_entry, view, stop)
+
+        await self._start(name, data_centre, prepare)
+
+    def _make_view(
+        self, cfg: settings.Settings, net: network.Network, own: owners.Owner
+    ) -> views.View:
+        return views.View(
+            cfg=cfg,
+            incarnation=self.new_id(),
+            platform=platform_client.make(net, self.platform, cfg.get(settings.PLATFORM_TIMEOUT)),
+            targets=target_client.make(net, cfg.get(settings.TARGET_TIMEOUT)),
+            rng=random.Random(self.rng.getrandbits(64)),
+            net=net,
+            transport=self.net.face(own).transport(cfg.get(settings.PEERS)),
+        )
+
+    async def _start(
+        self,
+        name: str,
+        data_centre: str,
+        prepare: abc.Callable[[network.Network], abc.Callable[..., abc.Awaitable[None]]],
+    ) -> None:
+        own = owners.Owner(name)
+        self.owners[name] = own
+        serve = prepare(self.net.face(own))
+        source = events.Source(name, data_centre, self.new_id(), _wall)
+        await self.nursery.start(_run_process, own, source, serve)
+
+    def kill(self, name: str) -> None:
+        """Kill a process; its connections are reset."""
+        self.owners[name].kill()
+        self.net.reset_all(self.owners[name])
+
+    async def list_instance(self, listed: instance.Instance) -> None:
+        """Put an instance into the platform's list, or change its state there."""
+        await self.call(self.platform, message.json_request("POST", "/v1/instances", listed))
+
+    async def call(self, where: addresses.Address, req: message.Request) -> message.Response:
+        """Call a process from outside, as an operator or caller does."""
+        return await round_trip.send(self.operator, where, req, CALL_SECONDS, MAX_ANSWER_BYTES)
+
+
+async def _run_process(
+    own: owners.Owner,
+    source: events.Source,
+    serve: abc.Callable[..., abc.Awaitable[None]],
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    events.become(source)
+    with own.scope:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve)
+            task_status.started()
+
+
+async def _serve_entry(
+    view: views.View,
+    stop: trio.Event,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    task_status.started()
+    await process.serve(view, stop.wait)
+
+
+def _wall() -> float:
+    return WALL_START_SECONDS + trio.current_time()
+
+
+def _settings(
+    name: str, data_centre: str, where: addresses.Address, platform: addresses.Address
+) -> settings.Settings:
+    values: dict[tuple[str, str], setting.Value] = {
+        (one.section, one.key): one.default for one in settings.ALL if one.default is not None
+    }
+    given: dict[setting.Setting[str] | setting.Setting[addresses.Address], setting.Value] = {
+        settings.NAME: name,
+        settings.DATA_CENTRE: data_centre,
+        settings.CALLERS: where,
+        settings.OPERATORS: addresses.Address(where.host, 8001),
+        settings.PEERS: addresses.Address(where.host, 8002),
+        settings.PLATFORM: platform,
+    }
+    values.update({(one.section, one.key): value for one, value in given.items()})
+    return settings.Settings(values)
--- /dev/null
+++ b/src/galenavane/simulate/owner.py
@@ -0,0 +1,45 @@
+"""A simulated process as the network sees it."""
+
+from __future__ import annotations
+
+import trio
+
+
+class Owner:
+    """A process that can be frozen, thawed and killed.
+
+    :ivar scope: cancels every task of the process.
+    """
+
+    __slots__ = ("_thawed", "name", "scope")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.scope = trio.CancelScope()
+        self._thawed = trio.Event()
+        self._thawed.set()
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the process has not been killed."""
+        return not self.scope.cancel_called
+
+    def freeze(self) -> None:
+        """Stop the process at its next input or output."""
+        if self._thawed.is_set():
+            self._thawed = trio.Event()
+
+    def thaw(self) -> None:
+        """Let a frozen process go on as if nothing happened."""
+        self._thawed.set()
+
+    def kill(self) -> None:
+        """End the process without warning; its connections are reset."""
+        self._thawed.set()
+        self.scope.cancel()
+
+    async def gate(self) -> None:
+        """Wait while the process is frozen."""
+        while not self._thawed.is_set():
+            await self._thawed.wait()
+        await trio.lowlevel.checkpoint()
--- a/src/galenavane/standin/engine.py
+++ b/src/galenavane/standin/engine.py
@@ -9,7 +9,7 @@
 
 from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
-from galenavane.net import http_server, message
+from galenavane.net import http_server, message, network
 from galenavane.observe import events
 from galenavane.standin import engine_batch, engine_faults, engine_state, engine_text
 from galenavane.target import client, command, completion
@@ -30,8 +30,8 @@
 
     __slots__ = ("batch", "state", "streams")
 
-    def __init__(self, name: str, sizes: engine_faults.Sizes) -> None:
-        self.state = engine_state.State(name, sizes)
+    def __init__(self, name: str, sizes: engine_faults.Sizes, incarnation: str) -> None:
+        self.state = engine_state.State(name, sizes, incarnation)
         self.batch = engine_batch.Batch(sizes)
         self.streams: dict[str, trio.CancelScope] = {}
 
@@ -41,28 +41,30 @@
 
 
 async def run(
+    net: network.Network,
     name: str,
     where: addresses.Address,
     sizes: engine_faults.Sizes,
     faults: engine_faults.Faults,
+    incarnation: str,
     *,
     task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve as one member until cancelled."""
-    engine = _Engine(name, sizes)
+    engine = _Engine(name, sizes, incarnation)
     engine.state.faults = faults
 
     async def handle(exchange: http_server.Exchange) -> None:
         await _handle(engine, exchange)
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_hear_members, engine)
+        nursery.start_soon(_hear_members, net, engine)
         nursery.start_soon(_sample_load, engine)
-        await http_server.listen(where, handle, task_status=task_status)
+        await net.listen(where, handle, task_status=task_status)
 
 
-async def _hear_members(engine: _Engine) -> None:
-    targets = client.make(CALL_TIMEOUT_SECONDS)
+async def _hear_members(net: network.Network, engine: _Engine) -> None:
+    targets = client.make(net, CALL_TIMEOUT_SECONDS)
     state = engine.state
 
     async def hear(peer: command.Peer) -> None:
--- a/src/galenavane/standin/engine_state.py
+++ b/src/galenavane/standin/engine_state.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
-
 from galenavane.standin import engine_faults
 from galenavane.target import command, report
 
@@ -37,11 +35,11 @@
         "version",
     )
 
-    def __init__(self, name: str, sizes: engine_faults.Sizes) -> None:
+    def __init__(self, name: str, sizes: engine_faults.Sizes, incarnation: str) -> None:
         self.name = name
         self.sizes = sizes
         self.faults = engine_faults.Faults()
-        self.incarnation = uuid.uuid4().hex[:12]
+        self.incarnation = incarnation
         self.token = 0
         self.joins = 0
         self.finished = 0
--- a/src/galenavane/standin/plain.py
+++ b/src/galenavane/standin/plain.py
@@ -6,7 +6,7 @@
 import trio
 
 from galenavane.net import address as addresses
-from galenavane.net import http_server, message
+from galenavane.net import http_server, message, network
 
 
 class Faults(msgspec.Struct):
@@ -45,6 +45,7 @@
 
 
 async def run(
+    net: network.Network,
     name: str,
     where: addresses.Address,
     *,
@@ -56,7 +57,7 @@
     async def handle(exchange: http_server.Exchange) -> None:
         await _handle(state, exchange)
 
-    await http_server.listen(where, handle, task_status=task_status)
+    await net.listen(where, handle, task_status=task_status)
 
 
 async def _handle(state: _Service, exchange: http_server.Exchange) -> None:
--- a/src/galenavane/standin/platform.py
+++ b/src/galenavane/standin/platform.py
@@ -9,7 +9,7 @@
 import trio
 
 from galenavane.net import address as addresses
-from galenavane.net import http_server, message
+from galenavane.net import http_server, message, network
 from galenavane.platform import instance, stored
 from galenavane.standin import platform_faults, platform_store
 
@@ -31,6 +31,7 @@
 
 
 async def run(
+    net: network.Network,
     where: addresses.Address,
     *,
     task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
@@ -41,7 +42,7 @@
     async def handle(exchange: http_server.Exchange) -> None:
         await _handle(state, exchange)
 
-    await http_server.listen(where, handle, task_status=task_status)
+    await net.listen(where, handle, task_status=task_status)
 
 
 async def _handle(state: _Platform, exchange: http_server.Exchange) -> None:
--- a/src/galenavane/target/client.py
+++ b/src/galenavane/target/client.py
@@ -11,7 +11,7 @@
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import message, network, round_trip, transport_error
 from galenavane.target import api, command, report
 
 MAX_ANSWER_BYTES = 4_000_000
@@ -20,9 +20,10 @@
 
 
 class _Client:
-    __slots__ = ("_timeout",)
+    __slots__ = ("_net", "_timeout")
 
-    def __init__(self, timeout_seconds: float) -> None:
+    def __init__(self, net: network.Network, timeout_seconds: float) -> None:
+        self._net = net
         self._timeout = timeout_seconds
 
     async def fetch_report(self, address: str) -> expression.Result[report.Report, failure.Failure]:
@@ -45,7 +46,7 @@
     ) -> expression.Result[_T, failure.Failure]:
         where = addresses.parse(address)
         try:
-            response = await http_connection.round_trip(where, req, self._timeout, MAX_ANSWER_BYTES)
+            response = await round_trip.send(self._net, where, req, self._timeout, MAX_ANSWER_BYTES)
         except transport_error.TransportError as exc:
             return expression.Error(_broken_call(address, exc))
         if response.status == 200:
@@ -56,9 +57,9 @@
         return expression.Error(failure.Failure(code, text))
 
 
-def make(timeout_seconds: float) -> api.Api:
+def make(net: network.Network, timeout_seconds: float) -> api.Api:
     """Return a client whose calls end within a time."""
-    return _Client(timeout_seconds)
+    return _Client(net, timeout_seconds)
 
 
 def _broken_call(address: str, exc: transport_error.TransportError) -> failure.Failure:
