--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -8,7 +8,7 @@
 from galenavane.control import sighting, table
 from galenavane.entry import latest
 from galenavane.net import network
-from galenavane.peer import members, transport
+from galenavane.peer import facts, members, transport
 from galenavane.platform import api, instance
 from galenavane.target import api as target_api
 
@@ -19,6 +19,8 @@
     :ivar seen: reports of targets by instance name.
     :ivar tables: assignment tables by data centre.
     :ivar token: fencing token while the lease of the data centre is held.
+    :ivar own_facts: what this entry tells its peers; admission and picking publish it.
+    :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -31,6 +33,8 @@
         "instances",
         "leaving",
         "net",
+        "own_facts",
+        "peer_facts",
         "peers",
         "platform",
         "rng",
@@ -64,6 +68,8 @@
         self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
         self.token = latest.Latest[int | None](None)
         self.peers = latest.Latest[list[members.Member]]([])
+        self.own_facts = latest.Latest[facts.Facts](facts.Facts())
+        self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
         self.leaving = latest.Latest[bool](False)
         self.active = latest.Latest[int](0)
 
--- /dev/null
+++ b/src/galenavane/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the documentation quotes, one module each."""
