Carry the hybrid logical clock in HTTP between our processes

Cause: a request couldn't be followed from entry to target in causal order. Change: requests carry a stamp and answers to them carry one back; stamps over 60 s ahead of the wall clock are ignored.

--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -9,10 +9,12 @@
 
 from galenavane.net import headers as header_lists
 from galenavane.net import message, transport_error
+from galenavane.observe import events
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
-_HEAD_ERRORS = (400, 431)
+STAMP_HEADER = b"x-galenavane-clock"
+_OWN_FIELDS = frozenset({b"host", b"content-length", b"transfer-encoding", STAMP_HEADER})
 
 
 class HttpConnection:
@@ -83,8 +85,9 @@
 
     async def send_request(self, req: message.Request, host: str) -> None:
         """Send a whole request."""
-        fields = req.headers.without({b"host", b"content-length", b"transfer-encoding"})
+        fields = req.headers.without(_OWN_FIELDS)
         pairs = [(b"host", host.encode()), *fields.pairs]
+        pairs.append((STAMP_HEADER, events.stamp().encode()))
         if req.body or req.method in ("POST", "PUT"):
             pairs.append((b"content-length", str(len(req.body)).encode()))
         head = h11.Request(method=req.method, target=req.target, headers=pairs)
@@ -97,7 +100,9 @@
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise self._error(transport_error.Kind.RESET, "connection closed before the answer")
-        return message.Response(event.status_code, header_lists.Headers(event.headers))
+        fields = header_lists.Headers(event.headers)
+        events.receive(fields.get(STAMP_HEADER.decode()))
+        return message.Response(event.status_code, fields.without({STAMP_HEADER}))
 
     async def close(self) -> None:
         """Close the stream; never raises."""
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -10,6 +10,7 @@
 
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
+from galenavane.observe import events
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,7 +41,7 @@
     async def respond(self, response: message.Response) -> None:
         """Send a whole response."""
         self.answered = True
-        fields = response.headers.without({b"content-length", b"transfer-encoding"})
+        fields = self._stamp(response.headers.without({b"content-length", b"transfer-encoding"}))
         fields.add("content-length", str(len(response.body)))
         head = h11.Response(status_code=response.status, headers=fields.pairs)
         await self._conn.send(head, h11.Data(data=response.body), h11.EndOfMessage())
@@ -48,9 +49,14 @@
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response."""
         self.answered = True
-        fields.add("transfer-encoding", "chunked")
+        self._stamp(fields).add("transfer-encoding", "chunked")
         await self._conn.send(h11.Response(status_code=status, headers=fields.pairs))
 
+    def _stamp(self, fields: header_lists.Headers) -> header_lists.Headers:
+        """Answer a request that carried a clock stamp with one."""
+        name = http_connection.STAMP_HEADER.decode()
+        return fields.add(name, events.stamp()) if self.request.headers.get(name) else fields
+
     async def send_chunk(self, data: bytes) -> None:
         """Send one chunk of a started stream."""
         await self._conn.send(h11.Data(data=data))
@@ -111,7 +117,9 @@
         return None
     method = event.method.decode("ascii")
     target = event.target.decode("latin-1")
-    return message.Request(method, target, header_lists.Headers(event.headers), body)
+    fields = header_lists.Headers(event.headers)
+    events.receive(fields.get(http_connection.STAMP_HEADER.decode()))
+    return message.Request(method, target, fields, body)
 
 
 async def _refuse(
--- a/src/galenavane/observe/clock.py
+++ b/src/galenavane/observe/clock.py
@@ -22,6 +22,9 @@
         return f"{self.wall_ms}.{self.count:04d}"
 
 
+MAX_AHEAD_MS = 60_000
+
+
 class Clock:
     """The clock of one process."""
 
@@ -36,7 +39,12 @@
         return self._advance(Stamp(0, 0))
 
     def receive(self, remote: Stamp) -> Stamp:
-        """Return the stamp of an event caused by a message with a stamp."""
+        """Return the stamp of an event caused by a message with a stamp.
+
+        A stamp far ahead of the wall clock is ignored, so that no sender can run the clock away.
+        """
+        if remote.wall_ms > int(self._wall() * 1000) + MAX_AHEAD_MS:
+            return self.tick()
         return self._advance(remote)
 
     def _advance(self, remote: Stamp) -> Stamp:
