Show operators status, time line and metrics

Cause: an entry's knowledge was a bare JSON dump, and events couldn't be merged. Change: status of several entries with the age of each fact; time line in causal order; group downtime and stranded accelerators as metrics; completion; binary.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	$(PY) .ci/report.py build/behave.json KNOWN-RED.txt
 
 binary: $(VENV)/ready
-	$(PY) -m shiv --quiet --console-script galenavane --output-file build/galenavane . --requirement requirements-run.lock
+	mkdir -p build
+	$(PY) -m shiv --quiet --compressed --console-script galenavane --output-file build/galenavane --no-deps . --requirement requirements-run.lock
 
 clean:
 	rm -rf build
--- a/src/galenavane/cli/status.py
+++ b/src/galenavane/cli/status.py
@@ -2,53 +2,52 @@
 
 from __future__ import annotations
 
+import functools
+import time
+
 import msgspec
 import trio
 
-from galenavane.entry import operators
-from galenavane.failure import code as codes
-from galenavane.failure import failure
+from galenavane.cli import status_text
 from galenavane.net import address as addresses
-from galenavane.net import message, round_trip, tcp, transport_error
-
-TIMEOUT_SECONDS = 3.0
-MAX_ANSWER_BYTES = 64_000_000
-
-
-def status(entry: addresses.Address, /, *, json: bool = False) -> int:
-    """Show what an entry knows.
 
-    :param entry: IP:port of an entry's operators' address
-    :param json: print the answer as JSON
+WATCH_SECONDS = 2.0
+_CLEAR_SCREEN = "\x1b[2J\x1b[H"
+
+
+def status(
+    *entries: addresses.Address,
+    service: str = "",
+    data_centre: str = "",
+    incomplete: bool = False,
+    groups: int = 40,
+    json: bool = False,
+    watch: bool = False,
+) -> int:
+    """Show what entries know: groups, leases, generations, stranded accelerators, downtime.
+
+    It asks entries and not the platform, so it works in an outage of the platform; every fact that
+    may be old is shown with its age. Exit code 0 when every wanted group is complete, else 1.
+
+    Example: ``galenavane status 127.0.0.1:8001 127.0.0.1:8011 --incomplete``
+
+    :param entries: IP:port of the operators' address of one entry or more
+    :param service: show groups of this service only
+    :param data_centre: show groups of this data centre only
+    :param incomplete: show incomplete groups only
+    :param groups: most groups to list
+    :param json: print the answers as JSON
+    :param watch: print again every 2 s until interrupted
     """
-    answer = trio.run(_ask, entry)
-    if json:
-        print(msgspec.json.encode(answer).decode())
-        return 0
-    _print(answer)
-    return 0 if all(group.complete for group in answer.groups) else 1
-
-
-async def _ask(where: addresses.Address) -> operators.EntryStatus:
-    req = message.Request("GET", "/status")
-    try:
-        response = await round_trip.send(tcp.make(), where, req, TIMEOUT_SECONDS, MAX_ANSWER_BYTES)
-    except transport_error.TransportError as exc:
-        text = f"entry {where} does not answer: {exc}"
-        raise failure.UserError(failure.Failure(codes.Code.TARGET_UNREACHABLE, text)) from None
-    return msgspec.json.decode(response.body, type=operators.EntryStatus)
-
-
-def _print(answer: operators.EntryStatus) -> None:
-    complete = sum(group.complete for group in answer.groups)
-    held = "no lease" if answer.token is None else f"lease held, token {answer.token}"
-    print(
-        f"entry {answer.name} in {answer.data_centre}: {held}, {answer.active} requests in flight"
-    )
-    print(f'generation {answer.generation}, preset "{answer.preset}"')
-    print(f"peers: {', '.join(answer.peers) or 'none'}")
-    print(f"groups: {complete} of {len(answer.groups)} complete")
-    for group in answer.groups:
-        word = "complete" if group.complete else "incomplete"
-        print(f"  {group.name}  {group.version}  {word}  {' '.join(group.members)}")
-    print(f"stranded accelerators: {len(answer.stranded)} {' '.join(answer.stranded)}")
+    shown = status_text.Filter(service, data_centre, incomplete, groups)
+    while True:
+        answers = trio.run(functools.partial(status_text.ask_all, entries))
+        if watch:
+            print(_CLEAR_SCREEN, end="")
+        if json:
+            print(msgspec.json.encode(answers).decode())
+        else:
+            print(status_text.render(answers, shown))
+        if not watch:
+            return 0 if status_text.is_well(answers) else 1
+        time.sleep(WATCH_SECONDS)
--- /dev/null
+++ b/src/galenavane/cli/timeline.py
@@ -0,0 +1,75 @@
+"""``galenavane timeline``."""
+
+from __future__ import annotations
+
+import datetime
+import enum
+import pathlib
+import sys
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.observe import entries
+from galenavane.observe import timeline as timelines
+
+
+class Format(enum.Enum):
+    """How a time line is printed."""
+
+    TEXT = "text"
+    JSON = "json"
+    HTML = "html"
+
+
+def timeline(
+    *files: pathlib.Path,
+    request: str = "",
+    group: str = "",
+    instance: str = "",
+    event: str = "",
+    since: str = "",
+    until: str = "",
+    format: Format = Format.TEXT,
+) -> int:
+    """Merge the logs of several processes into one time line in causal order.
+
+    Example: ``galenavane timeline entry-*.log engine-*.log --request 3f2a --format html > t.html``
+
+    :param files: logs of entries, stand-ins and targets, JSON lines
+    :param request: show one request only, by the start of its id
+    :param group: show one group only
+    :param instance: show one instance or process only
+    :param event: show events whose name starts so, such as ``lease``
+    :param since: show events from this time on, such as 2026-12-04T05:00:00
+    :param until: show events up to this time
+    :param format: TEXT, JSON (one object a line) or HTML (one self-contained page)
+    """
+    found = entries.read_files(files)
+    shown = timelines.Filter(
+        request, group, instance, event, _parse_time(since), _parse_time(until)
+    )
+    events = timelines.choose(found.events, shown)
+    if format is Format.JSON:
+        print(timelines.render_json(events))
+    elif format is Format.HTML:
+        print(timelines.render_html(events), end="")
+    else:
+        print(timelines.render_text(events))
+    print(
+        f"{len(events)} of {len(found.events)} events, {found.skipped} other lines",
+        file=sys.stderr,
+    )
+    return 0
+
+
+def _parse_time(text: str) -> int:
+    if not text:
+        return 0
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        problem = f'"{text}" is not a time such as 2026-12-04T05:00:00'
+        raise failure.UserError(failure.Failure(codes.Code.BAD_REQUEST, problem)) from None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return int(moment.timestamp() * 1000)
--- /dev/null
+++ b/src/galenavane/entry/meter_task.py
@@ -0,0 +1,69 @@
+"""The task that samples the measures of the entry and keeps the gauges."""
+
+from __future__ import annotations
+
+import resource
+
+import trio
+from aioprometheus import collectors
+
+from galenavane.entry import status
+from galenavane.entry import view as views
+from galenavane.observe import meter
+
+SAMPLE_SECONDS = 0.5
+_PAGE_BYTES = resource.getpagesize()
+_NO_LABELS: dict[str, str] = {}
+
+
+async def run(view: views.View) -> None:
+    """Sample twice a second until cancelled."""
+    due = trio.current_time()
+    while True:
+        due += SAMPLE_SECONDS
+        await trio.sleep_until(due)
+        now = trio.current_time()
+        _set(view.metrics.loop_lag, now - due)
+        due = now
+        _add(view, now)
+        _keep_gauges(view, now)
+
+
+def _add(view: views.View, now: float) -> None:
+    before = (view.meter.downtime_seconds, view.meter.stranded_seconds)
+    meter.observe(view.meter, status.sample(view), now)
+    view.metrics.group_downtime.add(_NO_LABELS, view.meter.downtime_seconds - before[0])
+    view.metrics.stranded_time.add(_NO_LABELS, view.meter.stranded_seconds - before[1])
+
+
+def _keep_gauges(view: views.View, now: float) -> None:
+    found = view.metrics
+    sample = view.meter.last
+    if sample is not None:
+        _set(found.groups_wanted, sample.wanted)
+        _set(found.groups_complete, sample.complete)
+        _set(found.stranded_now, sample.stranded)
+    configuration = view.configuration.value
+    _set(found.generation, configuration.head.generation if configuration else 0)
+    _set(found.configuration_age, _age(view.configuration.set_at, now))
+    _set(found.platform_age, _age(view.instances.set_at, now))
+    _set(found.lease_token, view.token.value or 0)
+    _set(found.peers, len(view.peers.value))
+    _set(found.in_flight, view.active.value)
+    _set(found.memory, _resident_bytes())
+
+
+def _age(set_at: float, now: float) -> float:
+    return now - max(0.0, set_at)
+
+
+def _set(gauge: collectors.Gauge, value: float) -> None:
+    gauge.set(_NO_LABELS, value)
+
+
+def _resident_bytes() -> int:
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * _PAGE_BYTES
+    except OSError:
+        return 0
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -15,6 +15,7 @@
     control_task,
     instances_task,
     lease_task,
+    meter_task,
     operators,
     reports_task,
     tables_task,
@@ -75,6 +76,7 @@
     tables_task.run,
     reports_task.run,
     control_task.run,
+    meter_task.run,
     peer_task.run,
 )
 
--- /dev/null
+++ b/src/galenavane/entry/status.py
@@ -0,0 +1,177 @@
+"""What an entry knows, for operators."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+import trio
+
+from galenavane.config import declaration, settings
+from galenavane.control import completeness, sighting, table
+from galenavane.entry import view as views
+from galenavane.observe import meter
+from galenavane.platform import instance
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """One group as this entry sees it."""
+
+    name: str
+    service: str
+    data_centre: str
+    version: str
+    epoch: int
+    phase: table.Phase
+    complete: bool
+    members: list[str]
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """Another entry as this entry heard it.
+
+    :ivar age_seconds: since its last message.
+    """
+
+    name: str
+    data_centre: str
+    generation: int
+    leaving: bool
+    age_seconds: float
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """What one entry answers to ``galenavane status``.
+
+    :ivar generation: 0 when it has no configuration.
+    :ivar token: fencing token while it holds the lease, else ``None``.
+    :ivar wanted: groups that the preset asks for in this data centre.
+    :ivar stranded: idle engines of this data centre.
+    :ivar platform_age_seconds: since the platform last answered; ``None`` when it never did.
+    :ivar tables_age_seconds: since an assignment table last changed or was read.
+    :ivar reports_age_seconds: since targets were last asked.
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    generation: int
+    preset: str
+    token: int | None
+    leaving: bool
+    active: int
+    peers: list[PeerStatus]
+    groups: list[GroupStatus]
+    wanted: int
+    stranded: list[str]
+    leaving_targets: list[str]
+    downtime_seconds: float
+    stranded_seconds: float
+    platform_age_seconds: float | None
+    tables_age_seconds: float | None
+    reports_age_seconds: float | None
+
+
+def describe(view: views.View) -> EntryStatus:
+    """Return the status of this entry."""
+    configuration = view.configuration.value
+    now = trio.current_time()
+    groups = describe_groups(view)
+    return EntryStatus(
+        name=view.cfg.get(settings.NAME),
+        incarnation=view.incarnation,
+        data_centre=view.cfg.get(settings.DATA_CENTRE),
+        generation=configuration.head.generation if configuration else 0,
+        preset=configuration.head.preset if configuration else "",
+        token=view.token.value,
+        leaving=view.leaving.value,
+        active=view.active.value,
+        peers=_describe_peers(view, now),
+        groups=groups,
+        wanted=count_wanted(view),
+        stranded=idle_engines(view, groups),
+        leaving_targets=_leaving(view),
+        downtime_seconds=view.meter.downtime_seconds,
+        stranded_seconds=view.meter.stranded_seconds,
+        platform_age_seconds=_age(view.instances.set_at, now),
+        tables_age_seconds=_age(view.tables.set_at, now),
+        reports_age_seconds=_age(view.seen.set_at, now),
+    )
+
+
+def sample(view: views.View) -> meter.Sample:
+    """Return what the meter adds up: the groups and engines of the own data centre."""
+    own = view.cfg.get(settings.DATA_CENTRE)
+    groups = [group for group in describe_groups(view) if group.data_centre == own]
+    complete = sum(group.complete and group.phase is table.Phase.ACTIVE for group in groups)
+    idle = len(idle_engines(view, groups))
+    needed = _members_wanted(view) - sum(len(one.members) for one in groups if one.complete)
+    return meter.Sample(count_wanted(view), complete, idle, max(0, idle - max(0, needed)))
+
+
+def count_wanted(view: views.View) -> int:
+    """Return how many groups the preset in force asks for in the own data centre."""
+    return sum(run.replicas.get(view.cfg.get(settings.DATA_CENTRE), 0) for run in _runs(view))
+
+
+def describe_groups(view: views.View) -> list[GroupStatus]:
+    """Return every group of the tables by name."""
+    groups = [
+        GroupStatus(
+            group.name,
+            group.service,
+            data_centre,
+            group.version,
+            group.epoch,
+            group.phase,
+            completeness.is_complete(group, view.seen.value, trio.current_time()),
+            [one.instance for one in group.members],
+        )
+        for data_centre, one in view.tables.value.items()
+        for group in one.groups
+    ]
+    return sorted(groups, key=lambda one: one.name)
+
+
+def idle_engines(view: views.View, groups: list[GroupStatus]) -> list[str]:
+    """Return the engines of the own data centre that are in no complete group."""
+    busy = {name for group in groups if group.complete for name in group.members}
+    own = view.cfg.get(settings.DATA_CENTRE)
+    return sorted(
+        name for name, one in view.seen.value.items() if name not in busy and _is_own(one, own)
+    )
+
+
+def _runs(view: views.View) -> list[declaration.Run]:
+    configuration = view.configuration.value
+    return configuration.runs() if configuration else []
+
+
+def _members_wanted(view: views.View) -> int:
+    configuration = view.configuration.value
+    if configuration is None:
+        return 0
+    own = view.cfg.get(settings.DATA_CENTRE)
+    services = {one.name: one.members for one in configuration.declared.services}
+    return sum(run.replicas.get(own, 0) * services[run.service] for run in configuration.runs())
+
+
+def _is_own(one: sighting.Sighting, data_centre: str) -> bool:
+    return (one.instance.kind, one.instance.data_centre) == (instance.Kind.ENGINE, data_centre)
+
+
+def _leaving(view: views.View) -> list[str]:
+    leaving = instance.State.LEAVING
+    return sorted(one.name for one in view.instances.value if one.state is leaving)
+
+
+def _describe_peers(view: views.View, now: float) -> list[PeerStatus]:
+    found = [
+        PeerStatus(one.name, one.data_centre, one.generation, one.leaving, now - one.heard_at)
+        for one in view.peers.value
+    ]
+    return sorted(found, key=lambda one: one.name)
+
+
+def _age(set_at: float, now: float) -> float | None:
+    return None if math.isinf(set_at) else now - set_at
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -8,6 +8,7 @@
 from galenavane.control import sighting, table
 from galenavane.entry import latest
 from galenavane.net import network
+from galenavane.observe import meter, metrics
 from galenavane.peer import facts, members, transport
 from galenavane.platform import api, instance
 from galenavane.target import api as target_api
@@ -32,6 +33,8 @@
         "incarnation",
         "instances",
         "leaving",
+        "meter",
+        "metrics",
         "net",
         "own_facts",
         "peer_facts",
@@ -61,6 +64,8 @@
         self.targets = targets
         self.rng = rng
         self.net = net
+        self.metrics = metrics.make()
+        self.meter = meter.Meter(0.0)
         self.transport = transport
         self.configuration = latest.Latest[in_force.InForce | None](None)
         self.instances = latest.Latest[list[instance.Instance]]([])
--- /dev/null
+++ b/src/galenavane/observe/entries.py
@@ -0,0 +1,98 @@
+"""Events read back from log files."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from collections import abc
+
+import msgspec
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.observe import clock
+
+_OWN_FIELDS = frozenset(
+    {
+        "data_centre",
+        "hlc",
+        "incarnation",
+        "message_type",
+        "process",
+        "task_level",
+        "task_uuid",
+        "timestamp",
+    }
+)
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One event of one process.
+
+    :ivar fields: what the event carries besides its source, as text.
+    """
+
+    stamp: clock.Stamp
+    process: str
+    incarnation: str
+    data_centre: str
+    name: str
+    fields: dict[str, str]
+
+
+class Events(msgspec.Struct, frozen=True):
+    """Events in causal order.
+
+    :ivar skipped: lines that are not events, such as a line cut off by a kill.
+    """
+
+    events: list[Event]
+    skipped: int
+
+
+def read_files(paths: abc.Sequence[pathlib.Path]) -> Events:
+    """Read and merge the logs of several processes.
+
+    :raises failure.UserError: when a file does not exist.
+    """
+    found: list[Event] = []
+    skipped = 0
+    for path in paths:
+        if not path.is_file():
+            text = f'file "{path}" does not exist'
+            raise failure.UserError(failure.Failure(codes.Code.FILE_MISSING, text))
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            for line in lines:
+                event = parse_line(line)
+                if event is None:
+                    skipped += 1
+                else:
+                    found.append(event)
+    found.sort(key=lambda one: (one.stamp, one.process))
+    return Events(found, skipped)
+
+
+def parse_line(line: str) -> Event | None:
+    """Parse one line of a log; ``None`` when it is no event."""
+    try:
+        raw = json.loads(line)
+    except ValueError:
+        return None
+    if not isinstance(raw, dict):
+        return None
+    stamp = clock.parse(str(raw.get("hlc", "")))
+    if stamp is None:
+        return None
+    fields = {str(key): _render(value) for key, value in raw.items() if key not in _OWN_FIELDS}
+    return Event(
+        stamp,
+        str(raw.get("process", "")),
+        str(raw.get("incarnation", "")),
+        str(raw.get("data_centre", "")),
+        str(raw.get("message_type", "")),
+        fields,
+    )
+
+
+def _render(value: object) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
--- /dev/null
+++ b/src/galenavane/observe/timeline.py
@@ -0,0 +1,147 @@
+"""Chooses and renders the events of a time line."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import html
+from collections import abc
+
+import msgspec
+
+from galenavane.observe import entries
+
+ROW_PIXELS = 18
+LANE_PIXELS = 150
+LEFT_PIXELS = 130
+TOP_PIXELS = 40
+_MARKS = {
+    "lease": "#b45309",
+    "table": "#7c3aed",
+    "command": "#7c3aed",
+    "target": "#0f766e",
+    "request": "#1d4ed8",
+    "config": "#be185d",
+    "invariant": "#dc2626",
+}
+_OTHER_MARK = "#475569"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Filter:
+    """Which events are shown; an empty text lets every event pass.
+
+    :ivar name: start of the event's name, such as ``lease``.
+    :ivar since_ms: wall clock in milliseconds, 0 for the start.
+    :ivar until_ms: wall clock in milliseconds, 0 for the end.
+    """
+
+    request: str = ""
+    group: str = ""
+    instance: str = ""
+    name: str = ""
+    since_ms: int = 0
+    until_ms: int = 0
+
+
+def choose(events: abc.Iterable[entries.Event], shown: Filter) -> list[entries.Event]:
+    """Return the events that pass a filter."""
+    return [one for one in events if _passes(one, shown)]
+
+
+def _passes(one: entries.Event, shown: Filter) -> bool:
+    fields = one.fields
+    return (
+        fields.get("request", "").startswith(shown.request)
+        and (not shown.group or fields.get("group") == shown.group)
+        and (not shown.instance or shown.instance in (fields.get("instance"), one.process))
+        and one.name.startswith(shown.name)
+        and one.stamp.wall_ms >= shown.since_ms
+        and (not shown.until_ms or one.stamp.wall_ms <= shown.until_ms)
+    )
+
+
+def render_text(events: abc.Sequence[entries.Event]) -> str:
+    """Return one line an event: time, process, name, fields."""
+    width = max((len(one.process) for one in events), default=0)
+    return "\n".join(_render_line(one, width) for one in events)
+
+
+def render_json(events: abc.Sequence[entries.Event]) -> str:
+    """Return one JSON object a line."""
+    return "\n".join(msgspec.json.encode(one).decode() for one in events)
+
+
+def render_html(events: abc.Sequence[entries.Event]) -> str:
+    """Return one self-contained page: a lane a process, time downwards."""
+    lanes = sorted({one.process for one in events})
+    columns = {name: LEFT_PIXELS + LANE_PIXELS * number for number, name in enumerate(lanes)}
+    width = LEFT_PIXELS + LANE_PIXELS * max(1, len(lanes)) + 420
+    height = TOP_PIXELS + ROW_PIXELS * (len(events) + 1)
+    body = [_render_lane(name, x, height) for name, x in columns.items()]
+    body += _render_requests(events, columns)
+    body += [_render_mark(one, row, columns[one.process]) for row, one in enumerate(events)]
+    return (
+        "<!doctype html><meta charset='utf-8'><title>galenavane time line</title>"
+        f"<svg xmlns='http://www.w3.org/2000/svg' width='{width}' height='{height}' "
+        "font-family='monospace' font-size='11'>" + "".join(body) + "</svg>\n"
+    )
+
+
+def _render_line(one: entries.Event, width: int) -> str:
+    fields = " ".join(f"{key}={value}" for key, value in sorted(one.fields.items()))
+    return f"{_render_time(one)}  {one.process:<{width}}  {one.name:<18} {fields}".rstrip()
+
+
+def _render_time(one: entries.Event) -> str:
+    moment = datetime.datetime.fromtimestamp(one.stamp.wall_ms / 1000, datetime.UTC)
+    return f"{moment:%H:%M:%S}.{one.stamp.wall_ms % 1000:03d}+{one.stamp.count}"
+
+
+def _render_lane(name: str, x: int, height: int) -> str:
+    return (
+        f"<text x='{x - 20}' y='16' font-weight='bold'>{html.escape(name)}</text>"
+        f"<line x1='{x}' y1='24' x2='{x}' y2='{height}' stroke='#cbd5e1'/>"
+    )
+
+
+def _render_requests(
+    events: abc.Sequence[entries.Event], columns: dict[str, int]
+) -> abc.Iterator[str]:
+    """Join the events of a request or command that follow each other in different lanes."""
+    last: dict[str, tuple[int, int]] = {}
+    for row, one in enumerate(events):
+        key = one.fields.get("request") or _command_key(one)
+        if not key:
+            continue
+        here = (columns[one.process], _row_y(row))
+        before = last.get(key)
+        if before is not None and before[0] != here[0]:
+            yield (
+                f"<line x1='{before[0]}' y1='{before[1]}' x2='{here[0]}' y2='{here[1]}' "
+                "stroke='#93c5fd'/>"
+            )
+        last[key] = here
+
+
+def _command_key(one: entries.Event) -> str:
+    if one.name not in ("command.send", "target.command"):
+        return ""
+    fields = one.fields
+    return f"{fields.get('instance')} {fields.get('kind')} {fields.get('epoch')}"
+
+
+def _render_mark(one: entries.Event, row: int, x: int) -> str:
+    y = _row_y(row)
+    colour = _MARKS.get(one.name.partition(".")[0], _OTHER_MARK)
+    fields = " ".join(f"{key}={value}" for key, value in sorted(one.fields.items()))
+    label = html.escape(f"{one.name} {fields}"[:100])
+    return (
+        f"<text x='4' y='{y + 4}' fill='#64748b'>{_render_time(one)}</text>"
+        f"<circle cx='{x}' cy='{y}' r='4' fill='{colour}'/>"
+        f"<text x='{x + 8}' y='{y + 4}' fill='{colour}'>{label}</text>"
+    )
+
+
+def _row_y(row: int) -> int:
+    return TOP_PIXELS + ROW_PIXELS * row
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -8,7 +8,18 @@
 
 import defopt
 
-from galenavane.cli import apply, check, entry, errors, load, preset, standin, status
+from galenavane.cli import (
+    apply,
+    check,
+    completion,
+    entry,
+    errors,
+    load,
+    preset,
+    standin,
+    status,
+    timeline,
+)
 from galenavane.failure import failure
 from galenavane.net import address as addresses
 
@@ -21,6 +32,7 @@
     "apply": apply.apply,
     "preset": preset.preset,
     "status": status.status,
+    "timeline": timeline.timeline,
     "errors": errors.errors,
     "load": load.load,
     "standin": {
@@ -29,6 +41,7 @@
         "plain": standin.plain,
     },
 }
+COMMANDS["completion"] = completion.make(COMMANDS)
 
 
 def main(argv: abc.Sequence[str] | None = None) -> typing.NoReturn:
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -7,6 +7,7 @@
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.net import http_server, message, transport_error
 from galenavane.observe import events
 from galenavane.serve import caller as callers
@@ -47,15 +48,22 @@
         found = await _route(view, exchange, request_id)
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
+        _count(view, "caller_gone", "unknown")
         return
     if found is None:
         events.log("request.end", request=request_id, code="answered")
+        _count(view, "answered", outcomes.Outcome.ANSWERED.value)
         return
     events.log("request.end", request=request_id, code=found.code.name, outcome=found.outcome.value)
+    _count(view, found.code.name.lower(), found.outcome.value)
     if not exchange.answered:
         await exchange.respond(errors.response(found, request_id))
 
 
+def _count(view: views.View, code: str, outcome: str) -> None:
+    view.metrics.requests.inc({"code": code, "outcome": outcome})
+
+
 async def _route(
     view: views.View, exchange: http_server.Exchange, request_id: str
 ) -> failure.Failure | None:
--- a/src/galenavane/serve/model_request.py
+++ b/src/galenavane/serve/model_request.py
@@ -109,6 +109,7 @@
         return failed
     finally:
         first = state.first_token_at - held.sent_at if state.delivered > before else None
+        _measure(view, state, first, before)
         ended = grants.Ended(first, state.delivered - before, failed is not None)
         dispatch.release(view, held, ended)
 
@@ -120,6 +121,20 @@
     return None
 
 
+def _measure(
+    view: views.View, state: stream_state.StreamState, first: float | None, before: int
+) -> None:
+    if state.tries > 1:
+        view.metrics.retries.inc({})
+    if first is None:
+        return
+    view.metrics.first_token.observe({}, first)
+    tokens = state.delivered - before
+    if tokens > 1:
+        passed = trio.current_time() - state.first_token_at
+        view.metrics.between_tokens.observe({}, passed / (tokens - 1))
+
+
 async def _try(
     view: views.View,
     caller: callers.Caller,
--- /dev/null
+++ b/tests/cli/help.feature
@@ -0,0 +1,26 @@
+Feature: The command line reads like a tool people know
+
+  Scenario Outline: Every subcommand explains itself
+    When galenavane runs "<command> --help"
+    Then it exits with 0
+    And its output contains "usage: galenavane <command>"
+
+    Examples:
+      | command          |
+      | entry            |
+      | check            |
+      | apply            |
+      | preset           |
+      | status           |
+      | timeline         |
+      | load             |
+      | errors           |
+      | completion       |
+      | standin platform |
+      | standin engine   |
+      | standin plain    |
+
+  Scenario: The shell is told the subcommands and flags
+    When galenavane runs "completion"
+    Then it exits with 0
+    And its output contains "--fabric-domain"
--- /dev/null
+++ b/tests/steps/cli_status.py
@@ -0,0 +1,78 @@
+"""Steps for ``galenavane status``."""
+
+from __future__ import annotations
+
+import msgspec
+import simulate_deployment
+import trio
+from behave import given, then
+
+from galenavane.cli import status_text
+from galenavane.control import table
+from galenavane.entry import status
+from galenavane.net import message
+from galenavane.standin import platform_faults
+
+ALL = status_text.Filter("", "", False, 40)
+
+
+@given("the status of an entry of a simulated deployment whose platform was down for {seconds:d} s")
+def describe_outage(context, seconds):
+    async def scenario(made):
+        faults = platform_faults.Faults(down=True)
+        await made.call(made.platform, message.json_request("POST", "/faults", faults))
+        await trio.sleep(seconds)
+        return status.describe(made.views["entry-0"])
+
+    found = simulate_deployment.simulate(5, scenario)
+    context.answers = [status_text.Answer("10.0.0.1:8001", found)]
+
+
+@given("the status of an entry with {count:d} groups of which one is incomplete")
+def describe_many(context, count):
+    groups = [
+        status.GroupStatus(
+            f"s.dc.{number}", "s", "dc", "v1", 1, table.Phase.ACTIVE, number != 7, ["a", "b"]
+        )
+        for number in range(count)
+    ]
+    found = status.EntryStatus(
+        name="e",
+        incarnation="i",
+        data_centre="dc",
+        generation=1,
+        preset="p",
+        token=None,
+        leaving=False,
+        active=0,
+        peers=[],
+        groups=groups,
+        wanted=count,
+        stranded=[],
+        leaving_targets=[],
+        downtime_seconds=0.0,
+        stranded_seconds=0.0,
+        platform_age_seconds=0.0,
+        tables_age_seconds=0.0,
+        reports_age_seconds=0.0,
+    )
+    context.answers = [status_text.Answer("10.0.0.1:8001", found)]
+    assert msgspec.json.decode(msgspec.json.encode(found), type=status.EntryStatus) == found
+
+
+@then('the status text says "{text}"')
+def check_says(context, text):
+    shown = status_text.render(context.answers, ALL)
+    assert text in shown, shown
+
+
+@then("the status text has under {count:d} lines")
+def check_short(context, count):
+    assert len(status_text.render(context.answers, ALL).splitlines()) < count
+
+
+@then("the status text filtered to incomplete groups lists {count:d} group")
+def check_filtered(context, count):
+    shown = status_text.render(context.answers, status_text.Filter("", "", True, 40))
+    assert shown.count("INCOMPLETE") == count, shown
+    assert not status_text.is_well(context.answers)
--- a/tests/steps/command_line.py
+++ b/tests/steps/command_line.py
@@ -69,3 +69,8 @@
     lines = context.stderr.splitlines()
     assert len(lines) == 1, context.stderr
     assert text in lines[0], context.stderr
+
+
+@then('its output contains "{text}"')
+def check_stdout(context, text):
+    assert text in context.stdout, context.stdout
--- /dev/null
+++ b/tests/steps/observe_meter.py
@@ -0,0 +1,39 @@
+"""Steps for the meter and the metrics."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from galenavane.observe import meter, metrics
+
+GIVEN = "a meter that sees {wanted:d} groups wanted, {complete:d} complete, {idle:d} idle"
+
+
+@given(GIVEN + " of which {spare:d} spare")
+def make_meter(context, wanted, complete, idle, spare):
+    context.sample = meter.Sample(wanted, complete, idle, spare)
+    context.meter = meter.Meter(0.0)
+    meter.observe(context.meter, context.sample, 100.0)
+
+
+@when("{seconds:d} s pass")
+def pass_time(context, seconds):
+    meter.observe(context.meter, context.sample, 100.0 + seconds)
+
+
+@then("its downtime is {down:d} s and its stranded time is {stranded:d} s")
+def check_meter(context, down, stranded):
+    assert context.meter.downtime_seconds == down
+    assert context.meter.stranded_seconds == stranded
+
+
+@then("the metrics of a new entry start with group downtime and stranded accelerators")
+def check_metrics(context):
+    found = metrics.make()
+    found.group_downtime.add({}, 1.5)
+    found.stranded_time.add({}, 2.5)
+    lines = [one for one in metrics.render(found).decode().splitlines() if one[:1] not in "#"]
+    assert lines[:2] == [
+        "galenavane_group_downtime_seconds_total 1.5",
+        "galenavane_stranded_accelerator_seconds_total 2.5",
+    ], lines
--- /dev/null
+++ b/tests/steps/observe_timeline.py
@@ -0,0 +1,76 @@
+"""Steps for the time line."""
+
+from __future__ import annotations
+
+import io
+import json
+
+import eliot
+import msgspec
+import simulate_deployment
+from behave import given, then, when
+
+from galenavane.observe import clock, entries, timeline
+
+EVENT = {"hlc": "5000.0001", "process": "entry-0", "message_type": "entry.start"}
+
+
+@given("the events of a simulated deployment that answers one completion")
+def simulate_completion(context):
+    log = io.StringIO()
+    destination = eliot.FileDestination(file=log)
+
+    async def scenario(made):
+        body = {"model": "scribe", "prompt": "carafe", "max_tokens": 3}
+        req = simulate_deployment.request("POST", "/v1/completions", msgspec.json.encode(body))
+        answer = await made.call(made.entries["entry-1"], req)
+        context.request = answer.headers.get("x-request-id")
+
+    eliot.add_destinations(destination)
+    try:
+        simulate_deployment.simulate(4, scenario)
+    finally:
+        eliot.remove_destination(destination)
+    (context.folder / "all.log").write_text(log.getvalue())
+
+
+@when("they are merged and filtered by the request")
+def filter_events(context):
+    found = entries.read_files([context.folder / "all.log"])
+    context.events = timeline.choose(found.events, timeline.Filter(request=context.request))
+
+
+@then('they stand in the order "{names}"')
+def check_order(context, names):
+    found = [one.name for one in context.events]
+    places = [found.index(name) for name in names.split(", ")]
+    assert places == sorted(places), found
+
+
+@given("a log with one event and half a line")
+def write_cut_log(context):
+    line = json.dumps(EVENT)
+    (context.folder / "cut.log").write_text(line + "\n" + line[:20])
+
+
+@then('its page contains "{text}" and its summary is "{summary}"')
+def check_output(context, text, summary):
+    assert text in context.stdout
+    assert summary in context.stderr, context.stderr
+
+
+@then("a clock that receives a stamp an hour ahead keeps its own time")
+def receive_far_stamp(context):
+    own = clock.Clock(lambda: 1000.0)
+    own.receive(clock.Stamp(1_000_000 + 3_600_000, 0))
+    assert own.tick().wall_ms == 1_000_000
+    own.receive(clock.Stamp(1_000_500, 0))
+    assert own.tick().wall_ms == 1_000_500
+
+
+@then('a time line page with a field "{text}" contains no script')
+def check_escaped(context, text):
+    event = entries.parse_line(json.dumps({**EVENT, "path": text, "process": text}))
+    page = timeline.render_html([event])
+    assert "&lt;script&gt;" in page
+    assert text not in page
--- a/tests/steps/simulate_deployment.py
+++ b/tests/steps/simulate_deployment.py
@@ -12,7 +12,7 @@
 from behave import then
 
 from galenavane.config import accept, read
-from galenavane.entry import operators
+from galenavane.entry import status as statuses
 from galenavane.net import headers, message
 from galenavane.platform import client
 from galenavane.simulate import clock, deployment
@@ -45,7 +45,7 @@
     """Wait until every entry sees so many complete groups."""
     with trio.fail_after(SETTLE_SECONDS):
         while any(
-            sum(group.complete for group in operators.describe(view).groups) != count
+            sum(group.complete for group in statuses.describe(view).groups) != count
             for view in made.views.values()
         ):
             await trio.sleep(0.1)
@@ -139,7 +139,7 @@
 @then("a simulated deployment with seed {seed:d} forms its groups again after a member is killed")
 def kill_member(context, seed):
     async def scenario(made):
-        status = operators.describe(made.views["entry-0"])
+        status = statuses.describe(made.views["entry-0"])
         made.kill(status.groups[0].members[1])
         await wait_complete(made, 1)
         await wait_complete(made, 2)
