Accept a configuration for certain, and show what changes

Cause: a lost answer to the head's write was read back five times and then called unknown, though a repeat under the same condition settles it; a conflict did not say what the other operator changed; sections were read without their hash; apply always made a new generation.

Now every head is kept under its generation before it is replaced, so a lost write is settled by repeating it and, on a conflict, by the writer of that generation.

--- a/src/galenavane/cli/acceptance.py
+++ b/src/galenavane/cli/acceptance.py
@@ -1,22 +1,24 @@
-"""What ``apply`` and ``preset`` share: one acceptance from start to report."""
+"""What ``apply``, ``preset``, ``rollback`` and ``diff`` share."""
 
 from __future__ import annotations
 
+import sys
+import typing
 from collections import abc
 
 import expression
 
-from galenavane.config import accept, declaration
-from galenavane.config import head as heads
+from galenavane.cli import generations
+from galenavane.config import accept, capacity, declaration, diff
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
-from galenavane.net import tcp
-from galenavane.platform import client
+from galenavane.net import network, tcp
+from galenavane.platform import api, client
 
 TIMEOUT_SECONDS = 5.0
 
-Change = abc.Callable[[accept.Current], expression.Result["Wanted", failure.Failure]]
+_T = typing.TypeVar("_T")
 
 
 class Wanted:
@@ -29,22 +31,44 @@
         self.preset = preset
 
 
-async def run(where: addresses.Address, change: Change) -> heads.Head:
-    """Read the current configuration, change it and report the accepted head.
+Change = abc.Callable[
+    [api.Api, accept.Current], abc.Awaitable[expression.Result[Wanted, failure.Failure]]
+]
 
+
+async def run(where: addresses.Address, change: Change, *, is_trial: bool = False) -> int:
+    """Change the current configuration and print what happens; return the exit code.
+
+    :param is_trial: print the difference only.
     :raises failure.UserError: when it was not accepted.
     """
-    platform = client.make(tcp.make(), where, TIMEOUT_SECONDS)
-    current = await accept.read_current(platform)
-    if current.is_error():
-        raise failure.UserError(current.error)
-    wanted = change(current.ok)
-    if wanted.is_error():
-        raise failure.UserError(wanted.error)
-    accepted = await accept.accept(platform, current.ok, wanted.ok.declared, wanted.ok.preset)
-    if accepted.is_error():
-        raise failure.UserError(accepted.error)
-    return accepted.ok
+    net = tcp.make()
+    platform = client.make(net, where, TIMEOUT_SECONDS)
+    return await change_with(net, platform, change, is_trial=is_trial)
+
+
+async def change_with(
+    net: network.Network, platform: api.Api, change: Change, *, is_trial: bool = False
+) -> int:
+    """Do what ``run`` does over a network and a platform that are given."""
+    current = _need(await accept.read_current(platform))
+    wanted = _need(await change(platform, current))
+    lines = _differences(current, wanted.declared, wanted.preset)
+    print("\n".join(lines or ["no change"]))
+    await _warn(platform, wanted)
+    if is_trial:
+        return 1 if lines else 0
+    seen = await generations.ask(net, platform)
+    is_behind = _warn_behind(current, seen)
+    if current.head is not None and not lines and not is_behind:
+        print(f'in force: generation {current.head.generation}, preset "{current.head.preset}"')
+        return 0
+    accepted = await accept.accept(platform, current, wanted.declared, wanted.preset, seen.highest)
+    if accepted.is_error() and accepted.error.code is codes.Code.PLATFORM_CONFLICT:
+        raise failure.UserError(await _explain_conflict(platform, current))
+    head = _need(accepted)
+    print(f'accepted: generation {head.generation}, preset "{head.preset}"')
+    return 0
 
 
 def check_preset(
@@ -55,3 +79,59 @@
         text = f'preset "{name}" is not declared'
         return expression.Error(failure.Failure(codes.Code.NOT_ACCEPTED, text))
     return expression.Ok(Wanted(declared, name))
+
+
+def _need(result: expression.Result[_T, failure.Failure]) -> _T:
+    if result.is_error():
+        raise failure.UserError(result.error)
+    return result.ok
+
+
+def _differences(
+    current: accept.Current, declared: declaration.Declarations, preset: str
+) -> list[str]:
+    before = current.head.preset if current.head else ""
+    return diff.diff(current.declared, before, declared, preset)
+
+
+async def _warn(platform: api.Api, wanted: Wanted) -> None:
+    """Warn of too few instances; the lagging list decides nothing."""
+    listed = await platform.instances()
+    if listed.is_error():
+        print(f"warning: capacity was not checked: {listed.error.message}", file=sys.stderr)
+        return
+    for line in capacity.warnings(wanted.declared, wanted.preset, listed.ok.instances):
+        print(f"warning: {line}", file=sys.stderr)
+
+
+def _warn_behind(current: accept.Current, seen: generations.Seen) -> bool:
+    """Warn when entries have a newer configuration than the platform."""
+    if seen.silent:
+        print(f"warning: no answer from {', '.join(sorted(seen.silent))}", file=sys.stderr)
+    held = current.head.generation if current.head else 0
+    if seen.highest <= held:
+        return False
+    print(
+        f"warning: the platform holds generation {held} although entries have generation "
+        f"{seen.highest} in force: it lost accepted changes; the new generation is "
+        f"{seen.highest + 1}",
+        file=sys.stderr,
+    )
+    return True
+
+
+async def _explain_conflict(platform: api.Api, base: accept.Current) -> failure.Failure:
+    """Print what another operator changed and return the conflict."""
+    found = await accept.read_current(platform)
+    if found.is_error() or found.ok.head is None or found.ok.declared is None:
+        text = "not accepted: another operator's change came first"
+        return failure.Failure(codes.Code.PLATFORM_CONFLICT, text)
+    before = base.head.preset if base.head else ""
+    changed = diff.diff(base.declared, before, found.ok.declared, found.ok.head.preset)
+    print("changed by another operator meanwhile:")
+    print("\n".join(f"  {line}" for line in changed or ["nothing that differs"]))
+    text = (
+        f"not accepted: another operator's generation {found.ok.head.generation}, preset "
+        f'"{found.ok.head.preset}", came first; look at the difference and run it again'
+    )
+    return failure.Failure(codes.Code.PLATFORM_CONFLICT, text)
--- /dev/null
+++ b/src/galenavane/cli/diff.py
@@ -0,0 +1,25 @@
+"""``galenavane diff``."""
+
+from __future__ import annotations
+
+import functools
+import pathlib
+
+import trio
+
+from galenavane.cli import acceptance, wanted
+from galenavane.config import read
+from galenavane.net import address as addresses
+
+
+def diff(folder: pathlib.Path, /, *, platform: addresses.Address, preset: str = "") -> int:
+    """Print what ``apply`` would change, and change nothing.
+
+    Exit code 1 says that there is a difference.
+
+    :param folder: folder with the INI files
+    :param platform: IP:port of the platform's object API
+    :param preset: preset to be in force; the present one when left out
+    """
+    change = wanted.declarations(read.read_folder(folder), preset)
+    return trio.run(functools.partial(acceptance.run, platform, change, is_trial=True))
--- /dev/null
+++ b/src/galenavane/cli/rollback.py
@@ -0,0 +1,19 @@
+"""``galenavane rollback``."""
+
+from __future__ import annotations
+
+import functools
+
+import trio
+
+from galenavane.cli import acceptance, wanted
+from galenavane.net import address as addresses
+
+
+def rollback(generation: int, /, *, platform: addresses.Address) -> int:
+    """Accept what was in force at an earlier generation as a new generation.
+
+    :param generation: number of the earlier generation
+    :param platform: IP:port of the platform's object API
+    """
+    return trio.run(functools.partial(acceptance.run, platform, wanted.generation(generation)))
--- a/src/galenavane/config/accept.py
+++ b/src/galenavane/config/accept.py
@@ -6,16 +6,12 @@
 import uuid
 
 import expression
-import trio
 
-from galenavane.config import canonical, declaration
+from galenavane.config import canonical, check, declaration, sections, settle
 from galenavane.config import head as heads
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.platform import api, stored
-
-SETTLE_TRIES = 5
-SETTLE_PAUSE_SECONDS = 0.5
+from galenavane.platform import api
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,56 +33,97 @@
         return expression.Error(found.error)
     if found.ok.version == 0:
         return expression.Ok(Current(0, None, None))
-    head = heads.decode(found.ok.value)
-    sections = await read_sections(platform, head)
-    return sections.map(lambda declared: Current(found.ok.version, head, declared))
+    return await _read_named(platform, found.ok.version, found.ok.value)
+
+
+async def read_generation(
+    platform: api.Api, generation: int
+) -> expression.Result[Current, failure.Failure]:
+    """Read a configuration that was in force before; its version is 0."""
+    found = await platform.get(heads.history_key(generation))
+    if found.is_error():
+        return expression.Error(found.error)
+    if not found.ok.value:
+        text = f"generation {generation} is not kept in the platform"
+        return expression.Error(failure.Failure(codes.Code.NOT_ACCEPTED, text))
+    return await _read_named(platform, 0, found.ok.value)
+
+
+async def _read_named(
+    platform: api.Api, version: int, text: str
+) -> expression.Result[Current, failure.Failure]:
+    head = settle.decode(text)
+    if head.is_error():
+        return expression.Error(head.error)
+    declared = await read_sections(platform, head.ok)
+    return declared.map(lambda found: Current(version, head.ok, found))
 
 
 async def read_sections(
-    platform: api.Api, head: heads.Head
+    platform: api.Api, head: heads.Head, known: dict[str, str] | None = None
 ) -> expression.Result[declaration.Declarations, failure.Failure]:
-    """Read the sections that a head names."""
-    texts = {}
-    for name, digest in head.sections.items():
-        found = await platform.get(heads.section_key(digest))
-        if found.is_error():
-            return expression.Error(found.error)
-        texts[name] = found.ok.value
-    return expression.Ok(canonical.join(texts))
+    """Read the declarations that a head names.
+
+    :param known: texts by hash that need not be read again.
+    """
+    texts = await sections.read(platform, head, known)
+    if texts.is_error():
+        return expression.Error(texts.error)
+    return sections.join(head, texts.ok)
+
+
+def is_unchanged(current: Current, declared: declaration.Declarations, preset: str) -> bool:
+    """Whether the configuration wanted is the one that the platform holds."""
+    return current.head is not None and (current.declared, current.head.preset) == (
+        declared,
+        preset,
+    )
 
 
 async def accept(
-    platform: api.Api, current: Current, declared: declaration.Declarations, preset: str
+    platform: api.Api,
+    current: Current,
+    declared: declaration.Declarations,
+    preset: str,
+    seen_generation: int = 0,
 ) -> expression.Result[heads.Head, failure.Failure]:
-    """Write the sections, then the head if it is still the current one."""
-    sections = canonical.split(declared)
-    hashes = {}
-    for name, text in sections.items():
-        hashes[name] = heads.hash_text(text)
-        written = await platform.put(heads.section_key(hashes[name]), text, None)
-        if written.is_error():
-            return expression.Error(written.error)
-    generation = current.head.generation + 1 if current.head else 1
-    head = heads.Head(generation, hashes, preset, uuid.uuid4().hex)
-    written = await platform.put(heads.HEAD_KEY, heads.encode(head), current.version)
-    if written.is_ok():
-        return expression.Ok(head)
-    if written.error.code is not codes.Code.PLATFORM_UNKNOWN:
-        return expression.Error(written.error)
-    return await _settle(platform, head, written.error)
-
-
-async def _settle(
-    platform: api.Api, head: heads.Head, lost: failure.Failure
-) -> expression.Result[heads.Head, failure.Failure]:
-    """Read back whether a head whose answer was lost has taken effect."""
-    for _ in range(SETTLE_TRIES):
-        found = await platform.get(heads.HEAD_KEY)
-        if found.is_ok() and _is_written(found.ok, head):
-            return expression.Ok(head)
-        await trio.sleep(SETTLE_PAUSE_SECONDS)
-    return expression.Error(lost)
-
+    """Write the sections, then the head if it is still the current one.
 
-def _is_written(found: stored.Stored, head: heads.Head) -> bool:
-    return bool(found.value) and heads.decode(found.value).writer == head.writer
+    :param seen_generation: highest generation in force on any entry; the new one is above it.
+    """
+    wrong = _check(declared, preset)
+    if wrong is not None:
+        return expression.Error(wrong)
+    texts = canonical.split(declared)
+    prepared = await _prepare(platform, current, texts)
+    if prepared.is_error():
+        return expression.Error(prepared.error)
+    last = max(seen_generation, current.head.generation if current.head else 0)
+    hashes = {name: heads.hash_text(text) for name, text in texts.items()}
+    head = heads.Head(last + 1, hashes, preset, uuid.uuid4().hex)
+    return await settle.write_head(platform, head, current.version)
+
+
+def _check(declared: declaration.Declarations, preset: str) -> failure.Failure | None:
+    try:
+        check.check(declared)
+    except failure.UserError as exc:
+        return exc.failure
+    if preset not in [one.name for one in declared.presets]:
+        return failure.Failure(codes.Code.NOT_ACCEPTED, f'preset "{preset}" is not declared')
+    return None
+
+
+async def _prepare(
+    platform: api.Api, current: Current, texts: dict[str, str]
+) -> expression.Result[None, failure.Failure]:
+    """Write everything that must be there before the head changes."""
+    sizes = sections.check_sizes(texts)
+    if sizes.is_error():
+        return sizes
+    if current.head is None:
+        return await sections.write(platform, texts, set())
+    written = await sections.write(platform, texts, set(current.head.sections.values()))
+    if written.is_error():
+        return written
+    return await sections.archive(platform, current.head)
--- /dev/null
+++ b/src/galenavane/config/capacity.py
@@ -0,0 +1,30 @@
+"""Compares what a preset needs with the instances that are known."""
+
+from __future__ import annotations
+
+import collections
+
+from galenavane.config import declaration
+from galenavane.platform import instance
+
+
+def warnings(
+    declared: declaration.Declarations, preset: str, instances: list[instance.Instance]
+) -> list[str]:
+    """Return a line for each data centre whose live engines are too few for a preset."""
+    needed: collections.Counter[str] = collections.Counter()
+    for run in declared.runs_of(preset):
+        service = declared.service(run.service)
+        members = service.members if service else 1
+        for data_centre, replicas in run.replicas.items():
+            needed[data_centre] += replicas * members
+    live = collections.Counter(one.data_centre for one in instances if _is_live_engine(one))
+    return [
+        f'preset "{preset}" needs {count} instances in {name}, {live[name]} are live'
+        for name, count in sorted(needed.items())
+        if count > live[name]
+    ]
+
+
+def _is_live_engine(one: instance.Instance) -> bool:
+    return one.kind is instance.Kind.ENGINE and one.state is instance.State.LIVE
--- a/src/galenavane/config/head.py
+++ b/src/galenavane/config/head.py
@@ -8,6 +8,7 @@
 
 HEAD_KEY = "config/head"
 SECTION_PREFIX = "config/section/"
+HISTORY_PREFIX = "config/history/"
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -46,3 +47,8 @@
 def section_key(digest: str) -> str:
     """Return the platform key of a section."""
     return SECTION_PREFIX + digest
+
+
+def history_key(generation: int) -> str:
+    """Return the platform key under which a replaced head is kept."""
+    return f"{HISTORY_PREFIX}{generation:012d}"
--- /dev/null
+++ b/src/galenavane/config/sections.py
@@ -0,0 +1,100 @@
+"""Reads and writes the immutable sections of a configuration."""
+
+from __future__ import annotations
+
+import expression
+import msgspec
+
+from galenavane.config import canonical, declaration
+from galenavane.config import head as heads
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.platform import api, stored
+
+WRITE_TRIES = 5
+
+
+async def read(
+    platform: api.Api, head: heads.Head, known: dict[str, str] | None = None
+) -> expression.Result[dict[str, str], failure.Failure]:
+    """Read the texts of the sections that a head names, checked against their hashes.
+
+    :param known: texts by hash that need not be read again.
+    """
+    texts = {}
+    for name, digest in head.sections.items():
+        if known is not None and digest in known:
+            texts[name] = known[digest]
+            continue
+        found = await platform.get(heads.section_key(digest))
+        if found.is_error():
+            return expression.Error(found.error)
+        if heads.hash_text(found.ok.value) != digest:
+            return expression.Error(damaged(f'section "{name}" does not have hash {digest}'))
+        texts[name] = found.ok.value
+    return expression.Ok(texts)
+
+
+def join(
+    head: heads.Head, texts: dict[str, str]
+) -> expression.Result[declaration.Declarations, failure.Failure]:
+    """Build the declarations of a head; each text must have the hash that the head names."""
+    for name, digest in head.sections.items():
+        if heads.hash_text(texts.get(name, "")) != digest:
+            return expression.Error(damaged(f'section "{name}" does not have hash {digest}'))
+    try:
+        declared = canonical.join({name: texts[name] for name in head.sections})
+    except msgspec.DecodeError as exc:
+        return expression.Error(damaged(f"generation {head.generation}: {exc}"))
+    if head.preset not in [one.name for one in declared.presets]:
+        text = f'generation {head.generation}: preset "{head.preset}" is not declared'
+        return expression.Error(damaged(text))
+    return expression.Ok(declared)
+
+
+def check_sizes(texts: dict[str, str]) -> expression.Result[None, failure.Failure]:
+    """Check that the platform can hold every section."""
+    for name, text in texts.items():
+        size = len(text.encode())
+        if size > stored.MAX_VALUE_BYTES:
+            reason = f'section "{name}" has {size} bytes, over the {stored.MAX_VALUE_BYTES} allowed'
+            return expression.Error(failure.Failure(codes.Code.VALUE_TOO_LARGE, reason))
+    return expression.Ok(None)
+
+
+async def write(
+    platform: api.Api, texts: dict[str, str], kept: set[str]
+) -> expression.Result[None, failure.Failure]:
+    """Write the sections whose hashes are not among those that the current head keeps."""
+    for text in texts.values():
+        digest = heads.hash_text(text)
+        if digest in kept:
+            continue
+        written = await _write_immutable(platform, heads.section_key(digest), text)
+        if written.is_error():
+            return written
+    return expression.Ok(None)
+
+
+async def archive(platform: api.Api, head: heads.Head) -> expression.Result[None, failure.Failure]:
+    """Keep a head that is about to be replaced under its generation."""
+    key = heads.history_key(head.generation)
+    return await _write_immutable(platform, key, heads.encode(head))
+
+
+async def _write_immutable(
+    platform: api.Api, key: str, text: str
+) -> expression.Result[None, failure.Failure]:
+    """Write an object whose every writer writes the same text, so a repeat does no harm."""
+    for _ in range(WRITE_TRIES):
+        written = await platform.put(key, text, None)
+        if written.is_ok():
+            return expression.Ok(None)
+        if written.error.code is not codes.Code.PLATFORM_UNKNOWN:
+            break
+    return expression.Error(written.error)
+
+
+def damaged(text: str) -> failure.Failure:
+    """Return the failure of an object that is not what its key promises."""
+    return failure.Failure(codes.Code.OBJECT_DAMAGED, text)
--- a/src/galenavane/entry/operators.py
+++ b/src/galenavane/entry/operators.py
@@ -6,6 +6,7 @@
 
 from galenavane.config import settings
 from galenavane.control import completeness, sighting, table
+from galenavane.entry import generation
 from galenavane.entry import view as views
 from galenavane.net import http_server, message
 from galenavane.platform import instance
@@ -49,6 +50,8 @@
     async def handle(exchange: http_server.Exchange) -> None:
         if exchange.request.path == "/status":
             await exchange.respond(message.json_response(200, describe(view)))
+        elif exchange.request.path == generation.PATH:
+            await exchange.respond(message.json_response(200, generation.describe(view)))
         else:
             await exchange.respond(message.json_response(404, {"error": "no such path"}))
 
--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -60,6 +60,9 @@
     _C.PLATFORM_UNKNOWN: Row(503, "a write's answer was lost", "perhaps", "read it back"),
     _C.PLATFORM_REFUSED: Row(503, "the platform refused the call", "no", "retry later"),
     _C.VALUE_TOO_LARGE: Row(413, "a value is over 1 MB", "no", "send less"),
+    _C.OBJECT_DAMAGED: Row(
+        0, "a configuration object of the platform is damaged", "no", "apply the declarations again"
+    ),
     _C.STALE_TOKEN: Row(409, "the fencing token is old", "no", "none: a newer holder acts"),
     _C.BAD_SETTING: Row(0, "a setting of the process is wrong", "no", "correct the file"),
     _C.BAD_DECLARATION: Row(0, "a declaration is wrong", "no", "correct the file"),
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -8,7 +8,18 @@
 
 import defopt
 
-from galenavane.cli import apply, check, entry, errors, load, preset, standin, status
+from galenavane.cli import (
+    apply,
+    check,
+    diff,
+    entry,
+    errors,
+    load,
+    preset,
+    rollback,
+    standin,
+    status,
+)
 from galenavane.failure import failure
 from galenavane.net import address as addresses
 
@@ -18,8 +29,10 @@
 COMMANDS: dict[str, typing.Any] = {
     "entry": entry.entry,
     "check": check.check,
+    "diff": diff.diff,
     "apply": apply.apply,
     "preset": preset.preset,
+    "rollback": rollback.rollback,
     "status": status.status,
     "errors": errors.errors,
     "load": load.load,
