--- a/tests/cli/help.feature
+++ b/tests/cli/help.feature
@@ -11,6 +11,8 @@
       | check            |
       | apply            |
       | preset           |
+      | diff             |
+      | rollback         |
       | status           |
       | timeline         |
       | load             |
