Decide outcomes from evidence and record keyed requests without deleting

Cause: a failed last try that was NOT_RUN hid an earlier try that may have run; a record was given back by delete, so a late create could bring it back; an answer over 64 KB was replayed cut off; a malformed chunk or a violated invariant ended the whole process; x-account could be set by callers.

Attempts counts tries from the connections' evidence and asserts AT_MOST_ONCE and NOT_RUN_IS_TRUE. A request that was not run keeps its record, which a repeat takes over by conditional update.

--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -55,6 +55,9 @@
     _C.WRONG_ANSWER: Row(502, "the answer belonged to another request", "perhaps", "report it"),
     _C.IN_PROGRESS: Row(409, "the same key is being run now", "perhaps", "ask again with the key"),
     _C.OUTCOME_UNKNOWN: Row(502, "an earlier run's outcome is unknown", "perhaps", "look it up"),
+    _C.ANSWER_NOT_KEPT: Row(
+        410, "answered earlier; the answer was too large to keep", "yes", "look it up"
+    ),
     _C.PLATFORM_DOWN: Row(503, "the platform can't be reached", "no", "retry later"),
     _C.PLATFORM_CONFLICT: Row(409, "another write came first", "no", "read, then write again"),
     _C.PLATFORM_UNKNOWN: Row(503, "a write's answer was lost", "perhaps", "read it back"),
--- a/src/galenavane/net/headers.py
+++ b/src/galenavane/net/headers.py
@@ -4,6 +4,21 @@
 
 from collections import abc
 
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
 _Pair = tuple[bytes, bytes]
 
 
@@ -31,3 +46,13 @@
     def without(self, names: abc.Set[bytes]) -> Headers:
         """Return a copy without the named fields."""
         return Headers(pair for pair in self.pairs if pair[0] not in names)
+
+    def end_to_end(self) -> Headers:
+        """Return a copy without fields of this hop, those that ``Connection`` names included."""
+        named = {
+            token.strip().lower()
+            for name, value in self.pairs
+            if name == b"connection"
+            for token in value.split(b",")
+        }
+        return self.without(HOP_BY_HOP | named)
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -28,9 +28,13 @@
     async def send(self, *events: h11.Event) -> None:
         """Send events as one write.
 
-        :raises TransportError: ``RESET`` when the other end is gone.
+        :raises TransportError: ``RESET`` when the other end is gone, ``MALFORMED`` when an event
+            is not valid HTTP and nothing of it was sent.
         """
-        data = b"".join(self.machine.send(event) or b"" for event in events)
+        try:
+            data = b"".join(self.machine.send(event) or b"" for event in events)
+        except h11.LocalProtocolError as exc:
+            raise self._error(transport_error.Kind.MALFORMED, str(exc)) from exc
         if not data:
             return
         self.bytes_sent = True
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -43,7 +43,8 @@
         fields = response.headers.without({b"content-length", b"transfer-encoding"})
         fields.add("content-length", str(len(response.body)))
         head = h11.Response(status_code=response.status, headers=fields.pairs)
-        await self._conn.send(head, h11.Data(data=response.body), h11.EndOfMessage())
+        body = b"" if self.request.method == "HEAD" else response.body
+        await self._conn.send(head, h11.Data(data=body), h11.EndOfMessage())
 
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response."""
@@ -105,6 +106,9 @@
         event = await conn.next_event()
     if idle.cancelled_caught or not isinstance(event, h11.Request):
         return None
+    _check_framing(event)
+    if conn.machine.they_are_waiting_for_100_continue:
+        await conn.send(h11.InformationalResponse(status_code=100, headers=[]))
     with trio.move_on_after(limits.read_seconds) as reading:
         body = await conn.read_body(limits.body_bytes)
     if reading.cancelled_caught:
@@ -114,6 +118,17 @@
     return message.Request(method, target, header_lists.Headers(event.headers), body)
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Refuse a request that another reader might end elsewhere (request smuggling)."""
+    names = {name for name, _ in head.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        text = "both Content-Length and Transfer-Encoding are given"
+        raise transport_error.TransportError(transport_error.Kind.MALFORMED, False, text)
+    if b"transfer-encoding" in names and head.http_version < b"1.1":
+        text = "Transfer-Encoding is given in HTTP/1.0"
+        raise transport_error.TransportError(transport_error.Kind.MALFORMED, False, text)
+
+
 async def _refuse(
     conn: http_connection.HttpConnection, exc: transport_error.TransportError
 ) -> None:
--- a/src/galenavane/net/round_trip.py
+++ b/src/galenavane/net/round_trip.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from galenavane.net import address as addresses
@@ -14,12 +16,13 @@
     req: message.Request,
     timeout_seconds: float,
     limit_bytes: int,
+    connect_seconds: float = math.inf,
 ) -> message.Response:
     """Send a request and read the whole response.
 
     :raises TransportError: with whether any byte of the request was sent.
     """
-    conn = await net.dial(where, timeout_seconds)
+    conn = await net.dial(where, min(timeout_seconds, connect_seconds))
     try:
         with trio.fail_after(timeout_seconds):
             await conn.send_request(req, str(where))
--- a/src/galenavane/serve/claim.py
+++ b/src/galenavane/serve/claim.py
@@ -5,18 +5,22 @@
 import dataclasses
 
 import expression
+import msgspec
 import trio
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.platform import api
+from galenavane.platform import api, stored
 from galenavane.serve import record as records
 
-SETTLE_TRIES = 3
-SETTLE_PAUSE_SECONDS = 0.3
+CLAIM_TRIES = 4
+CLAIM_PAUSE_SECONDS = 0.3
 RETRY_AFTER_SECONDS = 1.0
 
+_Code = codes.Code
+_UNSETTLED = (_Code.PLATFORM_CONFLICT, _Code.PLATFORM_UNKNOWN)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Claim:
@@ -34,69 +38,89 @@
 
 
 async def claim(platform: api.Api, key: str, wanted: records.Record) -> Claimed:
-    """Create the record; return the claim, or the record of an earlier attempt."""
-    written = await platform.put(key, records.encode(wanted), 0)
-    if written.is_ok():
-        return expression.Ok(Claim(key, written.ok, wanted))
-    if written.error.code is codes.Code.PLATFORM_CONFLICT:
-        return await _read_earlier(platform, key, wanted)
-    if written.error.code is codes.Code.PLATFORM_UNKNOWN:
-        return await _settle(platform, key, wanted)
-    return expression.Error(_not_run(written.error))
-
-
-async def _settle(platform: api.Api, key: str, wanted: records.Record) -> Claimed:
-    for _ in range(SETTLE_TRIES):
-        found = await _read_earlier(platform, key, wanted)
-        if found.is_ok():
-            return found
-        await trio.sleep(SETTLE_PAUSE_SECONDS)
-    text = "the platform did not say whether the idempotency key was recorded"
-    return expression.Error(_not_run(failure.Failure(codes.Code.PLATFORM_DOWN, text)))
-
-
-async def _read_earlier(platform: api.Api, key: str, wanted: records.Record) -> Claimed:
-    found = await platform.get(key)
-    if found.is_error():
-        return expression.Error(_not_run(found.error))
-    if found.ok.version == 0:
-        text = "the idempotency key's record has just been removed"
-        return expression.Error(_not_run(failure.Failure(codes.Code.PLATFORM_CONFLICT, text)))
-    earlier = records.decode(found.ok.value)
+    """Create the record, or take over one that was not run.
+
+    Returns the claim, or the record of an earlier attempt. Every write is conditional and carries
+    the attempt's id, so a write whose answer was lost is settled by reading back and may be made
+    again: at most one of them takes effect.
+    """
+    version = 0
+    cause = failure.Failure(_Code.PLATFORM_DOWN, "no answer")
+    for _ in range(CLAIM_TRIES):
+        written = await platform.put(key, records.encode(wanted), version)
+        if written.is_ok():
+            return expression.Ok(Claim(key, written.ok, wanted))
+        cause = written.error
+        if cause.code not in _UNSETTLED:
+            break
+        found = await platform.get(key)
+        if found.is_error():
+            await trio.sleep(CLAIM_PAUSE_SECONDS)
+            continue
+        version = found.ok.version
+        decided = _decide(key, found.ok, wanted)
+        if decided is not None:
+            return decided
+    return expression.Error(_not_run(cause))
+
+
+def _decide(key: str, found: stored.Stored, wanted: records.Record) -> Claimed | None:
+    """Return what a read of the record decides, ``None`` when it may be written now."""
+    if found.version == 0:
+        return None
+    try:
+        earlier = records.decode(found.value)
+    except msgspec.DecodeError as exc:
+        text = f'the record "{key}" is damaged: {exc}'
+        return expression.Error(
+            failure.Failure(_Code.OUTCOME_UNKNOWN, text, outcomes.Outcome.UNKNOWN)
+        )
     if earlier.attempt == wanted.attempt:
-        return expression.Ok(Claim(key, found.ok.version, earlier))
+        return expression.Ok(Claim(key, found.version, earlier))
     if earlier.body_hash != wanted.body_hash:
         text = "the idempotency key was used with another request"
-        return expression.Error(failure.Failure(codes.Code.KEY_REUSED, text))
+        return expression.Error(failure.Failure(_Code.KEY_REUSED, text))
+    if earlier.phase is records.Phase.NOT_RUN:
+        return None
     return expression.Ok(earlier)
 
 
 async def close(platform: api.Api, held: Claim, ended: records.Record) -> bool:
-    """Record how the claimed request ended; return whether that is known to be kept."""
-    written = await platform.put(held.key, records.encode(ended), held.version)
-    return written.is_ok()
-
+    """Record how the claimed request ended; return whether that is known to be settled.
 
-async def give_back(platform: api.Api, held: Claim) -> bool:
-    """Remove the record of a request that was not run, so that it may be tried again."""
-    removed = await platform.delete(held.key, held.version)
-    return removed.is_ok()
+    A request that was not run keeps its record with that phase. Were it deleted, a create that
+    is still under way could bring back the record of an attempt that has ended.
+    """
+    written = await platform.put(held.key, records.encode(ended), held.version)
+    if written.is_ok():
+        return True
+    if written.error.code not in _UNSETTLED:
+        return False
+    found = await platform.get(held.key)
+    return found.is_ok() and found.ok.version != held.version
 
 
-def explain(earlier: records.Record) -> failure.Failure:
-    """Return what a repeat is told about an attempt that has no answer."""
-    if earlier.phase is records.Phase.STARTED:
+def explain(earlier: records.Record, wall: float) -> failure.Failure:
+    """Return what a repeat is told about an attempt whose answer is not to be had."""
+    phase = earlier.phase
+    if phase is records.Phase.STARTED and wall < earlier.run_until:
         text = "a request with this idempotency key is being run"
         return failure.Failure(
-            codes.Code.IN_PROGRESS, text, outcomes.Outcome.UNKNOWN, RETRY_AFTER_SECONDS
+            _Code.IN_PROGRESS, text, outcomes.Outcome.UNKNOWN, RETRY_AFTER_SECONDS
         )
+    if phase is records.Phase.FAILED:
+        text = "the target ran the request with this idempotency key and failed"
+        return failure.Failure(_Code.TARGET_FAILED, text, outcomes.Outcome.FAILED)
+    if phase is records.Phase.ANSWERED:
+        text = f"the request with this key was answered with status {earlier.status}"
+        return failure.Failure(_Code.ANSWER_NOT_KEPT, text, outcomes.Outcome.ANSWERED)
     text = "whether the request with this idempotency key was run is unknown"
-    return failure.Failure(codes.Code.OUTCOME_UNKNOWN, text, outcomes.Outcome.UNKNOWN)
+    return failure.Failure(_Code.OUTCOME_UNKNOWN, text, outcomes.Outcome.UNKNOWN)
 
 
 def _not_run(cause: failure.Failure) -> failure.Failure:
     return failure.Failure(
-        codes.Code.PLATFORM_DOWN,
+        _Code.PLATFORM_DOWN,
         f"the idempotency key could not be recorded: {cause.message}",
         outcomes.Outcome.NOT_RUN,
         RETRY_AFTER_SECONDS,
--- a/src/galenavane/serve/classify.py
+++ b/src/galenavane/serve/classify.py
@@ -11,36 +11,50 @@
 RETRY_AFTER_SECONDS = 1.0
 
 _Kind = transport_error.Kind
+_Outcome = outcomes.Outcome
+_GATEWAY_STATUSES = (502, 503, 504)
+_RANK = {_Outcome.NOT_RUN: 0, _Outcome.UNKNOWN: 1, _Outcome.FAILED: 2, _Outcome.ANSWERED: 3}
 
 
 def broken(exc: transport_error.TransportError) -> failure.Failure:
     """Return what a transport error proves: without a byte sent the request was not run."""
     if not exc.bytes_sent:
         return failure.Failure(
-            codes.Code.TARGET_UNREACHABLE,
-            str(exc),
-            outcomes.Outcome.NOT_RUN,
-            RETRY_AFTER_SECONDS,
+            codes.Code.TARGET_UNREACHABLE, str(exc), _Outcome.NOT_RUN, RETRY_AFTER_SECONDS
         )
+    if exc.kind is _Kind.TOO_LARGE:
+        text = f"the target ran the request, but its answer is too large: {exc}"
+        return failure.Failure(codes.Code.TARGET_FAILED, text, _Outcome.FAILED)
     code = codes.Code.TARGET_SILENT if exc.kind is _Kind.SILENT else codes.Code.TARGET_LOST
-    return failure.Failure(code, str(exc), outcomes.Outcome.UNKNOWN)
+    return failure.Failure(code, str(exc), _Outcome.UNKNOWN)
+
+
+def is_refusal(response: message.Response) -> bool:
+    """Whether the target says that it refused the request before running it."""
+    return response.status >= 400 and response.headers.get(NOT_RUN_HEADER) == "1"
 
 
 def refused(response: message.Response) -> failure.Failure | None:
     """Return the failure of a response head, or ``None`` for an answer to pass on."""
-    if response.headers.get(NOT_RUN_HEADER):
-        text = f"the target refused with status {response.status}"
+    text = f"the target answered with status {response.status}"
+    if is_refusal(response):
         return failure.Failure(
-            codes.Code.TARGET_REFUSED, text, outcomes.Outcome.NOT_RUN, RETRY_AFTER_SECONDS
+            codes.Code.TARGET_REFUSED, text, _Outcome.NOT_RUN, RETRY_AFTER_SECONDS
         )
+    if response.status in _GATEWAY_STATUSES:
+        return failure.Failure(codes.Code.TARGET_LOST, text, _Outcome.UNKNOWN)
     if response.status >= 500:
-        text = f"the target failed with status {response.status}"
-        return failure.Failure(codes.Code.TARGET_FAILED, text, outcomes.Outcome.FAILED)
+        return failure.Failure(codes.Code.TARGET_FAILED, text, _Outcome.FAILED)
     return None
 
 
+def worse(earlier: failure.Failure | None, later: failure.Failure) -> failure.Failure:
+    """Return which of two failed tries the caller is told: the one that may have run more."""
+    if earlier is None or _RANK[later.outcome] >= _RANK[earlier.outcome]:
+        return later
+    return earlier
+
+
 def may_retry(found: failure.Failure, is_idempotent: bool) -> bool:
     """Whether the same request may be sent to a target again."""
-    if found.outcome is outcomes.Outcome.NOT_RUN:
-        return True
-    return is_idempotent and found.outcome is not outcomes.Outcome.ANSWERED
+    return is_idempotent or found.outcome is _Outcome.NOT_RUN
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -4,9 +4,11 @@
 
 import trio
 
+from galenavane import invariant
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.net import http_server, message, transport_error
 from galenavane.observe import events
 from galenavane.serve import caller as callers
@@ -44,16 +46,37 @@
     request_id = view.new_id()
     events.log("request.begin", request=request_id, path=exchange.request.path)
     try:
-        found = await _route(view, exchange, request_id)
+        found = await _route_safely(view, exchange, request_id)
+        _log_end(request_id, found)
+        if found is not None and not exchange.answered:
+            await exchange.respond(errors.response(found, request_id))
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
-        return
+
+
+def _log_end(request_id: str, found: failure.Failure | None) -> None:
     if found is None:
         events.log("request.end", request=request_id, code="answered")
         return
     events.log("request.end", request=request_id, code=found.code.name, outcome=found.outcome.value)
-    if not exchange.answered:
-        await exchange.respond(errors.response(found, request_id))
+
+
+async def _route_safely(
+    view: views.View, exchange: http_server.Exchange, request_id: str
+) -> failure.Failure | None:
+    """Answer a request; a defect ends this request and not the process."""
+    try:
+        return await _route(view, exchange, request_id)
+    except transport_error.TransportError:
+        raise
+    except invariant.ViolationError as exc:
+        is_wrong_answer = exc.number is invariant.Number.OWN_ANSWER
+        code = codes.Code.WRONG_ANSWER if is_wrong_answer else codes.Code.INTERNAL
+        return failure.Failure(code, str(exc), outcomes.Outcome.UNKNOWN)
+    except Exception as exc:
+        events.log("request.defect", request=request_id, text=repr(exc))
+        text = f"defect: {type(exc).__name__}"
+        return failure.Failure(codes.Code.INTERNAL, text, outcomes.Outcome.UNKNOWN)
 
 
 async def _route(
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -2,69 +2,70 @@
 
 from __future__ import annotations
 
-import msgspec
+import dataclasses
+
 import trio
 
+from galenavane import invariant
 from galenavane.config import declaration, in_force
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
-from galenavane.net import headers as header_lists
 from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
 from galenavane.platform import instance
 from galenavane.route import candidate as candidates
 from galenavane.route import pick
+from galenavane.serve import attempts as attempt_lists
 from galenavane.serve import caller as callers
-from galenavane.serve import claim as claims
-from galenavane.serve import classify
-from galenavane.serve import record as records
+from galenavane.serve import classify, errors, forwarded, keyed_request
 
 MAX_TRIES = 3
 MAX_ANSWER_BYTES = 1_000_000
+CONNECT_SECONDS = 1.0
 RETRY_PAUSE_SECONDS = 0.1
-HOP_BY_HOP = frozenset(
-    {
-        b"authorization",
-        b"connection",
-        b"host",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"x-request-id",
-    }
-)
 
 Answer = message.Response | failure.Failure
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Call:
+    """One request on its way to a plain service."""
+
+    service: declaration.Service
+    req: message.Request
+    caller: callers.Caller
+    is_idempotent: bool
+
+
 async def serve(
     view: views.View, configuration: in_force.InForce, caller: callers.Caller
 ) -> failure.Failure | None:
-    """Answer a request to ``/services/NAME/...``; return the failure to tell, if any."""
+    """Answer a request to ``/services/NAME/...``; return the failure that was told, if any."""
     _, _, name, *rest = caller.exchange.request.target.split("/", 3)
-    service = configuration.declared.service(name)
+    service = configuration.declared.service(name.partition("?")[0])
     if service is None or service.kind is not declaration.ServiceKind.PLAIN:
         return failure.Failure(codes.Code.UNKNOWN_SERVICE, f'no plain service "{name}"')
-    target = "/" + (rest[0] if rest else "")
-    req = _target_request(caller, target)
-    if is_idempotent(service, req.method, req.path):
-        answer = await _run(view, service, req, caller, True)
-    elif caller.idempotency_key:
-        answer = await _run_keyed(view, service, req, caller)
+    req = forwarded.request(caller, "/" + (rest[0] if rest else ""))
+    call = _Call(service, req, caller, is_idempotent(service, req.method, req.path))
+    told: list[failure.Failure] = []
+
+    async def tell(answer: Answer) -> None:
+        if isinstance(answer, failure.Failure):
+            told.append(answer)
+            answer = errors.response(answer, caller.request_id)
+        answer.headers.add(forwarded.REQUEST_ID, caller.request_id)
+        await caller.exchange.respond(answer)
+
+    async def run() -> Answer:
+        return await _run(view, call)
+
+    if caller.idempotency_key and not call.is_idempotent:
+        await keyed_request.serve(view, caller, service.name, req, run, tell)
     else:
-        answer = await _run(view, service, req, caller, False)
-    if isinstance(answer, failure.Failure):
-        return answer
-    answer.headers = answer.headers.without(HOP_BY_HOP).add("x-request-id", caller.request_id)
-    await caller.exchange.respond(answer)
-    return None
+        await tell(await run())
+    return told[0] if told else None
 
 
 def is_idempotent(service: declaration.Service, method: str, path: str) -> bool:
@@ -76,86 +77,35 @@
     )
 
 
-def _target_request(caller: callers.Caller, target: str) -> message.Request:
-    req = caller.exchange.request
-    fields = req.headers.without(HOP_BY_HOP)
-    fields.add("x-request-id", caller.request_id)
-    fields.add("x-account", caller.account.name)
-    return message.Request(req.method, target, fields, req.body)
-
-
-async def _run_keyed(
-    view: views.View,
-    service: declaration.Service,
-    req: message.Request,
-    caller: callers.Caller,
-) -> Answer:
-    key = records.key(caller.account.name, service.name, caller.idempotency_key)
-    wanted = records.Record(
-        body_hash=records.hash_request(req.method, req.target, req.body),
-        attempt=view.new_id(),
-        phase=records.Phase.STARTED,
-        started_at=events.wall_seconds(),
-    )
-    claimed = await claims.claim(view.platform, key, wanted)
-    if claimed.is_error():
-        return claimed.error
-    held = claimed.ok
-    if isinstance(held, records.Record):
-        return _repeat(held)
-    answer = await _run(view, service, req, caller, False)
-    await _close(view, held, answer)
-    return answer
-
-
-def _repeat(earlier: records.Record) -> Answer:
-    if earlier.phase is not records.Phase.ANSWERED:
-        return claims.explain(earlier)
-    fields = header_lists.Headers().add("content-type", earlier.content_type)
-    fields.add("idempotent-replay", "true")
-    return message.Response(earlier.status, fields, earlier.body.encode("latin-1"))
-
-
-async def _close(view: views.View, held: claims.Claim, answer: Answer) -> None:
-    if isinstance(answer, message.Response):
-        ended = msgspec.structs.replace(
-            held.record,
-            phase=records.Phase.ANSWERED,
-            status=answer.status,
-            content_type=answer.headers.get("content-type"),
-            body=answer.body[: records.MAX_RECORDED_BODY_BYTES].decode("latin-1"),
-        )
-        await claims.close(view.platform, held, ended)
-    elif answer.outcome is outcomes.Outcome.NOT_RUN:
-        await claims.give_back(view.platform, held)
-    else:
-        ended = msgspec.structs.replace(held.record, phase=records.Phase.UNKNOWN)
-        await claims.close(view.platform, held, ended)
-
-
-async def _run(
-    view: views.View,
-    service: declaration.Service,
-    req: message.Request,
-    caller: callers.Caller,
-    may_repeat: bool,
-) -> Answer:
+async def _run(view: views.View, call: _Call) -> Answer:
     """Send the request to targets until one answers or a repeat is not safe."""
+    attempts = attempt_lists.Attempts(call.is_idempotent)
     tried: set[str] = set()
-    last = failure.Failure(codes.Code.NO_GROUP, f'no target of "{service.name}" is live')
+    told: failure.Failure | None = None
     for _ in range(MAX_TRIES):
-        chosen = pick.pick(_candidates(view, service, tried), 0, view.rng)
-        if chosen is None:
+        chosen = pick.pick(_candidates(view, call.service, tried), 0, view.rng)
+        if chosen is None or trio.current_time() >= call.caller.deadline:
             break
         tried.add(chosen.name)
-        answer = await _try(view, caller, chosen, req)
+        answer = await _try(view, call, attempts, chosen)
         if not isinstance(answer, failure.Failure):
             return answer
-        last = answer
-        if not classify.may_retry(answer, may_repeat) or trio.current_time() >= caller.deadline:
+        told = classify.worse(told, answer)
+        if not classify.may_retry(answer, call.is_idempotent):
             break
         await trio.sleep(RETRY_PAUSE_SECONDS)
-    return last
+    if told is None:
+        told = _nobody(call.service)
+    attempts.check_told(told.outcome)
+    return told
+
+
+def _nobody(service: declaration.Service) -> failure.Failure:
+    return failure.Failure(
+        codes.Code.NO_GROUP,
+        f'no target of "{service.name}" is live',
+        retry_after_seconds=classify.RETRY_AFTER_SECONDS,
+    )
 
 
 def _candidates(
@@ -172,14 +122,28 @@
 
 
 async def _try(
-    view: views.View, caller: callers.Caller, chosen: candidates.Candidate, req: message.Request
+    view: views.View,
+    call: _Call,
+    attempts: attempt_lists.Attempts,
+    chosen: candidates.Candidate,
 ) -> Answer:
-    events.log("request.send", request=caller.request_id, instance=chosen.name)
-    wait = max(0.1, caller.deadline - trio.current_time())
+    events.log("request.send", request=call.caller.request_id, instance=chosen.name)
+    leaving = {one.name for one in view.instances.value if one.state is instance.State.LEAVING}
+    invariant.check(
+        invariant.Number.LEAVING_GETS_NOTHING,
+        chosen.name not in leaving,
+        f"{chosen.name} is leaving and would get a request",
+    )
+    attempts.begin()
+    wait = max(0.1, call.caller.deadline - trio.current_time())
     where = addresses.parse(chosen.address)
     try:
-        response = await round_trip.send(view.net, where, req, wait, MAX_ANSWER_BYTES)
+        response = await round_trip.send(
+            view.net, where, call.req, wait, MAX_ANSWER_BYTES, CONNECT_SECONDS
+        )
     except transport_error.TransportError as exc:
+        attempts.end(exc.bytes_sent, False)
         return classify.broken(exc)
+    attempts.end(True, classify.is_refusal(response))
     found = classify.refused(response)
-    return response if found is None else found
+    return forwarded.response(response) if found is None else found
