Route by pure admission and picking

Cause: dispatch scanned all groups a request, knew nothing of its own or its peers' sends, and never refused.

--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -17,6 +17,7 @@
     lease_task,
     operators,
     reports_task,
+    routing_task,
     tables_task,
 )
 from galenavane.entry import view as views
@@ -74,6 +75,7 @@
     instances_task.run,
     tables_task.run,
     reports_task.run,
+    routing_task.run,
     control_task.run,
     peer_task.run,
 )
--- /dev/null
+++ b/src/galenavane/entry/routing_task.py
@@ -0,0 +1,128 @@
+"""The tasks that bring reports, peers' facts and cache events to routing."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import trio
+
+from galenavane.config import settings
+from galenavane.control import completeness, sighting, table
+from galenavane.entry import view as views
+from galenavane.platform import instance
+from galenavane.route import group_facts, pool, router
+from galenavane.serve import dispatch
+
+STEP_SECONDS = 0.1
+TELL_SECONDS = 0.5
+CACHE_EVENTS_SECONDS = 1.0
+MAX_CACHE_CALLS = 8
+OTHER_DATA_CENTRE_SECONDS = 0.002
+
+
+async def run(view: views.View) -> None:
+    """Keep routing's facts fresh until cancelled."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_step, view)
+        nursery.start_soon(_tell, view)
+        nursery.start_soon(_follow_caches, view)
+
+
+async def _step(view: views.View) -> None:
+    taken = float("-inf")
+    while True:
+        newest = max(view.seen.set_at, view.tables.set_at, view.peer_facts.set_at)
+        if newest > taken:
+            router.update_groups(view.router, find_groups(view))
+            taken = newest
+        dispatch.carry_out(view, router.step(view.router, trio.current_time(), view.rng))
+        await trio.sleep(STEP_SECONDS)
+
+
+async def _tell(view: views.View) -> None:
+    while True:
+        now = trio.current_time()
+        told = {name: one.facts for name, one in view.peer_facts.value.items()}
+        router.hear_peers(view.router, told, _count_silent(view), now)
+        view.own_facts.publish(router.own_facts(view.router, now))
+        await trio.sleep(TELL_SECONDS)
+
+
+async def _follow_caches(view: views.View) -> None:
+    limiter = trio.CapacityLimiter(MAX_CACHE_CALLS)
+    while True:
+        async with trio.open_nursery() as nursery:
+            for name, one in view.router.fleet.groups.items():
+                if one.facts.distance_seconds == 0.0:
+                    nursery.start_soon(_follow_cache, view, limiter, name, one.facts.address)
+        await trio.sleep(CACHE_EVENTS_SECONDS)
+
+
+async def _follow_cache(
+    view: views.View, limiter: trio.CapacityLimiter, group: str, address: str
+) -> None:
+    async with limiter:
+        after = view.router.index.last_number(group)
+        found = await view.targets.cache_events(address, after)
+    if found.is_ok() and group in view.router.fleet.groups:
+        view.router.index.take(group, found.ok)
+
+
+def find_groups(view: views.View) -> list[group_facts.GroupFacts]:
+    """Return the complete groups that may get new requests."""
+    now = trio.current_time()
+    leaving = {name for one in view.peer_facts.value.values() for name in one.facts.leaving}
+    return [
+        _facts(view, one.data_centre, group)
+        for one in view.tables.value.values()
+        for group in one.groups
+        if _may_serve(group, view.seen.value, leaving, now)
+    ]
+
+
+def _may_serve(
+    group: table.Group,
+    seen: abc.Mapping[str, sighting.Sighting],
+    leaving: abc.Container[str],
+    now: float,
+) -> bool:
+    if group.phase is not table.Phase.ACTIVE or not completeness.is_complete(group, seen, now):
+        return False
+    return all(
+        seen[member.instance].instance.state is instance.State.LIVE
+        and member.instance not in leaving
+        for member in group.members
+    )
+
+
+def _facts(view: views.View, data_centre: str, group: table.Group) -> group_facts.GroupFacts:
+    seen = view.seen.value
+    leader = group.members[0]
+    answer = seen[leader.instance].report
+    assert answer is not None
+    reported_at = seen[leader.instance].reported_at
+    oldest = min(seen[member.instance].reported_at for member in group.members)
+    is_own = data_centre == view.cfg.get(settings.DATA_CENTRE)
+    return group_facts.GroupFacts(
+        name=group.name,
+        leader=leader.instance,
+        address=leader.address,
+        epoch=group.epoch,
+        pool=pool.Pool(group.service, group.model, group.version),
+        load=answer.load,
+        as_of=reported_at - answer.load.age_seconds,
+        adapters=frozenset(answer.adapters),
+        distance_seconds=0.0 if is_own else OTHER_DATA_CENTRE_SECONDS,
+        proved_until=oldest + completeness.PROOF_SECONDS,
+    )
+
+
+def _count_silent(view: views.View) -> int:
+    """Return how many entries are listed as live and tell nothing."""
+    heard = {view.cfg.get(settings.NAME), *view.peer_facts.value}
+    return sum(
+        one.kind is instance.Kind.ENTRY
+        and one.state is instance.State.LIVE
+        and one.name not in heard
+        for one in view.instances.value
+    )
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -10,6 +10,8 @@
 from galenavane.net import network
 from galenavane.peer import facts, members, transport
 from galenavane.platform import api, instance
+from galenavane.route import router
+from galenavane.serve import waiter
 from galenavane.target import api as target_api
 
 
@@ -21,6 +23,8 @@
     :ivar token: fencing token while the lease of the data centre is held.
     :ivar own_facts: what this entry tells its peers; admission and picking publish it.
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
+    :ivar router: state of admission and picking, owned by ``serve.dispatch``.
+    :ivar waiters: requests that wait for routing's decision, by request id.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -38,11 +42,13 @@
         "peers",
         "platform",
         "rng",
+        "router",
         "seen",
         "tables",
         "targets",
         "token",
         "transport",
+        "waiters",
     )
 
     def __init__(
@@ -70,6 +76,8 @@
         self.peers = latest.Latest[list[members.Member]]([])
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
+        self.router = router.Router()
+        self.waiters: dict[str, waiter.Waiter] = {}
         self.leaving = latest.Latest[bool](False)
         self.active = latest.Latest[int](0)
 
--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -45,6 +45,7 @@
     ),
     _C.LEAVING: Row(503, "this entry is stopping", "no", "retry at another entry"),
     _C.NO_CONFIGURATION: Row(503, "this entry has no configuration yet", "no", "retry elsewhere"),
+    _C.RETRY_BUDGET: Row(503, "the service's retries are used up", "no", "retry later"),
     _C.TARGET_UNREACHABLE: Row(503, "no connection to the target", "no", "retry"),
     _C.TARGET_REFUSED: Row(503, "the target refused before running", "no", "retry"),
     _C.TARGET_LOST: Row(
--- a/src/galenavane/route/candidate.py
+++ b/src/galenavane/route/candidate.py
@@ -7,19 +7,21 @@
 from galenavane.target import report
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Candidate:
-    """What is known of one complete group or live plain target.
+    """What is known of one complete group or live plain target; never changed once made.
 
     :ivar name: group name, or the instance's name for a plain target.
     :ivar address: of the group's leader.
     :ivar epoch: 0 for a plain target.
     :ivar load: lagging load of the leader.
-    :ivar unreported: sends of this entry and its peers that the load can't show yet.
+    :ivar unreported: requests begun less those ended since the time that the load describes.
     :ivar cached_tokens: prompt tokens that are probably cached there.
     :ivar distance_seconds: round trip to its data centre.
     :ivar has_adapter: whether the adapter that is asked for is loaded.
     :ivar suspicion: factor by which it is slower than others, 1 for a healthy one.
+    :ivar place_seconds: mean time until one of its places gets free when all are taken.
+    :ivar prefill_wait_seconds: time until all prompts sent there are computed.
     """
 
     name: str
@@ -31,3 +33,9 @@
     distance_seconds: float = 0.0
     has_adapter: bool = True
     suspicion: float = 1.0
+    place_seconds: float = 0.0
+    prefill_wait_seconds: float = 0.0
+
+    def in_flight(self) -> int:
+        """Return the requests that it probably has now."""
+        return self.load.running + self.load.waiting + self.unreported
--- a/src/galenavane/route/pick.py
+++ b/src/galenavane/route/pick.py
@@ -8,15 +8,17 @@
 from galenavane.route import candidate as candidates
 
 ADAPTER_LOAD_SECONDS = 0.5
+NEAR_SECONDS = 0.005
+NEAR_SHARE = 0.1
 
 
 def predict_first_token(one: candidates.Candidate, prompt_tokens: int) -> float:
     """Return the predicted time to first token in seconds."""
     load = one.load
-    ahead = max(0, load.running + load.waiting + one.unreported - load.capacity + 1)
-    queue = ahead * load.token_seconds
-    left = max(0, prompt_tokens - one.cached_tokens) + load.waiting_prefill_tokens
-    prefill = left / load.prefill_tokens_per_second
+    ahead = max(0, one.in_flight() - load.capacity + 1)
+    queue = ahead * one.place_seconds
+    left = max(0, prompt_tokens - one.cached_tokens)
+    prefill = one.prefill_wait_seconds + left / load.prefill_tokens_per_second
     adapter = 0.0 if one.has_adapter else ADAPTER_LOAD_SECONDS
     busy = (queue + prefill + adapter + load.token_seconds) * one.suspicion
     return busy + one.distance_seconds
@@ -25,9 +27,15 @@
 def pick(
     found: abc.Sequence[candidates.Candidate], prompt_tokens: int, rng: random.Random
 ) -> candidates.Candidate | None:
-    """Return the candidate with the shortest predicted wait; equal ones by chance."""
+    """Return one of the candidates with nearly the shortest predicted wait.
+
+    Entries learn the same facts at the same time, so each takes one of the near best by chance,
+    with its free places as weight.
+    """
     if not found:
         return None
-    order = sorted(found, key=lambda one: one.name)
-    rng.shuffle(order)
-    return min(order, key=lambda one: (predict_first_token(one, prompt_tokens), one.unreported))
+    scores = [predict_first_token(one, prompt_tokens) for one in found]
+    bound = min(scores) * (1.0 + NEAR_SHARE) + NEAR_SECONDS
+    near = [one for one, score in zip(found, scores, strict=True) if score <= bound]
+    weights = [max(1, one.load.capacity - one.in_flight()) for one in near]
+    return rng.choices(near, weights)[0]
--- a/src/galenavane/serve/dispatch.py
+++ b/src/galenavane/serve/dispatch.py
@@ -1,63 +1,77 @@
-"""Asks admission and picking for a group, and tells them how the request went."""
+"""Asks routing for a group, waits for its decision, and tells it how the request went."""
 
 from __future__ import annotations
 
-import dataclasses
+from collections import abc
 
 import expression
 import trio
 
-from galenavane.control import completeness, table
+from galenavane import invariant
+from galenavane.config import declaration
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.route import candidate as candidates
+from galenavane.observe import events
+from galenavane.route import decision, router
 from galenavane.route import grant as grants
-from galenavane.route import pick
-
-RETRY_PAUSE_SECONDS = 0.2
-RETRY_AFTER_SECONDS = 1.0
+from galenavane.serve import waiter
 
 
 async def acquire(
     view: views.View, ask: grants.Ask, tried: set[str]
 ) -> expression.Result[grants.Grant, failure.Failure]:
     """Wait for a group that may get the request; refuse when none can be had in time."""
-    while trio.current_time() < ask.deadline:
-        chosen = pick.pick(_candidates(view, ask, tried), ask.prompt_tokens, view.rng)
-        if chosen is not None:
-            return expression.Ok(grants.Grant(ask, chosen, trio.current_time()))
-        tried.clear()
-        await trio.sleep(RETRY_PAUSE_SECONDS)
-    text = f'no complete group serves "{ask.model}"'
-    return expression.Error(
-        failure.Failure(codes.Code.NO_GROUP, text, retry_after_seconds=RETRY_AFTER_SECONDS)
-    )
+    account = _find_account(view, ask.account)
+    if account is None:
+        text = f'account "{ask.account}" is not declared any more'
+        return expression.Error(failure.Failure(codes.Code.UNKNOWN_ACCOUNT, text))
+    own = waiter.Waiter()
+    view.waiters[ask.request_id] = own
+    now = trio.current_time()
+    carry_out(view, router.arrive(view.router, ask, account, tried, now, view.rng))
+    try:
+        found = await own.wait()
+    except trio.Cancelled:
+        _abandon(view, ask, own)
+        raise
+    finally:
+        del view.waiters[ask.request_id]
+    if isinstance(found, decision.Refused):
+        events.log("route.refused", request=ask.request_id, code=found.failure.code.name)
+        return expression.Error(found.failure)
+    return expression.Ok(found.grant)
 
 
 def release(view: views.View, held: grants.Grant, ended: grants.Ended) -> None:
     """Tell that a granted request has ended, so that its place is free."""
+    now = trio.current_time()
+    carry_out(view, router.release(view.router, held, ended, now, view.rng))
 
 
-def _candidates(view: views.View, ask: grants.Ask, tried: set[str]) -> list[candidates.Candidate]:
-    now = trio.current_time()
-    seen = view.seen.value
-    return [
-        _candidate(view, group, ask)
-        for one in view.tables.value.values()
-        for group in one.groups
-        if group.service == ask.service
-        and (group.model, group.version) == (ask.model, ask.version)
-        and group.phase is table.Phase.ACTIVE
-        and group.name not in tried
-        and completeness.is_complete(group, seen, now)
-    ]
-
-
-def _candidate(view: views.View, group: table.Group, ask: grants.Ask) -> candidates.Candidate:
-    leader = group.members[0]
-    answer = view.seen.value[leader.instance].report
-    assert answer is not None
-    has_adapter = not ask.adapter or ask.adapter in answer.adapters
-    found = candidates.Candidate(group.name, leader.address, group.epoch, answer.load)
-    return dataclasses.replace(found, has_adapter=has_adapter)
+def carry_out(view: views.View, decisions: abc.Iterable[decision.Decision]) -> None:
+    """Wake the tasks that decisions are about."""
+    for one in decisions:
+        name = one.request_id if isinstance(one, decision.Refused) else one.grant.ask.request_id
+        waiting = view.waiters.get(name)
+        invariant.check(
+            invariant.Number.OWN_ANSWER,
+            waiting is not None and waiting.found is None,
+            f"a decision about {name}, which does not wait",
+        )
+        if waiting is not None:
+            waiting.decide(one)
+
+
+def _abandon(view: views.View, ask: grants.Ask, own: waiter.Waiter) -> None:
+    """Give back the place or the turn of a request whose caller has gone away."""
+    if isinstance(own.found, decision.Granted):
+        release(view, own.found.grant, grants.Ended(None, 0, False))
+    else:
+        router.give_up(view.router, ask)
+
+
+def _find_account(view: views.View, name: str) -> declaration.Account | None:
+    configuration = view.configuration.value
+    accounts = configuration.declared.accounts if configuration else []
+    return next((one for one in accounts if one.name == name), None)
--- a/src/galenavane/standin/engine_batch.py
+++ b/src/galenavane/standin/engine_batch.py
@@ -5,14 +5,14 @@
 import collections
 import heapq
 import itertools
-import zlib
 
+import msgspec
 import trio
 
+from galenavane.route import blocks as prefix_blocks
 from galenavane.standin import engine_faults
 from galenavane.target import report
 
-BLOCK_CHARACTERS = 64
 CHARACTERS_PER_TOKEN = 4
 
 
@@ -74,13 +74,12 @@
 
     async def prefill(self, prompt: str, now: float) -> None:
         """Compute a prompt less its cached prefix, and cache it."""
-        blocks = hash_blocks(prompt)
+        blocks = prefix_blocks.hash_blocks(prompt)
         missing = [block for block in blocks if block not in self._cache]
         for block in blocks:
             self._store(block, now)
-        tokens = (len(missing) * BLOCK_CHARACTERS + len(prompt) % BLOCK_CHARACTERS) // (
-            CHARACTERS_PER_TOKEN
-        )
+        size = prefix_blocks.BLOCK_CHARACTERS
+        tokens = (len(missing) * size + len(prompt) % size) // CHARACTERS_PER_TOKEN
         self.prefill_waiting += tokens
         try:
             await trio.sleep(tokens / self.sizes.prefill_tokens_per_second)
@@ -113,8 +112,10 @@
 
     def lagging_load(self, now: float, lag_seconds: float) -> report.Load:
         """Return the load as it was some time ago."""
-        old = [load for at, load in self.loads if at <= now - lag_seconds]
-        return old[-1] if old else report.Load(capacity=self.sizes.capacity)
+        for at, load in reversed(self.loads):
+            if at <= now - lag_seconds:
+                return msgspec.structs.replace(load, age_seconds=now - at)
+        return report.Load(capacity=self.sizes.capacity, age_seconds=lag_seconds)
 
     def published(
         self, after: int, now: float, faults: engine_faults.Faults
@@ -137,13 +138,3 @@
         """Take in blocks that another engine exported."""
         for block in blocks:
             self._store(block, now)
-
-
-def hash_blocks(prompt: str) -> list[int]:
-    """Return the hash of each whole block of a prompt, chained from the start."""
-    blocks = []
-    crc = 0
-    for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
-        crc = zlib.crc32(prompt[end - BLOCK_CHARACTERS : end].encode(), crc)
-        blocks.append(crc)
-    return blocks
--- a/src/galenavane/target/report.py
+++ b/src/galenavane/target/report.py
@@ -16,6 +16,7 @@
     :ivar token_seconds: time between two tokens of a stream.
     :ivar prefill_tokens_per_second: speed of prefill.
     :ivar waiting_prefill_tokens: prompt tokens not yet computed.
+    :ivar age_seconds: how long before the report this was the load.
     """
 
     running: int = 0
@@ -24,6 +25,7 @@
     token_seconds: float = 0.02
     prefill_tokens_per_second: float = 10_000.0
     waiting_prefill_tokens: int = 0
+    age_seconds: float = 0.0
 
 
 class Report(msgspec.Struct, frozen=True):
