--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -15,6 +15,7 @@
     control_task,
     instances_task,
     lease_task,
+    meter_task,
     operators,
     reports_task,
     routing_task,
@@ -77,6 +78,7 @@
     reports_task.run,
     routing_task.run,
     control_task.run,
+    meter_task.run,
     peer_task.run,
 )
 
