--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -18,6 +18,7 @@
     meter_task,
     operators,
     reports_task,
+    routing_task,
     tables_task,
 )
 from galenavane.entry import view as views
@@ -75,6 +76,7 @@
     instances_task.run,
     tables_task.run,
     reports_task.run,
+    routing_task.run,
     control_task.run,
     meter_task.run,
     peer_task.run,
