Print one line for errors inside task groups, and outlive a handler's defect

Cause: an interrupted load and an address in use printed a traceback, since trio raises exception groups; a defect in one handler ended the whole process.

--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -85,6 +85,9 @@
             conn.machine.start_next_cycle()
     except (transport_error.TransportError, h11.LocalProtocolError):
         pass
+    except Exception as exc:
+        # A defect in one handler ends its connection and not every other one.
+        events.log("connection.defect", text=f"{type(exc).__name__}: {exc}")
     finally:
         await conn.close()
 
--- a/src/galenavane/net/tcp.py
+++ b/src/galenavane/net/tcp.py
@@ -7,6 +7,8 @@
 import h11
 import trio
 
+from galenavane.failure import code as codes
+from galenavane.failure import failure
 from galenavane.net import address as addresses
 from galenavane.net import http_connection, http_server, network, transport_error
 
@@ -33,7 +35,7 @@
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        listeners = await trio.open_tcp_listeners(where.port, host=where.host)
+        listeners = await _open(where)
         port = listeners[0].socket.getsockname()[1]
         task_status.started(addresses.Address(where.host, port))
         serve = functools.partial(
@@ -42,6 +44,18 @@
         await trio.serve_listeners(serve, listeners)
 
 
+async def _open(where: addresses.Address) -> list[trio.SocketListener]:
+    """Bind an address.
+
+    :raises failure.UserError: when it is in use or not of this machine.
+    """
+    try:
+        return await trio.open_tcp_listeners(where.port, host=where.host)
+    except OSError as exc:
+        text = f'address "{where}" can\'t be listened on: {exc.strerror}'
+        raise failure.UserError(failure.Failure(codes.Code.BAD_SETTING, text)) from None
+
+
 def make() -> network.Network:
     """Return the TCP network."""
     return _Tcp()
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -55,11 +55,21 @@
     """
     try:
         sys.exit(_run(argv))
-    except failure.UserError as exc:
-        print(f"galenavane: error {exc.failure.code.value}: {exc}", file=sys.stderr)
+    except (failure.UserError, KeyboardInterrupt, BaseExceptionGroup) as exc:
+        cause = _find_cause(exc)
+        if isinstance(cause, KeyboardInterrupt):
+            sys.exit(EXIT_INTERRUPTED)
+        if not isinstance(cause, failure.UserError):
+            raise
+        print(f"galenavane: error {cause.failure.code.value}: {cause}", file=sys.stderr)
         sys.exit(EXIT_USER_ERROR)
-    except KeyboardInterrupt:
-        sys.exit(EXIT_INTERRUPTED)
+
+
+def _find_cause(exc: BaseException) -> BaseException:
+    """Return the only cause inside nested exception groups, else the outermost group."""
+    while isinstance(exc, BaseExceptionGroup) and len(exc.exceptions) == 1:
+        exc = exc.exceptions[0]
+    return exc
 
 
 def _run(argv: abc.Sequence[str] | None) -> int:
--- a/tests/cli/help.feature
+++ b/tests/cli/help.feature
@@ -26,3 +26,8 @@
     When galenavane runs "completion"
     Then it exits with 0
     And its output contains "--fabric-domain"
+
+  Scenario: An address that is in use is one clear line
+    Given an address that is in use
+    When galenavane runs "standin platform {address}"
+    Then it exits with 2 and one line that contains "can't be listened on"
--- a/tests/steps/command_line.py
+++ b/tests/steps/command_line.py
@@ -5,6 +5,7 @@
 import contextlib
 import io
 import shutil
+import socket
 
 from behave import given, then, when
 
@@ -45,9 +46,17 @@
     write_settings(context, old, "")
 
 
+@given("an address that is in use")
+def take_address(context):
+    context.taken = socket.create_server(("127.0.0.1", 0))
+    context.address = f"127.0.0.1:{context.taken.getsockname()[1]}"
+    context.add_cleanup(context.taken.close)
+
+
 @when('galenavane runs "{line}"')
 def run_command(context, line):
-    argv = line.format(folder=context.folder).split()
+    address = getattr(context, "address", "")
+    argv = line.format(folder=context.folder, address=address).split()
     stdout, stderr = io.StringIO(), io.StringIO()
     with contextlib.redirect_stdout(stdout), contextlib.redirect_stderr(stderr):
         try:
