--- a/src/galenavane/simulate/stream.py
+++ b/src/galenavane/simulate/stream.py
@@ -31,6 +31,11 @@
         """Name the other end."""
         self._peer = peer
 
+    def other_end(self) -> Stream:
+        """Return the other end of the connection."""
+        assert self._peer is not None
+        return self._peer
+
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Send bytes; raises ``trio.BrokenResourceError`` after a reset."""
         await self.own.gate()
--- /dev/null
+++ b/tests/steps/serve_classify.py
@@ -0,0 +1,42 @@
+"""Steps on what a broken exchange proves."""
+
+from __future__ import annotations
+
+from behave import then
+
+from galenavane.failure import code, failure, outcome
+from galenavane.net import headers, message, transport_error
+from galenavane.serve import classify
+
+
+@then("a try that ended with {kind} after bytes sent {sent} has outcome {expected}")
+def classify_broken(context, kind, sent, expected):
+    exc = transport_error.TransportError(transport_error.Kind(kind), sent == "True")
+    assert classify.broken(exc).outcome.value == expected
+
+
+@then('an answer with status {status:d} and refusal mark "{mark}" has outcome {expected}')
+def classify_answer(context, status, mark, expected):
+    check_answer(status, mark, expected)
+
+
+@then('an answer with status {status:d} and refusal mark "" has outcome {expected}')
+def classify_unmarked(context, status, expected):
+    check_answer(status, "", expected)
+
+
+def check_answer(status, mark, expected):
+    fields = headers.Headers()
+    if mark:
+        fields.add("x-not-run", mark)
+    found = classify.refused(message.Response(status, fields))
+    assert (found.outcome.value if found else "answered") == expected
+
+
+@then('of the outcomes "{first}" then "{second}" a caller is told "{expected}"')
+def fold_outcomes(context, first, second, expected):
+    told = None
+    for one in (first, second):
+        found = failure.Failure(code.Code.TARGET_LOST, one, outcome.Outcome(one))
+        told = classify.worse(told, found)
+    assert told.outcome.value == expected
