Plan from a pool with reuse of weights, drain before leaving, settle lost writes

Now: groups are drained until quiet before their members are told to leave; a lease attempt has a number of its own, so that a lost answer is settled by reading back; the lease is watched; epochs carry the fencing token, so that two holders never give one epoch to two memberships; a command is checked once connected, right before its first byte (net/round_trip.py asks); free instances hold weights ready for their domain.

--- a/src/galenavane/config/check.py
+++ b/src/galenavane/config/check.py
@@ -27,6 +27,10 @@
     yield from _name_problems(declared)
     if declared.deployment.downtime_weight < 0 or declared.deployment.stranded_weight < 0:
         yield f'deployment "{declared.deployment.name}" has a negative weight'
+    if declared.deployment.spares < 0:
+        yield f'spares of deployment "{declared.deployment.name}" is negative'
+    if declared.deployment.loads_at_once < 1:
+        yield f'loads_at_once of deployment "{declared.deployment.name}" is below 1'
     for service in declared.services:
         yield from _service_problems(service)
     for account in declared.accounts:
--- a/src/galenavane/config/declaration.py
+++ b/src/galenavane/config/declaration.py
@@ -26,11 +26,15 @@
 
     :ivar downtime_weight: cost of a second in which a group can't serve.
     :ivar stranded_weight: cost of a second of an idle accelerator.
+    :ivar spares: instances that stay free in each fabric domain when there is a choice.
+    :ivar loads_at_once: weight loads of a data centre that the weight store carries at once.
     """
 
     name: str
     downtime_weight: float = 1.0
     stranded_weight: float = 1.0
+    spares: int = 1
+    loads_at_once: int = 32
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/src/galenavane/control/commands.py
+++ b/src/galenavane/control/commands.py
@@ -5,60 +5,143 @@
 import dataclasses
 from collections import abc
 
-from galenavane.control import sighting, table
+from galenavane.config import declaration, in_force
+from galenavane.control import fence, sighting, standby, table, want
 from galenavane.target import command
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Order:
-    """A command and where it goes."""
+    """A command and where it goes.
+
+    :ivar loads: whether the target has to load weights.
+    :ivar fencing: what the target does with an old fencing token.
+    """
 
     instance: str
     address: str
     command: command.Command
+    loads: bool
+    fencing: declaration.Fencing
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Inputs:
+    """Everything that commands depend on."""
 
+    configuration: in_force.InForce
+    current: table.Table
+    seen: abc.Mapping[str, sighting.Sighting]
+    held_back: frozenset[str]
+    token: int
+    now: float
 
-def next_orders(
-    current: table.Table, seen: abc.Mapping[str, sighting.Sighting], token: int
-) -> list[Order]:
-    """Return the commands that are due, leaves before joins."""
-    assigned = {member.instance: group for group in current.groups for member in group.members}
+
+def next_orders(inputs: Inputs) -> list[Order]:
+    """Return the commands that are due: leaves, then joins, then loads of spares.
+
+    None when a target shows a newer holder's token.
+    """
+    reports = [one.report for one in inputs.seen.values() if one.report is not None]
+    if any(one.token > inputs.token for one in reports):
+        return []
+    assigned = {
+        member.instance: (group, rank)
+        for group in inputs.current.groups
+        for rank, member in enumerate(group.members)
+    }
     orders: list[Order] = []
-    for name in sorted(seen):
-        found = seen[name]
+    for name in sorted(inputs.seen):
+        found = inputs.seen[name]
         if found.report is not None:
-            orders.extend(_orders_for(found, assigned.get(name), token))
-    return sorted(orders, key=lambda one: one.command.kind is command.Kind.JOIN)
+            orders.extend(_orders_for(inputs, found, assigned.get(name)))
+    orders.extend(_standby_orders(inputs))
+    orders.sort(key=_urgency)
+    loading = sum(1 for one in reports if one.shard and not one.loaded)
+    return _limit_loads(orders, inputs.configuration.declared.deployment.loads_at_once - loading)
+
+
+def _urgency(order: Order) -> int:
+    kinds = [command.Kind.LEAVE, command.Kind.LOAD_ADAPTER, command.Kind.JOIN, command.Kind.LOAD]
+    return kinds.index(order.command.kind)
+
+
+def _limit_loads(orders: list[Order], room: int) -> list[Order]:
+    """Leave out loads that the weight store would not carry now."""
+    due = []
+    for order in orders:
+        if order.loads:
+            room -= 1
+        if not order.loads or room >= 0:
+            due.append(order)
+    return due
 
 
 def _orders_for(
-    found: sighting.Sighting, group: table.Group | None, token: int
+    inputs: Inputs, found: sighting.Sighting, place: tuple[table.Group, int] | None
 ) -> abc.Iterator[Order]:
     answer = found.report
     assert answer is not None
-    at = (answer.group, answer.epoch)
-    if group is not None and at == (group.name, group.epoch):
+    if answer.epoch >= inputs.current.next_epoch:
         return
-    where = found.instance
+    if place is not None:
+        group, rank = place
+        if (answer.group, answer.epoch) == (group.name, group.epoch):
+            if answer.adapters != group.adapters:
+                yield _order(inputs, found, _load_adapters(inputs, found, group), False)
+            return
     if answer.group:
-        leave = command.Command(
-            token, command.Kind.LEAVE, answer.incarnation, answer.group, answer.epoch
-        )
-        yield Order(where.name, where.address, leave)
-    if group is not None and _is_assigned(group, answer.instance, answer.incarnation):
-        yield Order(where.name, where.address, _join(group, answer.incarnation, token))
+        yield _order(inputs, found, _leave(inputs, found), False)
+    if place is not None and group.members[rank].incarnation == answer.incarnation:
+        shard = command.shard(group.model, group.version, rank, len(group.members))
+        yield _order(inputs, found, _join(inputs, found, group), answer.shard != shard)
+
+
+def _standby_orders(inputs: Inputs) -> abc.Iterator[Order]:
+    wants = want.wants_of(inputs.configuration, inputs.current.data_centre)
+    loads = standby.assign(inputs.current, wants, inputs.seen, inputs.held_back, inputs.now)
+    for name, shard in loads.items():
+        found = inputs.seen[name]
+        assert found.report is not None
+        if not found.report.group:
+            load = command.Command(
+                inputs.token, command.Kind.LOAD, found.report.incarnation, shard=shard
+            )
+            yield _order(inputs, found, load, True)
+
 
+def _order(inputs: Inputs, found: sighting.Sighting, what: command.Command, loads: bool) -> Order:
+    fencing = fence.fencing_of(inputs.configuration.declared, what.group)
+    return Order(found.instance.name, found.instance.address, what, loads, fencing)
 
-def _is_assigned(group: table.Group, name: str, incarnation: str) -> bool:
-    return any((one.instance, one.incarnation) == (name, incarnation) for one in group.members)
+
+def _leave(inputs: Inputs, found: sighting.Sighting) -> command.Command:
+    answer = found.report
+    assert answer is not None
+    return command.Command(
+        inputs.token, command.Kind.LEAVE, answer.incarnation, answer.group, answer.epoch
+    )
+
+
+def _load_adapters(inputs: Inputs, found: sighting.Sighting, group: table.Group) -> command.Command:
+    assert found.report is not None
+    return command.Command(
+        token=inputs.token,
+        kind=command.Kind.LOAD_ADAPTER,
+        incarnation=found.report.incarnation,
+        group=group.name,
+        epoch=group.epoch,
+        adapters=group.adapters,
+    )
 
 
-def _join(group: table.Group, incarnation: str, token: int) -> command.Command:
+def _join(inputs: Inputs, found: sighting.Sighting, group: table.Group) -> command.Command:
+    assert found.report is not None
     peers = [command.Peer(one.instance, one.address, one.incarnation) for one in group.members]
     return command.Command(
-        token=token,
+        token=inputs.token,
         kind=command.Kind.JOIN,
-        incarnation=incarnation,
+        incarnation=found.report.incarnation,
         group=group.name,
         epoch=group.epoch,
         model=group.model,
--- /dev/null
+++ b/src/galenavane/control/condition.py
@@ -0,0 +1,56 @@
+"""Judges from reports and the platform's list what has become of a group's members."""
+
+from __future__ import annotations
+
+import enum
+from collections import abc
+
+from galenavane.control import sighting, table
+from galenavane.platform import instance
+
+SILENCE_SECONDS = 3.0
+MIN_HEARD_SHARE = 1 / 3
+
+
+class Condition(enum.IntEnum):
+    """State of a group's membership, the worse the higher."""
+
+    INTACT = 0
+    LEAVING = 1
+    LOST = 2
+
+
+def judge(group: table.Group, seen: abc.Mapping[str, sighting.Sighting], now: float) -> Condition:
+    """Return the condition of a group's worst member."""
+    return max(judge_member(member, seen, now) for member in group.members)
+
+
+def judge_member(
+    member: table.Member, seen: abc.Mapping[str, sighting.Sighting], now: float
+) -> Condition:
+    """Return the condition of one member; another incarnation means that it is lost."""
+    found = seen.get(member.instance)
+    if found is None or found.report is None or not is_heard(found, now):
+        return Condition.LOST
+    if found.report.incarnation != member.incarnation:
+        return Condition.LOST
+    is_live = found.instance.state is instance.State.LIVE
+    return Condition.INTACT if is_live else Condition.LEAVING
+
+
+def is_heard(found: sighting.Sighting, now: float) -> bool:
+    """Whether an instance has answered lately enough to be counted as alive."""
+    return now - found.reported_at <= SILENCE_SECONDS
+
+
+def is_free(found: sighting.Sighting, now: float) -> bool:
+    """Whether an instance that no group has may be given to one."""
+    is_live = found.instance.state is instance.State.LIVE
+    return is_live and found.report is not None and is_heard(found, now)
+
+
+def is_cut_off(current: table.Table, seen: abc.Mapping[str, sighting.Sighting], now: float) -> bool:
+    """Whether so few members are heard that the observer must be taken to be cut off."""
+    members = [member.instance for group in current.groups for member in group.members]
+    heard = sum(1 for name in members if name in seen and is_heard(seen[name], now))
+    return heard < len(members) * MIN_HEARD_SHARE
--- /dev/null
+++ b/src/galenavane/control/damping.py
@@ -0,0 +1,60 @@
+"""Holds instances back that fail again and again."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+from galenavane.control import condition, sighting
+
+FIRST_HOLD_SECONDS = 15.0
+MAX_HOLD_SECONDS = 600.0
+FORGET_SECONDS = 3600.0
+
+
+@dataclasses.dataclass(slots=True)
+class _History:
+    incarnation: str
+    is_heard: bool = True
+    losses: int = 0
+    lost_at: float = float("-inf")
+
+
+class State:
+    """What the holder remembers of each instance's failures."""
+
+    __slots__ = ("histories",)
+
+    def __init__(self) -> None:
+        self.histories: dict[str, _History] = {}
+
+
+def observe(state: State, seen: abc.Mapping[str, sighting.Sighting], now: float) -> frozenset[str]:
+    """Take in what is seen; return the instances to hold back."""
+    for name, found in seen.items():
+        if found.report is not None:
+            history = state.histories.setdefault(name, _History(found.report.incarnation))
+            _update(history, found.report.incarnation, condition.is_heard(found, now), now)
+    return frozenset(
+        name
+        for name, one in state.histories.items()
+        if now < one.lost_at + hold_seconds(one.losses)
+    )
+
+
+def hold_seconds(losses: int) -> float:
+    """Return how long an instance is held back after so many losses; the first is free."""
+    if losses < 2:
+        return 0.0
+    return float(min(MAX_HOLD_SECONDS, FIRST_HOLD_SECONDS * 2 ** (losses - 2)))
+
+
+def _update(history: _History, incarnation: str, is_heard: bool, now: float) -> None:
+    is_lost = (history.is_heard and not is_heard) or incarnation != history.incarnation
+    if now - history.lost_at > FORGET_SECONDS:
+        history.losses = 0
+    if is_lost:
+        history.losses += 1
+        history.lost_at = now
+    history.incarnation = incarnation
+    history.is_heard = is_heard
--- a/src/galenavane/control/plan.py
+++ b/src/galenavane/control/plan.py
@@ -8,8 +8,7 @@
 import msgspec
 
 from galenavane.config import in_force
-from galenavane.control import sighting, table
-from galenavane.platform import instance
+from galenavane.control import completeness, condition, donors, pool, sighting, sort, table, want
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -17,95 +16,151 @@
     """Everything that a plan depends on.
 
     :ivar seen: instances of this data centre by name.
+    :ivar quiet: epochs of draining groups in which no request is in flight.
+    :ivar held_back: instances that have failed too often lately to be given to a group.
     """
 
     configuration: in_force.InForce
     current: table.Table
     seen: abc.Mapping[str, sighting.Sighting]
     now: float
+    quiet: frozenset[int] = frozenset()
+    held_back: frozenset[str] = frozenset()
 
 
-def plan(inputs: Inputs) -> table.Table:
-    """Return the table that should be in force; equal to the current one when all is well."""
-    kept = _keep(inputs)
-    free = _free_instances(inputs, kept)
-    groups = list(kept)
-    next_epoch = inputs.current.next_epoch
-    for run in inputs.configuration.runs():
-        service = inputs.configuration.declared.service(run.service)
-        assert service is not None
-        wanted = run.replicas.get(inputs.current.data_centre, 0)
-        names = {group.name for group in groups}
-        for number in range(wanted):
-            name = f"{run.service}.{inputs.current.data_centre}.{number}"
-            members = [] if name in names else _take(free, service.members)
-            if not members:
-                continue
-            group = table.Group(
-                name, run.service, run.model, run.version, next_epoch, members, run.adapters
-            )
-            groups.append(group)
-            next_epoch += 1
-    groups.sort(key=lambda group: group.name)
-    return msgspec.structs.replace(inputs.current, groups=groups, next_epoch=next_epoch)
-
-
-def _keep(inputs: Inputs) -> list[table.Group]:
-    wanted = {
-        f"{run.service}.{inputs.current.data_centre}.{number}": run
-        for run in inputs.configuration.runs()
-        for number in range(run.replicas.get(inputs.current.data_centre, 0))
-    }
-    kept = []
-    for group in inputs.current.groups:
-        run = wanted.get(group.name)
-        if run is None or (run.model, run.version) != (group.model, group.version):
-            continue
-        if all(_is_intact(member, inputs) for member in group.members):
-            kept.append(group)
-    return kept
-
-
-def _is_intact(member: table.Member, inputs: Inputs) -> bool:
-    found = inputs.seen.get(member.instance)
-    if found is None or found.report is None or not is_heard(found, inputs.now):
-        return False
-    is_live = found.instance.state is instance.State.LIVE
-    return is_live and found.report.incarnation == member.incarnation
-
-
-def _free_instances(inputs: Inputs, kept: list[table.Group]) -> dict[str, list[sighting.Sighting]]:
-    """Return the free live instances of each fabric domain."""
-    used = {member.instance for group in kept for member in group.members}
-    free: dict[str, list[sighting.Sighting]] = {}
-    for name in sorted(inputs.seen):
-        found = inputs.seen[name]
-        if name in used or found.instance.state is not instance.State.LIVE:
-            continue
-        if found.report is not None and is_heard(found, inputs.now):
-            free.setdefault(found.instance.fabric_domain, []).append(found)
-    return free
-
-
-SILENCE_SECONDS = 3.0
-
-
-def is_heard(found: sighting.Sighting, now: float) -> bool:
-    """Whether an instance has answered lately enough to be counted as alive."""
-    return now - found.reported_at <= SILENCE_SECONDS
+class _Draft:
+    """A table that is being made.
 
+    :ivar active: groups that serve or will.
+    :ivar draining: groups to be dissolved once they are quiet.
+    """
 
-def _take(free: dict[str, list[sighting.Sighting]], count: int) -> list[table.Member]:
-    """Take instances of the fullest fabric domain that still fits, or none."""
-    fitting = [domain for domain, found in free.items() if len(found) >= count]
-    if not fitting:
-        return []
-    domain = min(fitting, key=lambda one: (len(free[one]), one))
-    taken = free[domain][:count]
-    del free[domain][:count]
-    return [_member(one) for one in taken]
+    __slots__ = ("active", "draining", "free", "inputs", "next_epoch")
+
+    def __init__(self, inputs: Inputs, found: sort.Groups) -> None:
+        self.inputs = inputs
+        self.active = [*found.kept, *found.outdated]
+        self.draining = [one for one in found.going if one.epoch not in inputs.quiet]
+        self.next_epoch = inputs.current.next_epoch
+        self.free = pool.make(
+            [*self.active, *self.draining],
+            inputs.seen,
+            inputs.held_back,
+            inputs.configuration.declared.deployment.spares,
+            inputs.now,
+        )
+
+    def add(self, wanted: want.Want, members: list[table.Member]) -> None:
+        """Form a group under the lowest number that is not in use."""
+        prefix = f"{wanted.service}.{self.inputs.current.data_centre}."
+        used = {one.name for one in (*self.active, *self.draining)}
+        number = next(one for one in range(len(used) + 1) if f"{prefix}{one}" not in used)
+        group = table.Group(
+            f"{prefix}{number}",
+            wanted.service,
+            wanted.model,
+            wanted.version,
+            self.next_epoch,
+            members,
+            wanted.adapters,
+        )
+        self.next_epoch += 1
+        self.active.append(group)
+
+    def finish(self) -> table.Table:
+        """Return the table."""
+        groups = [_in_phase(one, table.Phase.ACTIVE) for one in self.active]
+        groups += [_in_phase(one, table.Phase.DRAINING) for one in self.draining]
+        return table.replace_groups(self.inputs.current, groups, self.next_epoch)
 
 
-def _member(found: sighting.Sighting) -> table.Member:
-    assert found.report is not None
-    return table.Member(found.instance.name, found.instance.address, found.report.incarnation)
+def plan(inputs: Inputs) -> table.Table:
+    """Return the table that should be in force; the current one when all is well."""
+    if condition.is_cut_off(inputs.current, inputs.seen, inputs.now):
+        return inputs.current
+    wants = want.wants_of(inputs.configuration, inputs.current.data_centre)
+    found = sort.sort(inputs.current, wants, inputs.seen, inputs.now)
+    draft = _Draft(inputs, found)
+    missing = _fill(draft, wants, found)
+    _replace_outdated(draft, wants, found)
+    _break_less_valuable(draft, wants, missing)
+    _update_adapters(draft, wants)
+    return draft.finish()
+
+
+def _fill(draft: _Draft, wants: list[want.Want], found: sort.Groups) -> dict[str, int]:
+    """Form the groups that nothing serves in place of; return how many can't be, by service."""
+    missing = {}
+    for wanted in wants:
+        present = len(found.kept_of(wanted)) + len(found.outdated_of(wanted))
+        missing[wanted.service] = _form(draft, wanted, wanted.count - present)
+    return missing
+
+
+def _form(draft: _Draft, wanted: want.Want, count: int) -> int:
+    """Form up to so many groups; return how many found no instances."""
+    for formed in range(count):
+        members = draft.free.take(wanted)
+        if not members:
+            return count - formed
+        draft.add(wanted, members)
+    return 0
+
+
+def _replace_outdated(draft: _Draft, wants: list[want.Want], found: sort.Groups) -> None:
+    """Form successors beside outdated groups, or drain one outdated group at a time."""
+    for wanted in wants:
+        outdated = found.outdated_of(wanted)
+        if not outdated:
+            continue
+        due = wanted.count - sum(1 for one in draft.active if wanted.matches(one))
+        left = _form(draft, wanted, due)
+        is_stuck = left > 0 and left == due
+        if is_stuck and not _is_under_way(draft, wanted):
+            draft.active.remove(outdated[-1])
+            draft.draining.append(outdated[-1])
+
+
+def _is_under_way(draft: _Draft, wanted: want.Want) -> bool:
+    """Whether a group of the service is still draining or not yet complete."""
+    seen, now = draft.inputs.seen, draft.inputs.now
+    if any(one.service == wanted.service for one in draft.draining):
+        return True
+    return any(
+        wanted.matches(one) and not completeness.is_complete(one, seen, now) for one in draft.active
+    )
+
+
+def _break_less_valuable(draft: _Draft, wants: list[want.Want], missing: dict[str, int]) -> None:
+    """Drain less valuable groups, and form the missing ones once those are quiet."""
+    matching = [one for one in draft.active if any(wanted.matches(one) for wanted in wants)]
+    whole = [one for one in matching if one.epoch < draft.inputs.current.next_epoch]
+    chosen = donors.choose(wants, missing, whole, draft.free, draft.inputs.seen)
+    if chosen is None:
+        return
+    draft.active = [one for one in draft.active if one not in chosen.groups]
+    if any(one.epoch not in draft.inputs.quiet for one in chosen.groups):
+        draft.draining += chosen.groups
+        return
+    for group in chosen.groups:
+        for member in group.members:
+            draft.free.add(draft.inputs.seen[member.instance])
+    wanted = chosen.wanted
+    room = draft.free.count(chosen.domain) // wanted.members
+    for _ in range(min(room, missing[wanted.service])):
+        draft.add(wanted, draft.free.take_from(chosen.domain, wanted))
+
+
+def _update_adapters(draft: _Draft, wants: list[want.Want]) -> None:
+    by_service = {wanted.service: wanted for wanted in wants}
+    draft.active = [_with_adapters(one, by_service[one.service]) for one in draft.active]
+
+
+def _with_adapters(group: table.Group, wanted: want.Want) -> table.Group:
+    if group.model != wanted.model or group.adapters == wanted.adapters:
+        return group
+    return msgspec.structs.replace(group, adapters=wanted.adapters)
+
+
+def _in_phase(group: table.Group, phase: table.Phase) -> table.Group:
+    return group if group.phase is phase else msgspec.structs.replace(group, phase=phase)
--- /dev/null
+++ b/src/galenavane/control/pool.py
@@ -0,0 +1,109 @@
+"""The free instances of a data centre, and which of them to give to a group."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+from galenavane.control import condition, sighting, table, want
+
+
+@dataclasses.dataclass(slots=True)
+class Domain:
+    """Free instances of one fabric domain.
+
+    :ivar free: sightings by instance name.
+    :ivar holders: names of free instances by the weights that they have in memory.
+    """
+
+    free: dict[str, sighting.Sighting] = dataclasses.field(default_factory=dict)
+    holders: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+
+
+class Pool:
+    """Free instances by fabric domain."""
+
+    __slots__ = ("domains", "spares")
+
+    def __init__(self, spares: int) -> None:
+        self.spares = spares
+        self.domains: dict[str, Domain] = {}
+
+    def add(self, found: sighting.Sighting) -> None:
+        """Add a free instance."""
+        domain = self.domains.setdefault(found.instance.fabric_domain, Domain())
+        domain.free[found.instance.name] = found
+        domain.holders.setdefault(shard_of(found), []).append(found.instance.name)
+
+    def take(self, wanted: want.Want) -> list[table.Member]:
+        """Take the members of one group from the best fabric domain, or none."""
+        fitting = [name for name, one in self.domains.items() if len(one.free) >= wanted.members]
+        if not fitting:
+            return []
+        best = min(fitting, key=lambda name: self._rank(name, wanted))
+        return self.take_from(best, wanted)
+
+    def take_from(self, name: str, wanted: want.Want) -> list[table.Member]:
+        """Take the members of one group from one fabric domain that has enough."""
+        domain = self.domains[name]
+        chosen = [_holder(domain, shard) for shard in wanted.shards]
+        rest = _least_useful(domain, set(chosen))
+        names = [one if one is not None else next(rest) for one in chosen]
+        return [member_of(_remove(domain, one)) for one in names]
+
+    def count(self, name: str) -> int:
+        """Return how many instances of a fabric domain are free."""
+        domain = self.domains.get(name)
+        return len(domain.free) if domain is not None else 0
+
+    def _rank(self, name: str, wanted: want.Want) -> tuple[int, bool, int, str]:
+        domain = self.domains[name]
+        loads = sum(1 for shard in wanted.shards if not domain.holders.get(shard))
+        left = len(domain.free) - wanted.members
+        return loads, left < self.spares, -left, name
+
+
+def make(
+    kept: abc.Iterable[table.Group],
+    seen: abc.Mapping[str, sighting.Sighting],
+    held_back: abc.Container[str],
+    spares: int,
+    now: float,
+) -> Pool:
+    """Return the pool of free instances that no kept group has."""
+    used = {member.instance for group in kept for member in group.members}
+    pool = Pool(spares)
+    for name in sorted(seen):
+        found = seen[name]
+        is_usable = name not in used and name not in held_back
+        if is_usable and condition.is_free(found, now):
+            pool.add(found)
+    return pool
+
+
+def shard_of(found: sighting.Sighting) -> str:
+    """Return the weights that an instance has in memory or is loading."""
+    return found.report.shard if found.report is not None else ""
+
+
+def member_of(found: sighting.Sighting) -> table.Member:
+    """Return the member that an instance becomes."""
+    assert found.report is not None
+    return table.Member(found.instance.name, found.instance.address, found.report.incarnation)
+
+
+def _holder(domain: Domain, shard: str) -> str | None:
+    holders = domain.holders.get(shard)
+    return holders[0] if holders else None
+
+
+def _least_useful(domain: Domain, chosen: set[str | None]) -> abc.Iterator[str]:
+    """Return the other free instances, those with nothing in memory first."""
+    empty = [name for name in domain.holders.get("", []) if name not in chosen]
+    return iter(empty + [one for one in domain.free if one not in chosen and one not in empty])
+
+
+def _remove(domain: Domain, name: str) -> sighting.Sighting:
+    found = domain.free.pop(name)
+    domain.holders[shard_of(found)].remove(name)
+    return found
--- a/src/galenavane/control/table.py
+++ b/src/galenavane/control/table.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
+from galenavane import invariant
+
 TABLE_PREFIX = "table/"
+EPOCH_BITS = 20
 
 
 class Phase(enum.StrEnum):
@@ -46,11 +49,14 @@
     """Which instance is in which group; one conditional write decides.
 
     :ivar token: fencing token of the holder that wrote it.
-    :ivar next_epoch: epoch of the next group that is formed.
+    :ivar serial: grows with every table that one holder makes.
+    :ivar next_epoch: epoch of the next group that is formed; its high bits are the token, so
+        that two holders never give one epoch to two memberships.
     """
 
     data_centre: str
     token: int = 0
+    serial: int = 0
     next_epoch: int = 1
     groups: list[Group] = []
 
@@ -60,6 +66,55 @@
     return TABLE_PREFIX + data_centre
 
 
+def is_newer(one: Table, other: Table) -> bool:
+    """Whether one table of a data centre came after another."""
+    return (one.token, one.serial) > (other.token, other.serial)
+
+
+def take_over(found: Table, token: int) -> Table:
+    """Return the table under a new holder's token."""
+    first_epoch = token << EPOCH_BITS
+    return msgspec.structs.replace(
+        found, token=token, serial=0, next_epoch=max(found.next_epoch, first_epoch)
+    )
+
+
+def replace_groups(current: Table, groups: list[Group], next_epoch: int) -> Table:
+    """Return the next table of the same holder; the current one when nothing changes.
+
+    :raises invariant.ViolationError: when an instance would be in two groups.
+    """
+    ordered = sorted(groups, key=lambda group: group.name)
+    if ordered == current.groups:
+        return current
+    check(ordered)
+    return msgspec.structs.replace(
+        current, groups=ordered, next_epoch=next_epoch, serial=current.serial + 1
+    )
+
+
+def check(groups: list[Group]) -> None:
+    """Check that no instance is in two groups and no two groups share a name.
+
+    :raises invariant.ViolationError: when one is.
+    """
+    instances = [member.instance for group in groups for member in group.members]
+    invariant.check(
+        invariant.Number.ONE_GROUP,
+        len(instances) == len(set(instances)),
+        "a table puts an instance into two groups",
+    )
+    names = {group.name for group in groups}
+    invariant.check(
+        invariant.Number.ONE_GROUP, len(names) == len(groups), "a table has a group name twice"
+    )
+
+
+def number_of(group: Group) -> int:
+    """Return the number at the end of a group's name."""
+    return int(group.name.rpartition(".")[2])
+
+
 def encode(table: Table) -> str:
     """Return the canonical text of a table."""
     return msgspec.json.encode(table, order="deterministic").decode()
--- /dev/null
+++ b/src/galenavane/control/want.py
@@ -0,0 +1,79 @@
+"""The groups that the preset in force wants in a data centre."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from galenavane.config import declaration, in_force
+from galenavane.control import table
+from galenavane.target import command
+
+IMPORTANCE_BASE = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Want:
+    """Groups of one service, all alike.
+
+    :ivar members: instances that each group spans.
+    :ivar count: groups that are wanted.
+    :ivar value: cost of a second in which one of these groups is missing.
+    :ivar shards: weights of each rank.
+    """
+
+    service: str
+    model: str
+    version: str
+    adapters: list[str]
+    members: int
+    count: int
+    priority: int
+    value: float
+    shards: tuple[str, ...]
+
+    def matches(self, group: table.Group) -> bool:
+        """Whether a group is one of these."""
+        return (group.service, group.model, group.version, len(group.members)) == (
+            self.service,
+            self.model,
+            self.version,
+            self.members,
+        )
+
+
+def wants_of(configuration: in_force.InForce, data_centre: str) -> list[Want]:
+    """Return the wants of a data centre, the most important first, then the largest."""
+    declared = configuration.declared
+    wants = []
+    for run in configuration.runs():
+        service = declared.service(run.service)
+        if service is not None:
+            wants.append(_want(declared.deployment, service, run, data_centre))
+    wants.sort(key=lambda one: (one.priority, -one.members, one.service))
+    return wants
+
+
+def _want(
+    weights: declaration.Weights,
+    service: declaration.Service,
+    run: declaration.Run,
+    data_centre: str,
+) -> Want:
+    count = service.members
+    return Want(
+        service=service.name,
+        model=run.model,
+        version=run.version,
+        adapters=run.adapters,
+        members=count,
+        count=run.replicas.get(data_centre, 0),
+        priority=service.priority,
+        value=group_value(weights, service),
+        shards=tuple(command.shard(run.model, run.version, rank, count) for rank in range(count)),
+    )
+
+
+def group_value(weights: declaration.Weights, service: declaration.Service) -> float:
+    """Return the cost of a second in which a group of a service can't serve."""
+    importance = IMPORTANCE_BASE**-service.priority
+    return weights.downtime_weight * importance + weights.stranded_weight * service.members
--- a/src/galenavane/entry/tables_task.py
+++ b/src/galenavane/entry/tables_task.py
@@ -6,6 +6,7 @@
 
 from galenavane.control import table
 from galenavane.entry import view as views
+from galenavane.observe import events
 
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.5
@@ -20,8 +21,17 @@
             await trio.sleep(RETRY_SECONDS)
             continue
         revision = max(revision, found.ok.revision)
-        offered = [table.decode(one.value) for one in found.ok.objects if one.value]
-        if offered:
-            merged = dict(view.tables.value)
-            merged.update({one.data_centre: one for one in offered})
-            view.tables.publish(merged)
+        _merge(view, [table.decode(one.value) for one in found.ok.objects if one.value])
+
+
+def _merge(view: views.View, offered: list[table.Table]) -> None:
+    """Publish the newer tables; an older one than was seen is never taken."""
+    merged = dict(view.tables.value)
+    for one in offered:
+        known = merged.get(one.data_centre)
+        if known is None or table.is_newer(one, known):
+            merged[one.data_centre] = one
+        elif table.is_newer(known, one):
+            events.log("table.older", data_centre=one.data_centre, token=one.token)
+    if merged != view.tables.value:
+        view.tables.publish(merged)
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -9,7 +9,7 @@
 from galenavane.entry import latest
 from galenavane.net import network
 from galenavane.peer import facts, members, transport
-from galenavane.platform import api, instance
+from galenavane.platform import api, instance, lease
 from galenavane.target import api as target_api
 
 
@@ -19,6 +19,8 @@
     :ivar seen: reports of targets by instance name.
     :ivar tables: assignment tables by data centre.
     :ivar token: fencing token while the lease of the data centre is held.
+    :ivar grant: the lease with its end, also a lapsed one that nobody else is known to have.
+    :ivar commanding: whether commands to targets are in flight.
     :ivar own_facts: what this entry tells its peers; admission and picking publish it.
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
     :ivar leaving: whether this entry is stopping.
@@ -28,7 +30,9 @@
     __slots__ = (
         "active",
         "cfg",
+        "commanding",
         "configuration",
+        "grant",
         "incarnation",
         "instances",
         "leaving",
@@ -67,6 +71,8 @@
         self.tables = latest.Latest[dict[str, table.Table]]({})
         self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
         self.token = latest.Latest[int | None](None)
+        self.grant = latest.Latest[lease.Grant | None](None)
+        self.commanding = latest.Latest[bool](False)
         self.peers = latest.Latest[list[members.Member]]([])
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
--- a/src/galenavane/net/round_trip.py
+++ b/src/galenavane/net/round_trip.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 import trio
 
 from galenavane.net import address as addresses
@@ -14,13 +16,18 @@
     req: message.Request,
     timeout_seconds: float,
     limit_bytes: int,
+    is_allowed: abc.Callable[[], bool] | None = None,
 ) -> message.Response:
     """Send a request and read the whole response.
 
+    :param is_allowed: asked once connected, right before the first byte is sent.
     :raises TransportError: with whether any byte of the request was sent.
     """
     conn = await net.dial(where, timeout_seconds)
     try:
+        if is_allowed is not None and not is_allowed():
+            kind = transport_error.Kind.NOT_CONNECTED
+            raise transport_error.TransportError(kind, False, f"{where}: no longer allowed")
         with trio.fail_after(timeout_seconds):
             await conn.send_request(req, str(where))
             response = await conn.read_response_head()
--- a/src/galenavane/platform/lease.py
+++ b/src/galenavane/platform/lease.py
@@ -10,6 +10,9 @@
 RENEW_EVERY_SECONDS = 2.0
 DRIFT_MARGIN_SECONDS = 0.5
 TRANSIT_MARGIN_SECONDS = 1.0
+SUCCESSOR_WAIT_SECONDS = DURATION_SECONDS + DRIFT_MARGIN_SECONDS + TRANSIT_MARGIN_SECONDS
+MAX_WATCH_SECONDS = 5.0
+MIN_WATCH_SECONDS = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,8 +22,11 @@
     :ivar version: platform version of the value last seen.
     :ivar seen_at: when this version was first seen, on the own monotonic clock.
     :ivar held_until: end of the own lease on the own monotonic clock; 0 when not held.
-    :ivar pending: whether a write is under way.
     :ivar read_due: whether the value has to be read before anything else.
+    :ivar highest_token: highest fencing token seen anywhere; none below it is used.
+    :ivar doubtful_until: until when nobody is taken to have given the lease up, because the
+        platform showed older data than was seen before.
+    :ivar sent: when each own write whose effect isn't known was sent, by renewal number.
     """
 
     name: str
@@ -29,8 +35,24 @@
     value: lease_value.LeaseValue | None = None
     seen_at: float = 0.0
     held_until: float = 0.0
-    last_write_at: float = 0.0
+    last_write_at: float = float("-inf")
     read_due: bool = True
+    highest_token: int = 0
+    doubtful_until: float = float("-inf")
+    last_renewal: int = 0
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Grant:
+    """The right to control the targets of the data centre.
+
+    :ivar token: fencing token.
+    :ivar held_until: end of the lease on the own monotonic clock.
+    """
+
+    token: int
+    held_until: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -38,6 +60,13 @@
     """Command: read the lease object."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Watch:
+    """Command: wait for a change of the lease object."""
+
+    wait_seconds: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Write:
     """Command: write the lease object if its version is still the given one."""
@@ -46,42 +75,56 @@
     if_version: int
 
 
-Command = Read | Write
+Command = Read | Write | Watch
 
 
 def next_command(state: State, now: float) -> Command | None:
-    """Return what to do now, or ``None``."""
+    """Return what to do now, or ``None`` while a held lease needs no renewal yet."""
     if state.read_due:
         return Read()
-    if is_own(state):
+    if _is_usable(state):
         due = now >= state.last_write_at + RENEW_EVERY_SECONDS
         return _renewal(state) if due else None
-    if _is_free(state, now):
+    free_at = _free_at(state)
+    if now >= free_at:
         return Write(_claim(state), state.version)
-    return Read()
+    return Watch(min(MAX_WATCH_SECONDS, max(MIN_WATCH_SECONDS, free_at - now)))
+
 
+def begin(state: State, order: Write, now: float) -> None:
+    """Take in that a write is sent now; each attempt has a renewal number of its own."""
+    state.last_renewal = max(state.last_renewal, order.value.renewal)
+    state.sent[order.value.renewal] = now
 
-def observe(
-    state: State, version: int, value: lease_value.LeaseValue | None, sent_at: float, now: float
-) -> None:
-    """Take in a read of the lease object that was sent at ``sent_at``."""
+
+def observe(state: State, version: int, value: lease_value.LeaseValue | None, now: float) -> bool:
+    """Take in a read of the lease object; return whether it is older than one seen before."""
     state.read_due = False
     if version == state.version:
-        return
+        return False
+    is_older = version < state.version or _token_of(value) < state.highest_token
+    if is_older:
+        state.doubtful_until = now + SUCCESSOR_WAIT_SECONDS
     state.version = version
     state.value = value
     state.seen_at = now
-    if value is None or value.holder != state.name or value.incarnation != state.incarnation:
+    state.highest_token = max(state.highest_token, _token_of(value))
+    if value is None or not is_own(state):
         state.held_until = 0.0
+    elif value.renewal in state.sent:
+        _hold_from(state, state.sent[value.renewal])
+    return is_older
 
 
-def written(state: State, version: int, value: lease_value.LeaseValue, sent_at: float) -> None:
-    """Take in that an own write, sent at ``sent_at``, took effect."""
+def written(state: State, version: int, value: lease_value.LeaseValue) -> None:
+    """Take in that an own write took effect."""
     state.version = version
     state.value = value
-    state.seen_at = sent_at
-    state.last_write_at = sent_at
-    state.held_until = sent_at + DURATION_SECONDS - DRIFT_MARGIN_SECONDS if value.holder else 0.0
+    state.highest_token = max(state.highest_token, value.token)
+    if value.holder:
+        _hold_from(state, state.sent[value.renewal])
+    else:
+        state.held_until = 0.0
 
 
 def write_unsettled(state: State) -> None:
@@ -89,11 +132,26 @@
     state.read_due = True
 
 
+def raise_token(state: State, token: int, now: float) -> bool:
+    """Take in a fencing token that a target or a table shows; return whether it is news."""
+    if token <= state.highest_token:
+        return False
+    state.highest_token = token
+    state.doubtful_until = now + SUCCESSOR_WAIT_SECONDS
+    return True
+
+
+def grant(state: State) -> Grant | None:
+    """Return the last grant while nobody else is known to have the lease, also a lapsed one."""
+    if state.value is None or not _is_usable(state):
+        return None
+    return Grant(state.value.token, state.held_until)
+
+
 def token(state: State, now: float) -> int | None:
     """Return the fencing token while the lease is held, else ``None``."""
-    if state.value is None or now >= state.held_until:
-        return None
-    return state.value.token
+    found = grant(state)
+    return found.token if found is not None and now < found.held_until else None
 
 
 def is_own(state: State) -> bool:
@@ -109,26 +167,48 @@
     """Return the write that gives the lease up, or ``None`` when it is not held."""
     if state.value is None or not is_own(state):
         return None
-    renewal = state.value.renewal + 1
-    return Write(lease_value.LeaseValue("", "", state.value.token, renewal), state.version)
+    value = lease_value.LeaseValue("", "", state.highest_token, _next_renewal(state))
+    return Write(value, state.version)
+
+
+def _is_usable(state: State) -> bool:
+    return is_own(state) and _token_of(state.value) >= state.highest_token
+
+
+def _token_of(value: lease_value.LeaseValue | None) -> int:
+    return value.token if value is not None else 0
 
 
-def _is_free(state: State, now: float) -> bool:
-    if state.value is None or not state.value.holder:
-        return True
-    wait = DURATION_SECONDS + DRIFT_MARGIN_SECONDS + TRANSIT_MARGIN_SECONDS
-    return now >= state.seen_at + wait
+def _hold_from(state: State, sent_at: float) -> None:
+    assert state.value is not None
+    state.seen_at = sent_at
+    state.last_write_at = sent_at
+    state.held_until = sent_at + DURATION_SECONDS - DRIFT_MARGIN_SECONDS
+    renewal = state.value.renewal
+    state.sent = {number: at for number, at in state.sent.items() if number > renewal}
+
+
+def _free_at(state: State) -> float:
+    if state.value is None or not state.value.holder or is_own(state):
+        return state.doubtful_until
+    return max(state.seen_at + SUCCESSOR_WAIT_SECONDS, state.doubtful_until)
 
 
 def _claim(state: State) -> lease_value.LeaseValue:
-    last = state.value.token if state.value is not None else 0
-    return lease_value.LeaseValue(state.name, state.incarnation, last + 1, 0)
+    return lease_value.LeaseValue(
+        state.name, state.incarnation, state.highest_token + 1, _next_renewal(state)
+    )
 
 
 def _renewal(state: State) -> Write:
     assert state.value is not None
     value = state.value
     renewed = lease_value.LeaseValue(
-        value.holder, value.incarnation, value.token, value.renewal + 1
+        value.holder, value.incarnation, value.token, _next_renewal(state)
     )
     return Write(renewed, state.version)
+
+
+def _next_renewal(state: State) -> int:
+    last = state.value.renewal if state.value is not None else 0
+    return max(last, state.last_renewal) + 1
--- a/src/galenavane/platform/lease_value.py
+++ b/src/galenavane/platform/lease_value.py
@@ -11,7 +11,7 @@
     :ivar holder: name of the entry, empty when the lease was given up.
     :ivar incarnation: the entry's incarnation.
     :ivar token: fencing token; grows by one with every new holder.
-    :ivar renewal: grows with every renewal, so that each write differs.
+    :ivar renewal: grows with every attempt to write, so that no two writes are alike.
     """
 
     holder: str
--- a/src/galenavane/standin/engine_state.py
+++ b/src/galenavane/standin/engine_state.py
@@ -30,6 +30,7 @@
         "peers",
         "rank",
         "role",
+        "shard",
         "sizes",
         "token",
         "version",
@@ -43,10 +44,12 @@
         self.token = 0
         self.joins = 0
         self.finished = 0
+        self.shard = ""
+        self.loaded_at = 0.0
         self.leave()
 
     def leave(self) -> None:
-        """Leave the group and unload."""
+        """Leave the group; the weights stay in memory until others are loaded."""
         self.group = ""
         self.epoch = 0
         self.rank = 0
@@ -56,7 +59,6 @@
         self.role = command.Role.BOTH
         self.peers: list[command.Peer] = []
         self.heard: dict[str, float] = {}
-        self.loaded_at = 0.0
 
     def refusal(self, order: command.Command) -> str:
         """Return why a command is refused, or an empty text."""
@@ -76,9 +78,17 @@
             self.adapters = list(order.adapters)
         elif order.kind is command.Kind.SET_ROLE:
             self.role = order.role
+        elif order.kind is command.Kind.LOAD:
+            if not self.group:
+                self._load(order.shard, now)
         else:
             self._join(order, now)
 
+    def _load(self, shard: str, now: float) -> None:
+        if shard != self.shard:
+            self.shard = shard
+            self.loaded_at = now + self.sizes.load_seconds
+
     def _join(self, order: command.Command, now: float) -> None:
         if (order.group, order.epoch) == (self.group, self.epoch):
             return
@@ -92,7 +102,8 @@
         self.role = order.role
         self.peers = list(order.peers)
         self.rank = [peer.instance for peer in order.peers].index(self.name)
-        self.loaded_at = now + self.sizes.load_seconds
+        size = len(order.peers)
+        self._load(command.shard(order.model, order.version, self.rank, size), now)
 
     def is_ready(self, now: float) -> bool:
         """Whether this member is in a group and its weights are loaded."""
@@ -127,6 +138,8 @@
             version=self.version,
             adapters=self.adapters,
             role=self.role,
+            shard=self.shard,
+            loaded=bool(self.shard) and now >= self.loaded_at,
             ready=self.is_ready(now),
             complete=self.is_complete(now),
             load=load,
--- a/src/galenavane/target/api.py
+++ b/src/galenavane/target/api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+from collections import abc
 
 import expression
 
@@ -21,9 +22,13 @@
         """Return what the member reports of itself."""
 
     async def send(
-        self, address: str, order: command.Command
+        self, address: str, order: command.Command, is_allowed: abc.Callable[[], bool]
     ) -> expression.Result[report.Report, failure.Failure]:
-        """Give a command and return the report after it."""
+        """Give a command and return the report after it.
+
+        :param is_allowed: asked right before the first byte is sent; when it says no, the
+            failure is ``TARGET_UNREACHABLE``.
+        """
 
     async def cache_events(
         self, address: str, after: int
--- a/src/galenavane/target/client.py
+++ b/src/galenavane/target/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+from collections import abc
 
 import expression
 import msgspec
@@ -30,10 +31,10 @@
         return await self._call(address, message.Request("GET", "/v1/report"), report.Report)
 
     async def send(
-        self, address: str, order: command.Command
+        self, address: str, order: command.Command, is_allowed: abc.Callable[[], bool]
     ) -> expression.Result[report.Report, failure.Failure]:
         req = message.json_request("POST", "/v1/commands", order)
-        return await self._call(address, req, report.Report)
+        return await self._call(address, req, report.Report, is_allowed)
 
     async def cache_events(
         self, address: str, after: int
@@ -42,11 +43,17 @@
         return await self._call(address, req, report.CacheEvents)
 
     async def _call(
-        self, address: str, req: message.Request, kind: type[_T]
+        self,
+        address: str,
+        req: message.Request,
+        kind: type[_T],
+        is_allowed: abc.Callable[[], bool] | None = None,
     ) -> expression.Result[_T, failure.Failure]:
         where = addresses.parse(address)
         try:
-            response = await round_trip.send(self._net, where, req, self._timeout, MAX_ANSWER_BYTES)
+            response = await round_trip.send(
+                self._net, where, req, self._timeout, MAX_ANSWER_BYTES, is_allowed
+            )
         except transport_error.TransportError as exc:
             return expression.Error(_broken_call(address, exc))
         if response.status == 200:
--- a/src/galenavane/target/command.py
+++ b/src/galenavane/target/command.py
@@ -11,6 +11,7 @@
     """What the target is told to do."""
 
     JOIN = "join"
+    LOAD = "load"
     LEAVE = "leave"
     LOAD_ADAPTER = "load_adapter"
     SET_ROLE = "set_role"
@@ -39,6 +40,7 @@
     :ivar incarnation: the target's incarnation that is meant; another one refuses.
     :ivar epoch: grows whenever a group of this name is formed anew.
     :ivar peers: all members in rank order; the first leads.
+    :ivar shard: for ``LOAD`` the weights to load; see :func:`shard`.
     """
 
     token: int
@@ -51,3 +53,9 @@
     adapters: list[str] = []
     role: Role = Role.BOTH
     peers: list[Peer] = []
+    shard: str = ""
+
+
+def shard(model: str, version: str, rank: int, members: int) -> str:
+    """Return the name of the weights that the member of a rank needs."""
+    return f"{model}@{version}/{rank}/{members}"
--- a/src/galenavane/target/report.py
+++ b/src/galenavane/target/report.py
@@ -32,6 +32,8 @@
     :ivar incarnation: new at every start of the engine.
     :ivar token: highest fencing token seen, also by engines that ignore it.
     :ivar ready: whether the weights are loaded.
+    :ivar shard: weights that are in memory or being loaded, also of an engine in no group.
+    :ivar loaded: whether the shard is in memory.
     :ivar complete: on a leader, whether it has lately heard every member.
     :ivar finished: requests that ended since the start, for counting unreported sends.
     """
@@ -46,6 +48,8 @@
     version: str = ""
     adapters: list[str] = []
     role: command.Role = command.Role.BOTH
+    shard: str = ""
+    loaded: bool = False
     ready: bool = False
     complete: bool = False
     load: Load = Load()
