--- a/src/galenavane/control/plan.py
+++ b/src/galenavane/control/plan.py
@@ -33,15 +33,19 @@
 
     :ivar active: groups that serve or will.
     :ivar draining: groups to be dissolved once they are quiet.
+    :ivar names: group names in use.
+    :ivar numbers: lowest number that may be free, by service.
     """
 
-    __slots__ = ("active", "draining", "free", "inputs", "next_epoch")
+    __slots__ = ("active", "draining", "free", "inputs", "names", "next_epoch", "numbers")
 
     def __init__(self, inputs: Inputs, found: sort.Groups) -> None:
         self.inputs = inputs
         self.active = [*found.kept, *found.outdated]
         self.draining = [one for one in found.going if one.epoch not in inputs.quiet]
         self.next_epoch = inputs.current.next_epoch
+        self.names = {one.name for one in (*self.active, *self.draining)}
+        self.numbers: dict[str, int] = {}
         self.free = pool.make(
             [*self.active, *self.draining],
             inputs.seen,
@@ -53,8 +57,11 @@
     def add(self, wanted: want.Want, members: list[table.Member]) -> None:
         """Form a group under the lowest number that is not in use."""
         prefix = f"{wanted.service}.{self.inputs.current.data_centre}."
-        used = {one.name for one in (*self.active, *self.draining)}
-        number = next(one for one in range(len(used) + 1) if f"{prefix}{one}" not in used)
+        number = self.numbers.get(wanted.service, 0)
+        while f"{prefix}{number}" in self.names:
+            number += 1
+        self.numbers[wanted.service] = number
+        self.names.add(f"{prefix}{number}")
         group = table.Group(
             f"{prefix}{number}",
             wanted.service,
