--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -15,8 +15,10 @@
     control_task,
     instances_task,
     lease_task,
+    meter_task,
     operators,
     reports_task,
+    routing_task,
     tables_task,
 )
 from galenavane.entry import view as views
@@ -74,7 +76,9 @@
     instances_task.run,
     tables_task.run,
     reports_task.run,
+    routing_task.run,
     control_task.run,
+    meter_task.run,
     peer_task.run,
 )
 
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -8,8 +8,11 @@
 from galenavane.control import sighting, table
 from galenavane.entry import latest
 from galenavane.net import network
+from galenavane.observe import meter, metrics
 from galenavane.peer import facts, members, transport
 from galenavane.platform import api, instance, lease
+from galenavane.route import router
+from galenavane.serve import waiter
 from galenavane.target import api as target_api
 
 
@@ -23,6 +26,8 @@
     :ivar commanding: whether commands to targets are in flight.
     :ivar own_facts: what this entry tells its peers; admission and picking publish it.
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
+    :ivar router: state of admission and picking, owned by ``serve.dispatch``.
+    :ivar waiters: requests that wait for routing's decision, by request id.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -36,17 +41,21 @@
         "incarnation",
         "instances",
         "leaving",
+        "meter",
+        "metrics",
         "net",
         "own_facts",
         "peer_facts",
         "peers",
         "platform",
         "rng",
+        "router",
         "seen",
         "tables",
         "targets",
         "token",
         "transport",
+        "waiters",
     )
 
     def __init__(
@@ -65,6 +74,8 @@
         self.targets = targets
         self.rng = rng
         self.net = net
+        self.metrics = metrics.make()
+        self.meter = meter.Meter(0.0)
         self.transport = transport
         self.configuration = latest.Latest[in_force.InForce | None](None)
         self.instances = latest.Latest[list[instance.Instance]]([])
@@ -76,6 +87,8 @@
         self.peers = latest.Latest[list[members.Member]]([])
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
+        self.router = router.Router()
+        self.waiters: dict[str, waiter.Waiter] = {}
         self.leaving = latest.Latest[bool](False)
         self.active = latest.Latest[int](0)
 
--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -45,6 +45,7 @@
     ),
     _C.LEAVING: Row(503, "this entry is stopping", "no", "retry at another entry"),
     _C.NO_CONFIGURATION: Row(503, "this entry has no configuration yet", "no", "retry elsewhere"),
+    _C.RETRY_BUDGET: Row(503, "the service's retries are used up", "no", "retry later"),
     _C.TARGET_UNREACHABLE: Row(503, "no connection to the target", "no", "retry"),
     _C.TARGET_REFUSED: Row(503, "the target refused before running", "no", "retry"),
     _C.TARGET_LOST: Row(
@@ -55,11 +56,17 @@
     _C.WRONG_ANSWER: Row(502, "the answer belonged to another request", "perhaps", "report it"),
     _C.IN_PROGRESS: Row(409, "the same key is being run now", "perhaps", "ask again with the key"),
     _C.OUTCOME_UNKNOWN: Row(502, "an earlier run's outcome is unknown", "perhaps", "look it up"),
+    _C.ANSWER_NOT_KEPT: Row(
+        410, "answered earlier; the answer was too large to keep", "yes", "look it up"
+    ),
     _C.PLATFORM_DOWN: Row(503, "the platform can't be reached", "no", "retry later"),
     _C.PLATFORM_CONFLICT: Row(409, "another write came first", "no", "read, then write again"),
     _C.PLATFORM_UNKNOWN: Row(503, "a write's answer was lost", "perhaps", "read it back"),
     _C.PLATFORM_REFUSED: Row(503, "the platform refused the call", "no", "retry later"),
     _C.VALUE_TOO_LARGE: Row(413, "a value is over 1 MB", "no", "send less"),
+    _C.OBJECT_DAMAGED: Row(
+        0, "a configuration object of the platform is damaged", "no", "apply the declarations again"
+    ),
     _C.STALE_TOKEN: Row(409, "the fencing token is old", "no", "none: a newer holder acts"),
     _C.BAD_SETTING: Row(0, "a setting of the process is wrong", "no", "correct the file"),
     _C.BAD_DECLARATION: Row(0, "a declaration is wrong", "no", "correct the file"),
--- a/src/galenavane/target/client.py
+++ b/src/galenavane/target/client.py
@@ -52,7 +52,7 @@
         where = addresses.parse(address)
         try:
             response = await round_trip.send(
-                self._net, where, req, self._timeout, MAX_ANSWER_BYTES, is_allowed
+                self._net, where, req, self._timeout, MAX_ANSWER_BYTES, is_allowed=is_allowed
             )
         except transport_error.TransportError as exc:
             return expression.Error(_broken_call(address, exc))
