Put configurations in force by watch, poll and peers, and bound membership

Cause: entries were not in the platform's list, so they never met; each beat went to every peer every 0.5 s; only a client timeout noticed a silent watch; a starting entry took whatever it read first.

Entries now register under entry/ and unregister at a planned stop. Three entries of a data centre watch and poll the platform; the rest hear it from peers. A rate of 7 local and 1 remote beats a second holds for any number of entries. The simulated transport of a killed process no longer closes the inbox of its successor (found by the scenario of a platform that lost changes: the restarted entry heard nobody and served generation 1 of 2).

--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -21,6 +21,14 @@
     "entry", "operators", addresses.parse, None, "IP:port", "Where operators are served."
 )
 PEERS = _S("entry", "peers", addresses.parse, None, "IP:port", "Where other entries are heard.")
+SEEDS = _S(
+    "peers",
+    "seeds",
+    addresses.check_list,
+    "",
+    "IP:port ...",
+    "Entries that are asked while the platform can't be reached.",
+)
 PLATFORM = _S("platform", "address", addresses.parse, None, "IP:port", "The platform's object API.")
 PLATFORM_TIMEOUT = _S(
     "platform", "timeout", setting.parse_number, 2.0, "seconds", "Longest wait for a call."
@@ -53,6 +61,7 @@
     CALLERS,
     OPERATORS,
     PEERS,
+    SEEDS,
     PLATFORM,
     PLATFORM_TIMEOUT,
     TARGET_TIMEOUT,
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -17,6 +17,7 @@
     lease_task,
     meter_task,
     operators,
+    registration_task,
     reports_task,
     tables_task,
 )
@@ -60,8 +61,9 @@
             view.net.listen, cfg.get(settings.OPERATORS), operators.make_handler(view)
         )
         await nursery.start(view.net.listen, cfg.get(settings.CALLERS), front.make_handler(view))
-        async with trio.open_nursery() as lease:
-            lease.start_soon(lease_task.run, view)
+        async with trio.open_nursery() as announced:
+            announced.start_soon(lease_task.run, view)
+            announced.start_soon(registration_task.run, view)
             await wait_stop()
             events.log("entry.leaving")
             view.leaving.publish(True)
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -9,7 +9,7 @@
 from galenavane.entry import latest
 from galenavane.net import network
 from galenavane.observe import meter, metrics
-from galenavane.peer import facts, members, transport
+from galenavane.peer import facts, members, registration, transport
 from galenavane.platform import api, instance
 from galenavane.target import api as target_api
 
@@ -22,6 +22,10 @@
     :ivar token: fencing token while the lease of the data centre is held.
     :ivar own_facts: what this entry tells its peers; admission and picking publish it.
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
+    :ivar registrations: entries known to the platform, ``None`` until they were read.
+    :ivar offered: configuration that a peer sent; the configuration task decides.
+    :ivar platform_generation: generation that the platform last showed, 0 before.
+    :ivar dropped_messages: damaged or unknown messages of peers.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -30,16 +34,20 @@
         "active",
         "cfg",
         "configuration",
+        "dropped_messages",
         "incarnation",
         "instances",
         "leaving",
         "meter",
         "metrics",
         "net",
+        "offered",
         "own_facts",
         "peer_facts",
         "peers",
         "platform",
+        "platform_generation",
+        "registrations",
         "rng",
         "seen",
         "tables",
@@ -73,6 +81,10 @@
         self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
         self.token = latest.Latest[int | None](None)
         self.peers = latest.Latest[list[members.Member]]([])
+        self.registrations = latest.Latest[list[registration.Registration] | None](None)
+        self.offered = latest.Latest[in_force.InForce | None](None)
+        self.platform_generation = latest.Latest[int](0)
+        self.dropped_messages = latest.Latest[int](0)
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
         self.leaving = latest.Latest[bool](False)
--- a/src/galenavane/net/address.py
+++ b/src/galenavane/net/address.py
@@ -35,3 +35,13 @@
     if not port.isdigit() or int(port) > 65535:
         raise ValueError(f'"{text}" is not an IP number and port')
     return Address(host, int(port))
+
+
+def check_list(text: str) -> str:
+    """Check a list of ``IP:port`` separated by spaces, and return it.
+
+    :raises ValueError: when one of them is not an IP number and port.
+    """
+    for word in text.split():
+        parse(word)
+    return text
--- /dev/null
+++ b/src/galenavane/peer/facts_update.py
@@ -0,0 +1,94 @@
+"""Sends facts in small parts: what changed first, then what was not sent for longest."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from galenavane.peer import facts
+
+MAX_UPDATE_BYTES = 70
+
+Update = dict[int, dict[str, typing.Any]]
+
+
+class Sender:
+    """What an entry has told of its own facts.
+
+    :ivar told: value last sent, by field index and key; ``None`` after a removal.
+    """
+
+    __slots__ = ("_turn", "_turns", "told")
+
+    def __init__(self) -> None:
+        self.told: dict[tuple[int, str], typing.Any] = {}
+        self._turns: dict[tuple[int, str], int] = {}
+        self._turn = 0
+
+    def next_update(self, own: facts.Facts) -> Update:
+        """Return the part to send now, within ``MAX_UPDATE_BYTES`` of keys and values."""
+        wanted = flatten(own)
+        self._turn += 1
+        room = MAX_UPDATE_BYTES
+        update: Update = {}
+        for key in self._order(wanted):
+            value = wanted.get(key)
+            size = len(msgspec.msgpack.encode(key[1])) + len(msgspec.msgpack.encode(value))
+            if size > room and update:
+                break
+            room -= size
+            update.setdefault(key[0], {})[key[1]] = value
+            self._remember(key, value)
+        return update
+
+    def _order(self, wanted: dict[tuple[int, str], typing.Any]) -> list[tuple[int, str]]:
+        keys = {*wanted, *self.told}
+        return sorted(
+            keys,
+            key=lambda key: (
+                key in self.told and self.told[key] == wanted.get(key),
+                self._turns.get(key, 0),
+                -key[0],
+                key[1],
+            ),
+        )
+
+    def _remember(self, key: tuple[int, str], value: typing.Any) -> None:
+        if value is None and self.told.get(key, 0) is None:
+            # Told twice that it is gone.
+            del self.told[key], self._turns[key]
+            return
+        self.told[key] = value
+        self._turns[key] = self._turn
+
+
+def flatten(own: facts.Facts) -> dict[tuple[int, str], typing.Any]:
+    """Return the entries of facts by field index and key."""
+    entries: dict[tuple[int, str], typing.Any] = {}
+    for index, field in enumerate(own.__struct_fields__):
+        value = msgspec.to_builtins(getattr(own, field))
+        if isinstance(value, list):
+            value = dict.fromkeys(value, True)
+        entries.update({(index, key): one for key, one in value.items()})
+    return entries
+
+
+def apply(before: facts.Facts, update: Update) -> facts.Facts:
+    """Return facts with an update taken in.
+
+    :raises msgspec.ValidationError: when the update does not fit the fields.
+    """
+    fields: list[typing.Any] = []
+    for index, field in enumerate(before.__struct_fields__):
+        value = msgspec.to_builtins(getattr(before, field))
+        fields.append(_merge(value, update.get(index, {})))
+    return msgspec.convert(fields, facts.Facts)
+
+
+def _merge(value: typing.Any, changes: dict[str, typing.Any]) -> typing.Any:
+    if isinstance(value, list):
+        kept = {*value, *(key for key, one in changes.items() if one is not None)}
+        return sorted(kept - {key for key, one in changes.items() if one is None})
+    merged = {**value, **changes}
+    return {key: one for key, one in merged.items() if one is not None}
--- a/src/galenavane/peer/members.py
+++ b/src/galenavane/peer/members.py
@@ -4,20 +4,29 @@
 
 import dataclasses
 
+NEVER = float("-inf")
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
     """Another entry of the deployment.
 
+    :ivar incarnation: empty until it has said hello.
+    :ivar started_ms: wall clock at its start, by its own account; 0 until it has said hello.
     :ivar address: where it hears peers.
     :ivar heard_at: monotonic time of its last message.
     :ivar generation: configuration generation in force there.
+    :ivar is_listed: whether the platform's last known registrations name it.
+    :ivar is_suspected: whether several beats in a row were missed.
     """
 
     name: str
-    incarnation: str
     data_centre: str
     address: str
-    heard_at: float
-    generation: int
-    leaving: bool
+    incarnation: str = ""
+    started_ms: int = 0
+    heard_at: float = NEVER
+    generation: int = 0
+    leaving: bool = False
+    is_listed: bool = False
+    is_suspected: bool = False
--- a/src/galenavane/peer/messages.py
+++ b/src/galenavane/peer/messages.py
@@ -2,33 +2,71 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """Regular sign of life.
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Who an entry is; sent at first contact, when asked and when its generation changes.
 
     :ivar protocol: messages of another version are dropped.
     :ivar stamp: hybrid logical clock of the sender.
+    :ivar started_ms: wall clock at its start; a later start replaces an earlier one of its name.
+    :ivar generation: configuration generation in force there, 0 for none.
+    :ivar wants_answer: whether the receiver should say hello too.
     """
 
     protocol: int
     stamp: str
     name: str
     incarnation: str
+    started_ms: int
     data_centre: str
     address: str
     generation: int
     leaving: bool
+    wants_answer: bool
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Regular sign of life, with the facts that changed.
+
+    :ivar clock_ms: milliseconds of the sender's hybrid logical clock.
+    :ivar clock_count: count of the sender's hybrid logical clock.
+    :ivar facts: changed entries by field of ``facts.Facts`` and key; ``None`` removes one.
+    """
+
+    protocol: int
+    clock_ms: int
+    clock_count: int
+    name: str
+    started_ms: int
+    generation: int
+    facts: dict[int, dict[str, typing.Any]] = {}
+
+
+class Want(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Asks for the configuration in force at the receiver.
+
+    :ivar address: where the answer goes.
+    :ivar known: hashes of sections that need not be sent.
+    """
+
+    protocol: int
+    stamp: str
+    address: str
+    generation: int
+    known: list[str]
 
 
-class Configuration(msgspec.Struct, frozen=True, array_like=True, tag="configuration"):
-    """A configuration in force, for a peer that has an older one.
+class Configuration(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """A configuration in force, for a peer that asked for it.
 
     :ivar head: text of the head object.
-    :ivar sections: text of each section by name.
+    :ivar sections: texts of the sections that the asker does not have, by name.
     """
 
     protocol: int
@@ -37,7 +75,7 @@
     sections: dict[str, str]
 
 
-Message = Heartbeat | Configuration
+Message = Hello | Beat | Want | Configuration
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -52,6 +90,6 @@
     """Parse a message; ``None`` when it is damaged, unknown or of another version."""
     try:
         message = _decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return message if message.protocol == PROTOCOL_VERSION else None
--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -2,29 +2,36 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import msgspec
 import trio
 
-from galenavane.config import canonical, in_force, settings
 from galenavane.config import head as heads
+from galenavane.config import in_force, sections, settings, settle
 from galenavane.entry import view as views
-from galenavane.observe import events
-from galenavane.peer import members, messages
-from galenavane.platform import instance
+from galenavane.observe import clock, events
+from galenavane.peer import command, facts, facts_update, membership, messages
 
-HEARTBEAT_SECONDS = 0.5
-SILENCE_SECONDS = 3.0
+TICK_SECONDS = 0.25
+LOG_DROPPED_SECONDS = 10.0
 
 
 class _State:
-    __slots__ = ("dropped", "known", "view")
+    """Membership, and what was told and heard of facts."""
+
+    __slots__ = ("facts", "logged_at", "members", "sender", "started_ms", "view")
 
     def __init__(self, view: views.View) -> None:
         self.view = view
-        self.known: dict[str, members.Member] = {}
-        self.dropped = 0
+        self.members = membership.State(
+            view.cfg.get(settings.NAME),
+            view.cfg.get(settings.DATA_CENTRE),
+            str(view.cfg.get(settings.PEERS)),
+            view.cfg.get(settings.SEEDS).split(),
+        )
+        self.sender = facts_update.Sender()
+        self.facts: dict[str, facts.PeerFacts] = {}
+        self.started_ms = int(events.wall_seconds() * 1000)
+        self.logged_at = float("-inf")
 
 
 async def run(view: views.View) -> None:
@@ -32,8 +39,8 @@
     state = _State(view)
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_receive, state)
-            nursery.start_soon(_beat, state)
+            for task in (_receive, _tick, _follow_registrations, _follow_configuration, _leave):
+                nursery.start_soon(task, state)
     finally:
         view.transport.close()
 
@@ -42,94 +49,184 @@
     while True:
         data = await state.view.transport.receive()
         message = messages.decode(data)
-        if message is None:
-            state.dropped += 1
-            events.log("peer.dropped", size=len(data))
-        elif isinstance(message, messages.Heartbeat):
-            _hear(state, message)
-        else:
-            _take_configuration(state, message)
-
-
-def _hear(state: _State, beat: messages.Heartbeat) -> None:
-    events.receive(beat.stamp)
-    if beat.name not in state.known:
-        events.log("peer.heard", peer=beat.name, peer_data_centre=beat.data_centre)
-    state.known[beat.name] = members.Member(
-        beat.name,
-        beat.incarnation,
-        beat.data_centre,
-        beat.address,
-        trio.current_time(),
-        beat.generation,
-        beat.leaving,
-    )
-    current = state.view.configuration.value
-    if current is not None and beat.generation < current.head.generation:
-        _send_configuration(state, beat.address, current)
+        if message is None or not _take(state, message):
+            _count_dropped(state, len(data))
 
 
-def _take_configuration(state: _State, message: messages.Configuration) -> None:
+def _take(state: _State, message: messages.Message) -> bool:
+    """Take in a message; return whether it made sense."""
+    now = trio.current_time()
+    if isinstance(message, messages.Hello):
+        events.receive(message.stamp)
+        _carry_out(state, membership.hear_hello(state.members, message, now))
+        _publish_members(state)
+        return True
+    if isinstance(message, messages.Beat):
+        return _take_beat(state, message, now)
     events.receive(message.stamp)
+    if isinstance(message, messages.Want):
+        _send_configuration(state, message)
+        return True
+    return _take_configuration(state, message)
+
+
+def _take_beat(state: _State, beat: messages.Beat, now: float) -> bool:
+    events.receive(str(clock.Stamp(beat.clock_ms, beat.clock_count)))
+    _carry_out(state, membership.hear_beat(state.members, beat, now))
+    known = state.members.members.get(beat.name)
+    if known is None or known.started_ms != beat.started_ms:
+        return True
+    before = state.facts.get(beat.name)
     try:
-        head = heads.decode(message.head)
-        declared = canonical.join(message.sections)
-    except msgspec.DecodeError:
-        state.dropped += 1
-        return
+        found = facts_update.apply(before.facts if before else facts.Facts(), beat.facts)
+    except (msgspec.ValidationError, TypeError):
+        return False
+    state.facts[beat.name] = facts.PeerFacts(beat.name, known.data_centre, now, found)
+    state.view.peer_facts.publish(dict(state.facts))
+    return True
+
+
+def _take_configuration(state: _State, message: messages.Configuration) -> bool:
+    head = settle.decode(message.head)
+    if head.is_error():
+        return False
     current = state.view.configuration.value
-    chosen = in_force.choose(current, in_force.InForce(head, declared))
-    if chosen is not current:
-        events.log("config.in_force", generation=head.generation, preset=head.preset, by="peer")
-        state.view.configuration.publish(chosen)
+    if in_force.compare(current, head.ok) is not in_force.Relation.NEWER:
+        return True
+    known = in_force.known_sections(current)
+    texts = {name: known.get(digest, "") for name, digest in head.ok.sections.items()}
+    declared = sections.join(head.ok, {**texts, **message.sections})
+    if declared.is_error():
+        return False
+    offered = state.view.offered.value
+    found = in_force.InForce(head.ok, declared.ok)
+    if in_force.choose(offered, found) is found:
+        state.view.offered.publish(found)
+    return True
+
+
+def _count_dropped(state: _State, size_bytes: int) -> None:
+    dropped = state.view.dropped_messages
+    dropped.publish(dropped.value + 1)
+    now = trio.current_time()
+    if now >= state.logged_at + LOG_DROPPED_SECONDS:
+        state.logged_at = now
+        events.log("peer.dropped", size=size_bytes, total=dropped.value)
 
 
-def _send_configuration(state: _State, address: str, current: in_force.InForce) -> None:
-    sections = canonical.split(current.declared)
+def _send_configuration(state: _State, want: messages.Want) -> None:
+    current = state.view.configuration.value
+    if current is None or current.head.generation <= want.generation:
+        return
+    texts = in_force.known_sections(current)
+    missing = {
+        name: texts[digest]
+        for name, digest in current.head.sections.items()
+        if digest not in want.known
+    }
     message = messages.Configuration(
-        messages.PROTOCOL_VERSION, events.stamp(), heads.encode(current.head), sections
+        messages.PROTOCOL_VERSION, events.stamp(), heads.encode(current.head), missing
     )
-    state.view.transport.send(address, messages.encode(message))
+    state.view.transport.send(want.address, messages.encode(message))
 
 
-async def _beat(state: _State) -> None:
+async def _tick(state: _State) -> None:
     while True:
-        for address in _addresses(state):
-            state.view.transport.send(address, messages.encode(_heartbeat(state.view)))
-        _publish(state)
-        with trio.move_on_after(HEARTBEAT_SECONDS):
-            await state.view.leaving.wait_change()
+        now = trio.current_time()
+        _carry_out(state, membership.tick(state.members, now, state.view.rng))
+        _publish_members(state)
+        await trio.sleep(TICK_SECONDS)
 
 
-def _publish(state: _State) -> None:
-    now = trio.current_time()
-    for name, one in list(state.known.items()):
-        if now - one.heard_at > SILENCE_SECONDS:
-            events.log("peer.silent", peer=name)
-            del state.known[name]
-    state.view.peers.publish([dataclasses.replace(one) for one in state.known.values()])
+async def _follow_registrations(state: _State) -> None:
+    while True:
+        listed = state.view.registrations.value
+        if listed is not None:
+            membership.list_entries(state.members, listed)
+        await state.view.registrations.wait_change()
+
+
+async def _follow_configuration(state: _State) -> None:
+    while True:
+        current = state.view.configuration.value
+        if current is not None:
+            told = membership.take_generation(state.members, current.head.generation)
+            _carry_out(state, told)
+        await state.view.configuration.wait_change()
+
+
+async def _leave(state: _State) -> None:
+    while not state.view.leaving.value:
+        await state.view.leaving.wait_change()
+    _carry_out(state, membership.leave(state.members))
+
+
+def _carry_out(state: _State, commands: list[command.Command]) -> None:
+    for one in commands:
+        if isinstance(one, command.SayHello):
+            _send_all(state, one.addresses, _hello(state, one.wants_answer))
+        elif isinstance(one, command.SendBeat):
+            _send_all(state, one.addresses, _beat(state))
+        elif isinstance(one, command.AskConfiguration):
+            _send_all(state, [one.address], _want(state))
+        else:
+            events.log(one.event, peer=one.peer)
+
+
+def _send_all(state: _State, told: list[str], message: messages.Message) -> None:
+    data = messages.encode(message)
+    for address in told:
+        state.view.transport.send(address, data)
+
+
+def _hello(state: _State, wants_answer: bool) -> messages.Hello:
+    own = state.members
+    return messages.Hello(
+        messages.PROTOCOL_VERSION,
+        events.stamp(),
+        own.name,
+        state.view.incarnation,
+        state.started_ms,
+        own.data_centre,
+        own.address,
+        own.generation,
+        own.leaving,
+        wants_answer,
+    )
 
 
-def _heartbeat(view: views.View) -> messages.Heartbeat:
-    current = view.configuration.value
-    return messages.Heartbeat(
+def _beat(state: _State) -> messages.Beat:
+    stamp = clock.parse(events.stamp()) or clock.Stamp(0, 0)
+    return messages.Beat(
+        messages.PROTOCOL_VERSION,
+        stamp.wall_ms,
+        stamp.count,
+        state.members.name,
+        state.started_ms,
+        state.members.generation,
+        state.sender.next_update(state.view.own_facts.value),
+    )
+
+
+def _want(state: _State) -> messages.Want:
+    current = state.view.configuration.value
+    return messages.Want(
         messages.PROTOCOL_VERSION,
         events.stamp(),
-        view.cfg.get(settings.NAME),
-        view.incarnation,
-        view.cfg.get(settings.DATA_CENTRE),
-        str(view.cfg.get(settings.PEERS)),
-        current.head.generation if current else 0,
-        view.leaving.value,
+        state.members.address,
+        state.members.generation,
+        sorted(current.head.sections.values()) if current else [],
     )
 
 
-def _addresses(state: _State) -> list[str]:
-    own = str(state.view.cfg.get(settings.PEERS))
-    listed = [
-        one.address
-        for one in state.view.instances.value
-        if one.kind is instance.Kind.ENTRY and one.state is instance.State.LIVE
-    ]
-    heard = [one.address for one in state.known.values()]
-    return sorted({*listed, *heard} - {own})
+def _publish_members(state: _State) -> None:
+    """Publish the members that are heard, when anything of them changed."""
+    live = membership.live(state.members, trio.current_time())
+    if live != state.view.peers.value:
+        state.view.peers.publish(live)
+    names = {one.name for one in live}
+    gone = [name for name in state.facts if name not in names]
+    for name in gone:
+        del state.facts[name]
+    if gone:
+        state.view.peer_facts.publish(dict(state.facts))
--- /dev/null
+++ b/src/galenavane/platform/backoff.py
@@ -0,0 +1,14 @@
+"""Spreads retries, so that entries do not all call at once when the platform is back."""
+
+from __future__ import annotations
+
+import random
+
+
+def delay(tries: int, base_seconds: float, max_seconds: float, rng: random.Random) -> float:
+    """Return the wait before the next try, in seconds.
+
+    :param tries: failed tries so far, at least 1.
+    """
+    longest = min(max_seconds, base_seconds * 2.0 ** min(tries, 30))
+    return rng.uniform(longest / 4, longest)
--- a/src/galenavane/simulate/deployment.py
+++ b/src/galenavane/simulate/deployment.py
@@ -116,10 +116,10 @@
             instance.Instance(name, str(where), data_centre, instance.Kind.PLAIN, service=service)
         )
 
-    async def start_entry(self, name: str, data_centre: str) -> None:
+    async def start_entry(self, name: str, data_centre: str, seeds: str = "") -> None:
         """Start one entry as a new incarnation."""
         where = self.entries.setdefault(name, self.new_address())
-        cfg = _settings(name, data_centre, where, self.platform)
+        cfg = _settings(name, data_centre, where, self.platform, seeds)
         stop = trio.Event()
         self.stops[name] = stop
 
@@ -198,7 +198,11 @@
 
 
 def _settings(
-    name: str, data_centre: str, where: addresses.Address, platform: addresses.Address
+    name: str,
+    data_centre: str,
+    where: addresses.Address,
+    platform: addresses.Address,
+    seeds: str,
 ) -> settings.Settings:
     values: dict[tuple[str, str], setting.Value] = {
         (one.section, one.key): one.default for one in settings.ALL if one.default is not None
@@ -210,6 +214,7 @@
         settings.OPERATORS: addresses.Address(where.host, 8001),
         settings.PEERS: addresses.Address(where.host, 8002),
         settings.PLATFORM: platform,
+        settings.SEEDS: seeds,
     }
     values.update({(one.section, one.key): value for one, value in given.items()})
     return settings.Settings(values)
--- a/src/galenavane/simulate/net.py
+++ b/src/galenavane/simulate/net.py
@@ -141,7 +141,9 @@
 
     def close(self) -> None:
         """Stop receiving."""
-        self._net.inboxes.pop(self._address, None)
+        inbox = self._net.inboxes.get(self._address)
+        if inbox is not None and inbox.owner is self._own:
+            del self._net.inboxes[self._address]
 
 
 def _not_connected(text: str) -> transport_error.TransportError:
--- a/src/galenavane/standin/platform.py
+++ b/src/galenavane/standin/platform.py
@@ -51,6 +51,10 @@
         state.faults = msgspec.json.decode(req.body, type=platform_faults.Faults)
         await exchange.respond(message.json_response(200, state.faults))
         return
+    if req.path in ("/keep", "/lose"):
+        (state.store.keep if req.path == "/keep" else state.store.lose)()
+        await exchange.respond(message.json_response(200, {}))
+        return
     if req.path == "/v1/instances" and req.method == "POST":
         await exchange.respond(_register(state, req))
         return
--- a/src/galenavane/standin/platform_store.py
+++ b/src/galenavane/standin/platform_store.py
@@ -10,12 +10,21 @@
 class Store:
     """Objects with versions, and the changes since the start."""
 
-    __slots__ = ("_changed", "objects", "revision")
+    __slots__ = ("_changed", "_kept", "objects", "revision")
 
     def __init__(self) -> None:
         self.objects: dict[str, stored.Stored] = {}
         self.revision = 0
         self._changed = trio.Event()
+        self._kept: tuple[dict[str, stored.Stored], int] = ({}, 0)
+
+    def keep(self) -> None:
+        """Remember everything as it is, for ``lose``."""
+        self._kept = (dict(self.objects), self.revision)
+
+    def lose(self) -> None:
+        """Lose every write since ``keep``, as a platform restored from an old copy does."""
+        self.objects, self.revision = dict(self._kept[0]), self._kept[1]
 
     def get(self, key: str) -> stored.Stored:
         """Return an object; version 0 when it does not exist."""
--- /dev/null
+++ b/tests/steps/entry_configuration_task.py
@@ -0,0 +1,238 @@
+"""Steps for the configuration in force on entries, in simulated deployments."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import trio
+from behave import then
+
+from galenavane.cli import acceptance, wanted
+from galenavane.config import accept, read
+from galenavane.net import message
+from galenavane.platform import client
+from galenavane.simulate import clock, deployment
+from galenavane.standin import platform_faults
+
+PLACES = {"makole": ["e0", "e1"], "kikuyu": ["e2", "e3"], "chamwino": ["e4", "e5"]}
+NAMES = [name for names in PLACES.values() for name in names]
+IN_FORCE_SECONDS = 6.0
+START_SECONDS = 10.0
+RANDOM_STEPS = 15
+
+
+class World:
+    """Six entries in three data centres, with a stand-in platform and an operator."""
+
+    def __init__(self, made, declared):
+        self.made = made
+        self.declared = declared
+        self.platform = client.make(made.operator, made.platform, 2.0)
+
+    async def start(self, name, seeds=""):
+        place = next(place for place, names in PLACES.items() if name in names)
+        await self.made.start_entry(name, place, seeds)
+
+    async def apply(self, preset):
+        base = await accept.read_current(self.platform)
+        return await accept.accept(self.platform, base.ok, self.declared, preset)
+
+    def generation(self, name):
+        current = self.made.views[name].configuration.value
+        return current.head.generation if current else 0
+
+    async def wait_generation(self, generation, seconds, names=NAMES):
+        with trio.move_on_after(seconds):
+            while any(self.generation(name) < generation for name in names):
+                await trio.sleep(0.05)
+        found = {name: self.generation(name) for name in names}
+        assert all(one >= generation for one in found.values()), (generation, found)
+
+    async def set_faults(self, **faults):
+        body = platform_faults.Faults(**faults)
+        await self.made.call(self.made.platform, message.json_request("POST", "/faults", body))
+
+    def cut(self, names):
+        self.made.net.links.cut(frozenset(["platform"]), frozenset(names))
+
+    async def is_ready(self, name):
+        where = self.made.entries[name]
+        return (await self.made.call(where, message.Request("GET", "/readyz"))).status == 200
+
+
+def in_world(context, scenario, seed=1):
+    """Run a scenario with six entries that have generation 1 in force."""
+    declared = read.read_folder(context.root / "examples" / "dodoma")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(deployment.Deployment(nursery, random.Random(seed)), declared)
+            await world.made.start_platform()
+            assert (await world.apply("ordinary")).is_ok()
+            for name in NAMES:
+                await world.start(name)
+            await world.wait_generation(1, START_SECONDS)
+            await trio.sleep(START_SECONDS)
+            await scenario(world)
+            nursery.cancel_scope.cancel()
+
+    clock.run(main, seed)
+
+
+@then("configurations are in force on 6 entries within 6 seconds when {fault}")
+def reach_all(context, fault):
+    async def scenario(world):
+        if fault == "watches are silent":
+            await world.set_faults(silent_watch=True)
+        elif fault == "the platform is slow":
+            await world.set_faults(slow_seconds=0.5)
+        elif fault == "a data centre is cut from the platform":
+            world.cut(PLACES["makole"])
+        elif fault == "only one entry reaches the platform":
+            world.cut(NAMES[1:])
+        else:
+            assert fault == "all is well"
+        for number in range(2, 8):
+            await trio.sleep(world.made.rng.uniform(0, 10))
+            accepted = await world.apply(["ordinary", "maintenance"][number % 2])
+            assert accepted.ok.generation == number
+            await world.wait_generation(number, IN_FORCE_SECONDS)
+
+    in_world(context, scenario)
+
+
+@then("configurations reach an entry that is replaced during an outage of the platform")
+def replace_in_outage(context):
+    async def scenario(world):
+        assert (await world.apply("maintenance")).is_ok()
+        await world.wait_generation(2, IN_FORCE_SECONDS)
+        world.cut(NAMES)
+        world.made.kill("e0")
+        await trio.sleep(30)
+        del world.made.entries["e0"]
+        seeds = " ".join(f"{world.made.entries[name].host}:8002" for name in ("e1", "e4"))
+        await world.start("e0", seeds)
+        await world.wait_generation(2, START_SECONDS, ["e0"])
+        assert await world.is_ready("e0")
+
+    in_world(context, scenario)
+
+
+@then("configurations are waited for by an entry that reaches nobody")
+def reach_nobody(context):
+    async def scenario(world):
+        others = frozenset([*NAMES[1:], "platform"])
+        world.made.kill("e0")
+        world.made.net.links.cut(others, frozenset(["e0"]))
+        await world.start("e0", "10.0.0.9:8002")
+        for _ in range(60):
+            await trio.sleep(1)
+            assert world.generation("e0") == 0
+            assert not await world.is_ready("e0")
+        world.made.net.links.heal()
+        await world.wait_generation(1, IN_FORCE_SECONDS)
+        assert await world.is_ready("e0")
+
+    in_world(context, scenario)
+
+
+@then("configurations are not reverted when the platform loses accepted changes")
+def lose_changes(context):
+    async def scenario(world):
+        await world.made.call(world.made.platform, message.Request("POST", "/keep"))
+        assert (await world.apply("maintenance")).is_ok()
+        await world.wait_generation(2, IN_FORCE_SECONDS)
+        await world.made.call(world.made.platform, message.Request("POST", "/lose"))
+        world.made.kill("e0")
+        await world.start("e0")
+        await trio.sleep(START_SECONDS)
+        found = [world.generation(name) for name in NAMES]
+        assert found == [2] * 6, found
+        assert world.made.views["e0"].platform_generation.value == 1
+        wish = wanted.declarations(world.declared, "ordinary")
+        assert await acceptance.change_with(world.made.operator, world.platform, wish) == 0
+        await world.wait_generation(3, IN_FORCE_SECONDS)
+
+    in_world(context, scenario)
+
+
+@then("configurations list no entry that was stopped as planned")
+def stop_planned(context):
+    async def scenario(world):
+        assert len((await world.platform.list_objects("entry/")).ok.objects) == 6
+        world.made.stops["e0"].set()
+        await trio.sleep(IN_FORCE_SECONDS)
+        listed = (await world.platform.list_objects("entry/")).ok.objects
+        assert [one.key for one in listed] == [f"entry/{name}" for name in NAMES[1:]]
+
+    in_world(context, scenario)
+
+
+@then("configurations never fall or get lost with seed {seed:d}")
+def run_at_random(context, seed):
+    rng = random.Random(seed)
+    accepted = [1]
+    highest = {}
+
+    async def watch(world):
+        while True:
+            for name, view in world.made.views.items():
+                seen = (name, view.incarnation)
+                assert world.generation(name) >= highest.get(seen, 0), "a generation fell"
+                highest[seen] = world.generation(name)
+            await trio.sleep(0.1)
+
+    async def operate(world):
+        for _ in range(RANDOM_STEPS):
+            await trio.sleep(rng.uniform(0, 3))
+            base = await accept.read_current(world.platform)
+            if base.is_error():
+                continue
+            name = f"a{rng.getrandbits(32)}"
+            account = msgspec.structs.replace(world.declared.accounts[0], name=name)
+            wish = msgspec.structs.replace(world.declared, accounts=[account])
+            done = await accept.accept(world.platform, base.ok, wish, "ordinary")
+            if done.is_ok():
+                assert done.ok.generation not in accepted
+                accepted.append(done.ok.generation)
+
+    async def disturb(world):
+        for _ in range(RANDOM_STEPS):
+            await trio.sleep(rng.uniform(0, 3))
+            fault = rng.randrange(6)
+            if fault == 0:
+                world.cut(rng.sample(NAMES, rng.randrange(1, 7)))
+            elif fault == 1:
+                await world.set_faults(lose_answers=rng.random() < 0.5)
+            elif fault == 2:
+                await world.set_faults(silent_watch=True, slow_seconds=rng.uniform(0, 1))
+            elif fault == 3:
+                halves = rng.sample(NAMES, 6)
+                world.made.net.links.cut(frozenset(halves[:3]), frozenset(halves[3:]))
+            elif fault == 4:
+                name = rng.choice(NAMES)
+                world.made.kill(name)
+                await trio.sleep(rng.uniform(0, 2))
+                await world.start(name)
+            else:
+                world.made.net.links.heal()
+                await world.set_faults()
+
+    async def scenario(world):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, world)
+            async with trio.open_nursery() as working:
+                working.start_soon(disturb, world)
+                for _ in range(2):
+                    working.start_soon(operate, world)
+            world.made.net.links.heal()
+            await world.set_faults()
+            head = (await accept.read_current(world.platform)).ok.head
+            assert head.generation >= max(accepted) > 2, accepted
+            await world.wait_generation(head.generation, 2 * IN_FORCE_SECONDS)
+            writers = {world.made.views[name].configuration.value.head.writer for name in NAMES}
+            assert writers == {head.writer}
+            nursery.cancel_scope.cancel()
+
+    in_world(context, scenario, seed)
