--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -9,7 +9,7 @@
 from galenavane.entry import latest
 from galenavane.net import network
 from galenavane.observe import meter, metrics
-from galenavane.peer import facts, members, transport
+from galenavane.peer import facts, members, registration, transport
 from galenavane.platform import api, instance, lease
 from galenavane.route import router
 from galenavane.serve import waiter
@@ -28,6 +28,10 @@
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
     :ivar router: state of admission and picking, owned by ``serve.dispatch``.
     :ivar waiters: requests that wait for routing's decision, by request id.
+    :ivar registrations: entries known to the platform, ``None`` until they were read.
+    :ivar offered: configuration that a peer sent; the configuration task decides.
+    :ivar platform_generation: generation that the platform last showed, 0 before.
+    :ivar dropped_messages: damaged or unknown messages of peers.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -37,6 +41,7 @@
         "cfg",
         "commanding",
         "configuration",
+        "dropped_messages",
         "grant",
         "incarnation",
         "instances",
@@ -44,10 +49,13 @@
         "meter",
         "metrics",
         "net",
+        "offered",
         "own_facts",
         "peer_facts",
         "peers",
         "platform",
+        "platform_generation",
+        "registrations",
         "rng",
         "router",
         "seen",
@@ -85,6 +93,10 @@
         self.grant = latest.Latest[lease.Grant | None](None)
         self.commanding = latest.Latest[bool](False)
         self.peers = latest.Latest[list[members.Member]]([])
+        self.registrations = latest.Latest[list[registration.Registration] | None](None)
+        self.offered = latest.Latest[in_force.InForce | None](None)
+        self.platform_generation = latest.Latest[int](0)
+        self.dropped_messages = latest.Latest[int](0)
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
         self.router = router.Router()
