Count a group complete only when its leader says so too

Cause: after the merge of membership, entries saw all members ready some 0.4 s before the leader had heard them; it refused, five retries went in 3 ms, and the caller was told 3002.

--- a/src/galenavane/control/completeness.py
+++ b/src/galenavane/control/completeness.py
@@ -10,8 +10,14 @@
 
 
 def is_complete(group: table.Group, seen: abc.Mapping[str, sighting.Sighting], now: float) -> bool:
-    """Whether every member has lately confirmed the group, the epoch and its incarnation."""
-    return all(is_confirmed(group, member, seen, now) for member in group.members)
+    """Whether every member has lately confirmed the group, the epoch and its incarnation.
+
+    The leader has to say too that it hears every member, since it refuses requests until then.
+    """
+    if not all(is_confirmed(group, member, seen, now) for member in group.members):
+        return False
+    leader = seen[group.members[0].instance].report
+    return leader is not None and leader.complete
 
 
 def is_confirmed(
