Share the asking of targets among the entries of a data centre

Cause: every entry asked every engine of every data centre twice a second: 920 calls/s an entry at 460 instances against a budget of 2.7% of a core. Change: rendezvous hashing gives each engine one entry, which tells the others what changed; reports are dated by an echo on the receiver's own clock. Conclusion: processor time is to be measured with real processes next.

--- /dev/null
+++ b/src/galenavane/control/duties.py
@@ -0,0 +1,47 @@
+"""Decides which entry of a data centre asks which target for its report."""
+
+from __future__ import annotations
+
+import zlib
+from collections import abc
+
+STALE_SECONDS = 1.3
+STAGGER_SECONDS = 0.1
+MAX_REMOTE_TARGETS = 200
+
+
+def own_ranks(own: str, entries: abc.Iterable[str], instances: abc.Iterable[str]) -> dict[str, int]:
+    """Return this entry's place for each instance by rendezvous hashing; place 0 asks it.
+
+    An entry that comes or goes changes the places of its own instances only.
+    """
+    others = sorted(set(entries) - {own})
+    return {name: _own_rank(own, others, name) for name in instances}
+
+
+def _own_rank(own: str, others: list[str], instance: str) -> int:
+    own_weight = _weight(own, instance)
+    return sum(_weight(other, instance) > own_weight for other in others)
+
+
+def _weight(entry: str, instance: str) -> tuple[int, str]:
+    return zlib.crc32(f"{entry} {instance}".encode()), entry
+
+
+def is_stale(rank: int, age_seconds: float) -> bool:
+    """Whether to ask a target although another entry should have told of it.
+
+    Entries step in one after another, so that a dead entry's targets are asked before the
+    proofs lapse and not by everybody at once.
+    """
+    return age_seconds > STALE_SECONDS + rank * STAGGER_SECONDS
+
+
+def choose_targets(own_data_centre: str, targets: abc.Mapping[str, str]) -> list[str]:
+    """Return the instances that the entries of a data centre ask, from a map to data centres.
+
+    Remote ones are asked only while they are few; their own entries serve them otherwise.
+    """
+    own = [name for name, where in targets.items() if where == own_data_centre]
+    remote = [name for name, where in targets.items() if where != own_data_centre]
+    return sorted(own + remote if len(remote) <= MAX_REMOTE_TARGETS else own)
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -4,22 +4,27 @@
 
 import random
 
+import trio
+
 from galenavane.config import in_force, settings
 from galenavane.control import sighting, table
 from galenavane.entry import latest
 from galenavane.net import network
 from galenavane.observe import meter, metrics
-from galenavane.peer import facts, members, registration, transport
+from galenavane.peer import facts, members, registration, seen_message, transport
 from galenavane.platform import api, instance, lease
 from galenavane.route import router
 from galenavane.serve import waiter
 from galenavane.target import api as target_api
 
+MAX_QUEUED_REPORTS = 1000
+
 
 class View:
     """The latest facts, each published by the one task that owns it.
 
     :ivar seen: reports of targets by instance name.
+    :ivar seen_inbox: messages of peers on reports, passed on by ``seen_outbox``.
     :ivar tables: assignment tables by data centre.
     :ivar token: fencing token while the lease of the data centre is held.
     :ivar grant: the lease with its end, also a lapsed one that nobody else is known to have.
@@ -59,6 +64,8 @@
         "rng",
         "router",
         "seen",
+        "seen_inbox",
+        "seen_outbox",
         "tables",
         "targets",
         "token",
@@ -89,6 +96,9 @@
         self.instances = latest.Latest[list[instance.Instance]]([])
         self.tables = latest.Latest[dict[str, table.Table]]({})
         self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
+        self.seen_outbox, self.seen_inbox = trio.open_memory_channel[seen_message.Seen](
+            MAX_QUEUED_REPORTS
+        )
         self.token = latest.Latest[int | None](None)
         self.grant = latest.Latest[lease.Grant | None](None)
         self.commanding = latest.Latest[bool](False)
--- a/src/galenavane/peer/messages.py
+++ b/src/galenavane/peer/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from galenavane.peer import seen_message
+
 PROTOCOL_VERSION = 2
 
 
@@ -75,7 +77,7 @@
     sections: dict[str, str]
 
 
-Message = Hello | Beat | Want | Configuration
+Message = Hello | Beat | Want | Configuration | seen_message.Seen
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -9,7 +9,7 @@
 from galenavane.config import in_force, sections, settings, settle
 from galenavane.entry import view as views
 from galenavane.observe import clock, events
-from galenavane.peer import command, facts, facts_update, membership, messages
+from galenavane.peer import command, facts, facts_update, membership, messages, seen_message
 
 TICK_SECONDS = 0.25
 LOG_DROPPED_SECONDS = 10.0
@@ -63,6 +63,8 @@
         return True
     if isinstance(message, messages.Beat):
         return _take_beat(state, message, now)
+    if isinstance(message, seen_message.Seen):
+        return _pass_on(state, message)
     events.receive(message.stamp)
     if isinstance(message, messages.Want):
         _send_configuration(state, message)
@@ -86,6 +88,14 @@
     return True
 
 
+def _pass_on(state: _State, message: seen_message.Seen) -> bool:
+    try:
+        state.view.seen_outbox.send_nowait(message)
+    except trio.WouldBlock:
+        return False
+    return True
+
+
 def _take_configuration(state: _State, message: messages.Configuration) -> bool:
     head = settle.decode(message.head)
     if head.is_error():
--- /dev/null
+++ b/tests/steps/control_duties.py
@@ -0,0 +1,99 @@
+"""Steps for who asks which target."""
+
+from __future__ import annotations
+
+import collections
+
+import simulate_deployment
+import trio
+from behave import then
+
+from galenavane.control import duties
+from galenavane.entry import status
+
+
+def first_places(entries, instances):
+    """Return which entry has the first place for each instance."""
+    return {
+        name: entry
+        for entry in entries
+        for name, rank in duties.own_ranks(entry, entries, instances).items()
+        if rank == 0
+    }
+
+
+@then(
+    "{count:d} entries share the asking of {size:d} instances evenly "
+    "and one that goes moves its own only"
+)
+def check_shares(context, count, size):
+    entries = [f"entry-{number}" for number in range(count)]
+    instances = [f"engine-{number}" for number in range(size)]
+    before = first_places(entries, instances)
+    assert set(before) == set(instances)
+    shares = collections.Counter(before.values())
+    assert max(shares.values()) < 2 * size / count, shares
+    after = first_places(entries[1:], instances)
+    moved = {name for name in instances if before[name] != after[name]}
+    assert moved == {name for name, entry in before.items() if entry == entries[0]}
+
+
+@then("of {own:d} own and {remote:d} remote instances {asked:d} are asked, and of 460 and 200 all")
+def check_remote(context, own, remote, asked):
+    places = {f"a{number}": "a" for number in range(own)}
+    places.update({f"b{number}": "b" for number in range(remote)})
+    assert len(duties.choose_targets("a", places)) == asked
+    del places["b0"]
+    assert len(duties.choose_targets("a", places)) == own + remote - 1
+
+
+@then(
+    "in a simulated deployment with seed {seed:d} of 3 entries "
+    "a target is asked {low:d} to {high:d} times in 10 s"
+)
+def count_asking(context, seed, low, high):
+    async def scenario(made):
+        counts = collections.Counter()
+
+        def count(view):
+            ask = view.targets.fetch_report
+
+            class Counting:
+                def __getattr__(self, name):
+                    return getattr(targets, name)
+
+                async def fetch_report(self, address):
+                    counts[address] += 1
+                    return await ask(address)
+
+            targets = view.targets
+            view.targets = Counting()
+
+        await trio.sleep(5)
+        for view in made.views.values():
+            count(view)
+        await trio.sleep(10)
+        return counts
+
+    counts = simulate_deployment.simulate(seed, scenario)
+    assert len(counts) == 6
+    assert all(low <= found <= high for found in counts.values()), counts
+
+
+@then(
+    "in a simulated deployment with seed {seed:d} "
+    "groups stay complete for the others when an entry is killed"
+)
+def kill_entry(context, seed):
+    async def scenario(made):
+        await trio.sleep(5)
+        for name in ("entry-0", "entry-1"):
+            made.kill(name)
+            others = [view for other, view in made.views.items() if made.owners[other].is_alive]
+            for _ in range(100):
+                await trio.sleep(0.1)
+                for view in others:
+                    found = status.describe(view)
+                    assert [one.complete for one in found.groups] == [True, True], found
+
+    simulate_deployment.simulate(seed, scenario)
