--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -8,7 +8,20 @@
 
 import defopt
 
-from galenavane.cli import apply, check, entry, errors, load, preset, standin, status
+from galenavane.cli import (
+    apply,
+    check,
+    completion,
+    diff,
+    entry,
+    errors,
+    load,
+    preset,
+    rollback,
+    standin,
+    status,
+    timeline,
+)
 from galenavane.failure import failure
 from galenavane.net import address as addresses
 
@@ -18,9 +31,12 @@
 COMMANDS: dict[str, typing.Any] = {
     "entry": entry.entry,
     "check": check.check,
+    "diff": diff.diff,
     "apply": apply.apply,
     "preset": preset.preset,
+    "rollback": rollback.rollback,
     "status": status.status,
+    "timeline": timeline.timeline,
     "errors": errors.errors,
     "load": load.load,
     "standin": {
@@ -29,6 +45,7 @@
         "plain": standin.plain,
     },
 }
+COMMANDS["completion"] = completion.make(COMMANDS)
 
 
 def main(argv: abc.Sequence[str] | None = None) -> typing.NoReturn:
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -47,18 +47,21 @@
     events.log("request.begin", request=request_id, path=exchange.request.path)
     try:
         found = await _route_safely(view, exchange, request_id)
-        _log_end(request_id, found)
+        _log_end(view, request_id, found)
         if found is not None and not exchange.answered:
             await exchange.respond(errors.response(found, request_id))
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
+        _count(view, "caller_gone", "unknown")
 
 
-def _log_end(request_id: str, found: failure.Failure | None) -> None:
+def _log_end(view: views.View, request_id: str, found: failure.Failure | None) -> None:
     if found is None:
         events.log("request.end", request=request_id, code="answered")
+        _count(view, "answered", outcomes.Outcome.ANSWERED.value)
         return
     events.log("request.end", request=request_id, code=found.code.name, outcome=found.outcome.value)
+    _count(view, found.code.name.lower(), found.outcome.value)
 
 
 async def _route_safely(
@@ -79,6 +82,10 @@
         return failure.Failure(codes.Code.INTERNAL, text, outcomes.Outcome.UNKNOWN)
 
 
+def _count(view: views.View, code: str, outcome: str) -> None:
+    view.metrics.requests.inc({"code": code, "outcome": outcome})
+
+
 async def _route(
     view: views.View, exchange: http_server.Exchange, request_id: str
 ) -> failure.Failure | None:
