Relay streams from one task and go on over new connections

One task with an epoll object owns the sockets of every running stream; networks in memory keep the trio loop behind the same interface. A caller that goes away is noticed while it waits, too, and its stream is cancelled at the engine over a fresh connection. A chunk of another request ends the request with WRONG_ANSWER. Signed resume tokens go on at any entry.

--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -45,6 +45,14 @@
     "seconds",
     "Longest wait for streams at a stop.",
 )
+RESUME_KEY = _S(
+    "requests",
+    "resume_key",
+    setting.parse_text,
+    "",
+    "",
+    "Secret that all entries share; signs resume tokens. Without it streams can't be resumed.",
+)
 
 ALL: tuple[_S[typing.Any], ...] = (
     NAME,
@@ -60,6 +68,7 @@
     FIRST_TOKEN_DEADLINE,
     PROGRESS_DEADLINE,
     DRAIN_DEADLINE,
+    RESUME_KEY,
 )
 
 _T = typing.TypeVar("_T", str, int, float, bool, addresses.Address)
--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -59,6 +59,7 @@
     _C.ANSWER_NOT_KEPT: Row(
         410, "answered earlier; the answer was too large to keep", "yes", "look it up"
     ),
+    _C.CALLER_GONE: Row(0, "the caller closed its connection", "perhaps", "resume or repeat it"),
     _C.PLATFORM_DOWN: Row(503, "the platform can't be reached", "no", "retry later"),
     _C.PLATFORM_CONFLICT: Row(409, "another write came first", "no", "read, then write again"),
     _C.PLATFORM_UNKNOWN: Row(503, "a write's answer was lost", "perhaps", "read it back"),
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -20,12 +20,13 @@
 class HttpConnection:
     """An h11 state machine and the stream it speaks over."""
 
-    __slots__ = ("bytes_sent", "machine", "stream")
+    __slots__ = ("_is_ended", "bytes_sent", "machine", "stream")
 
     def __init__(self, stream: trio.abc.Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.stream = stream
         self.machine = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.bytes_sent = False
+        self._is_ended = False
 
     async def send(self, *events: h11.Event) -> None:
         """Send events as one write.
@@ -54,18 +55,29 @@
             try:
                 event = self.machine.next_event()
             except h11.RemoteProtocolError as exc:
-                raise self._error(transport_error.Kind.MALFORMED, str(exc)) from exc
+                kind = transport_error.Kind.MALFORMED
+                if self._is_ended:
+                    kind = transport_error.Kind.RESET
+                raise self._error(kind, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return typing.cast("h11.Event | type[h11.PAUSED]", event)
             await self._receive()
 
-    async def _receive(self) -> None:
+    async def receive(self) -> bytes:
+        """Return the next bytes from the other end, empty at its end.
+
+        :raises TransportError: ``RESET``.
+        """
         try:
-            data = await self.stream.receive_some(READ_SIZE_BYTES)
+            return bytes(await self.stream.receive_some(READ_SIZE_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._error(transport_error.Kind.RESET, str(exc)) from exc
+
+    async def _receive(self) -> None:
+        data = await self.receive()
+        self._is_ended = not data
         try:
-            self.machine.receive_data(bytes(data))
+            self.machine.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._error(transport_error.Kind.RESET, str(exc)) from exc
 
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -12,6 +12,8 @@
 from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
 
+WRITE_SECONDS = 20.0
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Limits:
@@ -20,22 +22,32 @@
     :ivar body_bytes: largest request body.
     :ivar idle_seconds: wait for the next request on an open connection.
     :ivar read_seconds: time to send one whole request.
+    :ivar write_seconds: time to take an answer, or a part of a streamed one.
     """
 
     body_bytes: int = 1_100_000
     idle_seconds: float = 60.0
     read_seconds: float = 20.0
+    write_seconds: float = WRITE_SECONDS
 
 
 class Exchange:
-    """One request and the means to answer it."""
+    """One request and the means to answer it.
+
+    A client that takes no bytes for ``write_seconds`` is given up with ``TransportError``.
+    """
 
-    __slots__ = ("_conn", "_streaming", "answered", "request")
+    __slots__ = ("_write_seconds", "answered", "conn", "request")
 
-    def __init__(self, conn: http_connection.HttpConnection, req: message.Request) -> None:
-        self._conn = conn
-        self._streaming = False
+    def __init__(
+        self,
+        conn: http_connection.HttpConnection,
+        req: message.Request,
+        write_seconds: float = WRITE_SECONDS,
+    ) -> None:
+        self.conn = conn
         self.request = req
+        self._write_seconds = write_seconds
         self.answered = False
 
     async def respond(self, response: message.Response) -> None:
@@ -45,13 +57,24 @@
         fields.add("content-length", str(len(response.body)))
         head = h11.Response(status_code=response.status, headers=fields.pairs)
         body = b"" if self.request.method == "HEAD" else response.body
-        await self._conn.send(head, h11.Data(data=body), h11.EndOfMessage())
+        await self._send(head, h11.Data(data=body), h11.EndOfMessage())
+
+    def frame_chunk(self, fields: header_lists.Headers, data: bytes) -> bytes:
+        """Return a chunk as bytes for the socket, after the head when it is the first."""
+        machine = self.conn.machine
+        chunk = h11.Data(data=data)
+        if self.answered:
+            return machine.send(chunk) or b""
+        self.answered = True
+        self._stamp(fields).add("transfer-encoding", "chunked")
+        head = machine.send(h11.Response(status_code=200, headers=fields.pairs)) or b""
+        return head + (machine.send(chunk) or b"")
 
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response."""
         self.answered = True
         self._stamp(fields).add("transfer-encoding", "chunked")
-        await self._conn.send(h11.Response(status_code=status, headers=fields.pairs))
+        await self._send(h11.Response(status_code=status, headers=fields.pairs))
 
     def _stamp(self, fields: header_lists.Headers) -> header_lists.Headers:
         """Answer a request that carried a clock stamp with one."""
@@ -60,18 +83,20 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Send one chunk of a started stream."""
-        await self._conn.send(h11.Data(data=data))
+        await self._send(h11.Data(data=data))
 
-    async def end_stream(self) -> None:
-        """End a started stream."""
-        await self._conn.send(h11.EndOfMessage())
+    async def end_stream(self, data: bytes = b"") -> None:
+        """End a started stream after a last chunk."""
+        await self._send(h11.Data(data=data), h11.EndOfMessage())
 
-    async def wait_disconnect(self) -> None:
-        """Return when the client has closed its connection or sent more bytes."""
+    async def _send(self, *parts: h11.Event) -> None:
         try:
-            await self._conn.stream.receive_some(1)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+            with trio.fail_after(self._write_seconds):
+                await self.conn.send(*parts)
+        except trio.TooSlowError:
+            kind = transport_error.Kind.SILENT
+            text = f"the client took nothing for {self._write_seconds} s"
+            raise transport_error.TransportError(kind, True, text) from None
 
 
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
@@ -100,7 +125,7 @@
         return False
     if req is None:
         return False
-    exchange = Exchange(conn, req)
+    exchange = Exchange(conn, req, limits.write_seconds)
     await handler(exchange)
     return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
 
--- /dev/null
+++ b/src/galenavane/net/relay.py
@@ -0,0 +1,62 @@
+"""Moves a streamed answer from one connection to another."""
+
+from __future__ import annotations
+
+import trio
+
+from galenavane.net import disconnect, http_connection, pump, relay_hub, transport_error
+
+
+async def run(
+    source: http_connection.HttpConnection,
+    sink: http_connection.HttpConnection,
+    pumped: pump.Pump,
+    deadlines: pump.Deadlines,
+) -> None:
+    """Pump until done; streams over real sockets share one task and one epoll object.
+
+    :raises TransportError: when the source breaks or is silent.
+    :raises DisconnectError: when the sink is gone.
+    """
+    if isinstance(source.stream, trio.SocketStream) and isinstance(sink.stream, trio.SocketStream):
+        await relay_hub.current().run(source.stream, sink, pumped, deadlines)
+    else:
+        await disconnect.race(sink, _run_streams, source, sink, pumped, deadlines)
+
+
+async def _run_streams(
+    source: http_connection.HttpConnection,
+    sink: http_connection.HttpConnection,
+    pumped: pump.Pump,
+    deadlines: pump.Deadlines,
+) -> None:
+    # The head's read may have taken in the first events.
+    await _write(sink, pumped.start(trio.current_time()), deadlines)
+    wait = deadlines.first_seconds
+    while not pumped.done:
+        with trio.move_on_after(wait) as reading:
+            data = await source.receive()
+        if reading.cancelled_caught:
+            raise silent(wait)
+        await _write(sink, pumped.feed(data, trio.current_time()), deadlines)
+        wait = deadlines.progress_seconds
+    if pumped.error is not None:
+        raise pumped.error
+
+
+async def _write(
+    sink: http_connection.HttpConnection, data: bytes, deadlines: pump.Deadlines
+) -> None:
+    if not data:
+        return
+    try:
+        with trio.fail_after(deadlines.write_seconds):
+            await sink.stream.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+        raise disconnect.DisconnectError from None
+
+
+def silent(wait_seconds: float) -> transport_error.TransportError:
+    """Return the error of a source that said nothing for a time."""
+    text = f"the target said nothing for {wait_seconds} s"
+    return transport_error.TransportError(transport_error.Kind.SILENT, True, text)
--- /dev/null
+++ b/src/galenavane/net/relay_hub.py
@@ -0,0 +1,125 @@
+"""One task that owns the sockets of every running stream."""
+
+from __future__ import annotations
+
+import contextvars
+import select
+
+import trio
+
+from galenavane.net import http_connection, pump, relayed
+
+CHECK_SECONDS = 0.1
+_READ = select.EPOLLIN | select.EPOLLRDHUP
+
+_hub: trio.lowlevel.RunVar[Hub] = trio.lowlevel.RunVar("relay_hub")
+
+
+class Hub:
+    """Sockets under one epoll object.
+
+    A task for each stream would be woken once a token, and a wake-up costs more than the work.
+    """
+
+    __slots__ = ("_by_descriptor", "_epoll", "_is_running", "_next_check")
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self._by_descriptor: dict[int, relayed.Relayed] = {}
+        self._is_running = False
+        self._next_check = 0.0
+
+    async def run(
+        self,
+        source: trio.SocketStream,
+        sink: http_connection.HttpConnection,
+        pumped: pump.Pump,
+        deadlines: pump.Deadlines,
+    ) -> None:
+        """Relay one stream until it is done.
+
+        :raises TransportError: when the source breaks or is silent.
+        :raises DisconnectError: when the sink is gone.
+        """
+        stream = relayed.make(source, sink, pumped, deadlines, trio.current_time())
+        self._register(stream)
+        try:
+            stream.start(trio.current_time())
+            self._arm(stream)
+            await stream.ended.wait()
+        finally:
+            self._unregister(stream)
+        if stream.error is not None:
+            raise stream.error
+
+    def _register(self, stream: relayed.Relayed) -> None:
+        for descriptor in (stream.source, stream.sink):
+            self._by_descriptor[descriptor] = stream
+            self._epoll.register(descriptor, _READ)
+        if not self._is_running:
+            self._is_running = True
+            context = contextvars.copy_context()
+            trio.lowlevel.spawn_system_task(self._serve, context=context)
+
+    def _unregister(self, stream: relayed.Relayed) -> None:
+        for descriptor in (stream.source, stream.sink):
+            del self._by_descriptor[descriptor]
+            self._epoll.unregister(descriptor)
+
+    async def _serve(self) -> None:
+        try:
+            while self._by_descriptor:
+                with trio.move_on_after(CHECK_SECONDS):
+                    await trio.lowlevel.wait_readable(self._epoll.fileno())
+                self._serve_ready()
+                self._check_deadlines()
+        finally:
+            self._is_running = False
+
+    def _serve_ready(self) -> None:
+        now = trio.current_time()
+        for descriptor, mask in self._epoll.poll(0):
+            stream = self._by_descriptor.get(descriptor)
+            if stream is None or stream.ended.is_set():
+                continue
+            was_blocked = bool(stream.unsent)
+            if descriptor == stream.source:
+                stream.read_source(now)
+            elif mask & ~select.EPOLLOUT:
+                stream.read_sink()
+            elif mask & select.EPOLLOUT:
+                stream.flush(now)
+            if was_blocked != bool(stream.unsent) or stream.ended.is_set():
+                self._arm(stream)
+
+    def _arm(self, stream: relayed.Relayed) -> None:
+        """Stop reading the source while the sink takes nothing."""
+        if stream.ended.is_set():
+            self._epoll.modify(stream.source, 0)
+            self._epoll.modify(stream.sink, 0)
+        elif stream.unsent:
+            self._epoll.modify(stream.source, 0)
+            self._epoll.modify(stream.sink, _READ | select.EPOLLOUT)
+        else:
+            self._epoll.modify(stream.source, _READ)
+            self._epoll.modify(stream.sink, _READ)
+
+    def _check_deadlines(self) -> None:
+        now = trio.current_time()
+        if now < self._next_check:
+            return
+        self._next_check = now + CHECK_SECONDS
+        for stream in set(self._by_descriptor.values()):
+            if now >= stream.deadline and not stream.ended.is_set():
+                stream.expire()
+                self._arm(stream)
+
+
+def current() -> Hub:
+    """Return the hub of this run of trio."""
+    try:
+        return _hub.get()
+    except LookupError:
+        made = Hub()
+        _hub.set(made)
+        return made
--- /dev/null
+++ b/src/galenavane/net/relayed.py
@@ -0,0 +1,149 @@
+"""One stream of the relay hub: non-blocking reads and writes, and its deadline."""
+
+from __future__ import annotations
+
+import os
+
+import h11
+import trio
+
+from galenavane.net import disconnect, http_connection, pump, transport_error
+
+MAX_PIPELINED_BYTES = 65536
+
+
+class Relayed:
+    """State of one stream.
+
+    :ivar source: descriptor that is read.
+    :ivar sink: descriptor that is written.
+    :ivar unsent: bytes that the sink has not taken; the source is not read meanwhile.
+    :ivar deadline: monotonic time at which the stream is given up.
+    :ivar error: why the stream ended, ``None`` when it is done.
+    """
+
+    __slots__ = (
+        "_deadlines",
+        "_machine",
+        "_pipelined",
+        "_pump",
+        "_wait_seconds",
+        "deadline",
+        "ended",
+        "error",
+        "sink",
+        "source",
+        "unsent",
+    )
+
+    def __init__(
+        self,
+        source: int,
+        sink: int,
+        machine: h11.Connection,
+        pumped: pump.Pump,
+        deadlines: pump.Deadlines,
+        now: float,
+    ) -> None:
+        self.source = source
+        self.sink = sink
+        self.unsent = b""
+        self.ended = trio.Event()
+        self.error: Exception | None = None
+        self._machine = machine
+        self._pump = pumped
+        self._deadlines = deadlines
+        self._pipelined = 0
+        self._wait_seconds = deadlines.first_seconds
+        self.deadline = now + self._wait_seconds
+
+    def start(self, now: float) -> None:
+        """Pass on what came along with the head."""
+        self._pass_on(self._pump.start(now), now)
+
+    def read_source(self, now: float) -> None:
+        """Read once and pass on what the pump returns."""
+        try:
+            data = os.read(self.source, http_connection.READ_SIZE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            kind = transport_error.Kind.RESET
+            self.end(transport_error.TransportError(kind, True, str(exc)))
+            return
+        out = self._pump.feed(data, now)
+        self._wait_seconds = self._deadlines.progress_seconds
+        self.deadline = now + self._wait_seconds
+        self._pass_on(out, now)
+
+    def _pass_on(self, out: bytes, now: float) -> None:
+        if out:
+            self.unsent = out
+            self.flush(now)
+            if self.unsent:
+                self.deadline = now + self._deadlines.write_seconds
+        elif self._pump.done:
+            self.end(self._pump.error)
+
+    def flush(self, now: float) -> None:
+        """Write what the sink takes now."""
+        try:
+            sent = os.write(self.sink, self.unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.end(disconnect.DisconnectError())
+            return
+        self.unsent = self.unsent[sent:]
+        if self.unsent:
+            if sent:
+                self.deadline = now + self._deadlines.write_seconds
+        elif self._pump.done:
+            self.end(self._pump.error)
+        else:
+            self.deadline = now + self._wait_seconds
+
+    def read_sink(self) -> None:
+        """Notice that the client is gone; keep bytes of its next request."""
+        try:
+            data = os.read(self.sink, http_connection.READ_SIZE_BYTES)
+            self._machine.receive_data(data)
+        except BlockingIOError:
+            return
+        except (OSError, h11.RemoteProtocolError):
+            data = b""
+        self._pipelined += len(data)
+        if not data or self._pipelined > MAX_PIPELINED_BYTES:
+            self.end(disconnect.DisconnectError())
+
+    def expire(self) -> None:
+        """End at the deadline."""
+        if self.unsent:
+            self.end(disconnect.DisconnectError())
+            return
+        text = f"the target said nothing for {self._wait_seconds} s"
+        self.end(transport_error.TransportError(transport_error.Kind.SILENT, True, text))
+
+    def end(self, error: Exception | None) -> None:
+        """End the stream and wake the task that waits for it."""
+        self.error = error
+        self.ended.set()
+
+
+def make(
+    source: trio.SocketStream,
+    sink: http_connection.HttpConnection,
+    pumped: pump.Pump,
+    deadlines: pump.Deadlines,
+    now: float,
+) -> Relayed:
+    """Return the state of a new stream between two sockets."""
+    assert isinstance(sink.stream, trio.SocketStream)
+    return Relayed(
+        source.socket.fileno(),
+        sink.stream.socket.fileno(),
+        sink.machine,
+        pumped,
+        deadlines,
+        now,
+    )
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -48,7 +48,9 @@
     try:
         found = await _route_safely(view, exchange, request_id)
         _log_end(view, request_id, found)
-        if found is not None and not exchange.answered:
+        if found is None or found.code is codes.Code.CALLER_GONE:
+            return
+        if not exchange.answered:
             await exchange.respond(errors.response(found, request_id))
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
--- a/src/galenavane/serve/model_request.py
+++ b/src/galenavane/serve/model_request.py
@@ -1,28 +1,34 @@
-"""Serves one completion request from a replica group."""
+"""Serves one completion request: checks it, and tells its caller how it ended."""
 
 from __future__ import annotations
 
-import msgspec
-import trio
+import expression
 
+from galenavane import invariant
 from galenavane.config import declaration, in_force, settings
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.net import address as addresses
+from galenavane.failure import outcome as outcomes
+from galenavane.net import disconnect, message
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
-from galenavane.route import candidate as candidates
 from galenavane.route import grant as grants
 from galenavane.serve import caller as callers
-from galenavane.serve import classify, dispatch, sse, stream_state
+from galenavane.serve import (
+    completion_body,
+    errors,
+    model_stream,
+    resume_token,
+    stream_state,
+)
 from galenavane.target import completion
 
 CHARACTERS_PER_TOKEN = 4
-CONNECT_SECONDS = 1.0
-MAX_TRIES = 5
-RETRY_AFTER_SECONDS = 1.0
+RESUME_TOKEN_HEADER = "x-resume-token"
+RESUME_OFFSET_HEADER = "x-resume-offset"
+CHAT_PATH = "/v1/chat/completions"
+_END = b"data: [DONE]\n\n"
 
 
 def list_models(configuration: in_force.InForce) -> message.Response:
@@ -36,29 +42,113 @@
     view: views.View, configuration: in_force.InForce, caller: callers.Caller
 ) -> failure.Failure | None:
     """Answer a completion; return the failure to tell, or ``None`` when it was answered."""
-    try:
-        body = msgspec.json.decode(caller.exchange.request.body, type=completion.CompletionRequest)
-    except msgspec.DecodeError as exc:
-        return failure.Failure(codes.Code.BAD_REQUEST, str(exc))
-    model, _, adapter = body.model.partition(":")
+    parsed = completion_body.parse(caller.exchange.request.body)
+    if parsed.is_error():
+        return parsed.error
+    body = parsed.ok
+    model, _, adapter = body.request.model.partition(":")
     run = _find_run(configuration, model, adapter)
     if run is None:
-        text = f'the preset in force runs no model "{body.model}"'
+        text = f'the preset in force runs no model "{body.request.model}"'
         return failure.Failure(codes.Code.UNKNOWN_MODEL, text)
-    ask = _make_ask(configuration, caller, body, run, adapter)
-    return await _run(view, caller, stream_state.StreamState(caller.request_id, body), ask)
+    begun = _begin(view, caller, body, run)
+    if begun.is_error():
+        return begun.error
+    ask = _make_ask(configuration, caller, body.request, run, adapter)
+    stream = model_stream.ModelStream(caller, body, begun.ok, ask, _head(view, caller, body, run))
+    return await _answer(view, stream)
+
+
+async def _answer(view: views.View, stream: model_stream.ModelStream) -> failure.Failure | None:
+    try:
+        found = await model_stream.run(view, stream)
+        if found is None:
+            await _finish(stream)
+    except disconnect.DisconnectError:
+        text = "the caller closed its connection"
+        return failure.Failure(codes.Code.CALLER_GONE, text, outcomes.Outcome.UNKNOWN)
+    except invariant.ViolationError as exc:
+        found = failure.Failure(codes.Code.WRONG_ANSWER, str(exc), outcomes.Outcome.UNKNOWN)
+    if found is not None and stream.caller.exchange.answered:
+        await _tell_in_stream(stream.caller, found)
+    return found
+
+
+def _begin(
+    view: views.View,
+    caller: callers.Caller,
+    body: completion_body.CompletionBody,
+    run: declaration.Run,
+) -> expression.Result[stream_state.StreamState, failure.Failure]:
+    """Return the state of a new stream, or of one that another entry began."""
+    headers = caller.exchange.request.headers
+    text = headers.get(RESUME_TOKEN_HEADER)
+    if not text:
+        return expression.Ok(stream_state.StreamState(caller.request_id))
+    key = view.cfg.get(settings.RESUME_KEY)
+    verified = resume_token.verify(key, text, events.wall_seconds())
+    if verified.is_error():
+        return expression.Error(verified.error)
+    token = verified.ok
+    offset = headers.get(RESUME_OFFSET_HEADER)
+    problem = _find_mismatch(token, caller, body, run, offset)
+    if problem:
+        return expression.Error(failure.Failure(codes.Code.BAD_RESUME_TOKEN, problem))
+    events.log("request.resume", request=caller.request_id, began_as=token.request_id)
+    return expression.Ok(stream_state.StreamState(token.request_id, int(offset)))
+
+
+def _find_mismatch(
+    token: resume_token.ResumeToken,
+    caller: callers.Caller,
+    body: completion_body.CompletionBody,
+    run: declaration.Run,
+    offset: str,
+) -> str:
+    """Return why a token doesn't fit the request, or an empty text."""
+    if token.account != caller.account.name:
+        return "the resume token belongs to another account"
+    if token.body_hash != body.digest(caller.exchange.request.path):
+        return "the resume token belongs to another request"
+    if token.version != run.version:
+        return f"the stream began with version {token.version}, which no longer runs"
+    if not body.request.stream or not offset.isdigit() or int(offset) > body.request.max_tokens:
+        return f"only a stream can be resumed, with {RESUME_OFFSET_HEADER} within max_tokens"
+    return ""
+
+
+def _head(
+    view: views.View,
+    caller: callers.Caller,
+    body: completion_body.CompletionBody,
+    run: declaration.Run,
+) -> header_lists.Headers:
+    """Return the header fields of a streamed answer."""
+    fields = header_lists.Headers().add("content-type", "text/event-stream")
+    fields.add("cache-control", "no-store").add("x-request-id", caller.request_id)
+    key = view.cfg.get(settings.RESUME_KEY)
+    if key:
+        token = resume_token.ResumeToken(
+            caller.request_id,
+            caller.account.name,
+            run.version,
+            body.digest(caller.exchange.request.path),
+            events.wall_seconds() + resume_token.LIFETIME_SECONDS,
+        )
+        fields.add(RESUME_TOKEN_HEADER, resume_token.sign(key, token))
+    return fields
 
 
 def _make_ask(
     configuration: in_force.InForce,
     caller: callers.Caller,
-    body: completion.CompletionRequest,
+    request: completion.CompletionRequest,
     run: declaration.Run,
     adapter: str,
 ) -> grants.Ask:
     service = configuration.declared.service(run.service)
     assert service is not None
-    prompt = body.text()
+    prompt = request.text()
     return grants.Ask(
         request_id=caller.request_id,
         account=caller.account.name,
@@ -69,51 +159,11 @@
         priority=service.priority,
         prompt=prompt,
         prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
-        max_tokens=body.max_tokens,
+        max_tokens=request.max_tokens,
         deadline=caller.deadline,
     )
 
 
-async def _run(
-    view: views.View,
-    caller: callers.Caller,
-    state: stream_state.StreamState,
-    ask: grants.Ask,
-) -> failure.Failure | None:
-    """Get the answer from one group after another, each going on where the last stopped."""
-    last: failure.Failure | None = None
-    while state.tries < MAX_TRIES:
-        state.begin_try()
-        held = await dispatch.acquire(view, ask, state.tried)
-        if held.is_error():
-            return last or held.error
-        failed = await _try_granted(view, caller, state, held.ok)
-        if failed is None:
-            return None
-        events.log("request.retry", request=caller.request_id, group=held.ok.chosen.name)
-        state.tried.add(held.ok.chosen.name)
-        last = msgspec.structs.replace(failed, retry_after_seconds=RETRY_AFTER_SECONDS)
-    return last
-
-
-async def _try_granted(
-    view: views.View,
-    caller: callers.Caller,
-    state: stream_state.StreamState,
-    held: grants.Grant,
-) -> failure.Failure | None:
-    before = state.delivered
-    failed: failure.Failure | None = None
-    try:
-        failed = await _try(view, caller, state, held.chosen)
-        return failed
-    finally:
-        first = state.first_token_at - held.sent_at if state.delivered > before else None
-        _measure(view, state, first, before)
-        ended = grants.Ended(first, state.delivered - before, failed is not None)
-        dispatch.release(view, held, ended)
-
-
 def _find_run(configuration: in_force.InForce, model: str, adapter: str) -> declaration.Run | None:
     for run in configuration.runs():
         if run.model == model and (not adapter or adapter in run.adapters):
@@ -121,119 +171,40 @@
     return None
 
 
-def _measure(
-    view: views.View, state: stream_state.StreamState, first: float | None, before: int
-) -> None:
-    if state.tries > 1:
-        view.metrics.retries.inc({})
-    if first is None:
+async def _finish(stream: model_stream.ModelStream) -> None:
+    caller, state = stream.caller, stream.state
+    if stream.body.request.stream:
+        if not caller.exchange.answered:
+            await caller.exchange.start_stream(200, stream.head)
+        await caller.exchange.end_stream(_END)
         return
-    view.metrics.first_token.observe({}, first)
-    tokens = state.delivered - before
-    if tokens > 1:
-        passed = trio.current_time() - state.first_token_at
-        view.metrics.between_tokens.observe({}, passed / (tokens - 1))
-
-
-async def _try(
-    view: views.View,
-    caller: callers.Caller,
-    state: stream_state.StreamState,
-    chosen: candidates.Candidate,
-) -> failure.Failure | None:
-    """Get the rest of the answer from one group."""
-    events.log(
-        "request.send",
-        request=caller.request_id,
-        group=chosen.name,
-        epoch=chosen.epoch,
-        offset=state.delivered,
-    )
-    try:
-        conn = await view.net.dial(addresses.parse(chosen.address), CONNECT_SECONDS)
-    except transport_error.TransportError as exc:
-        return classify.broken(exc)
-    try:
-        await conn.send_request(_target_request(caller, state, chosen), chosen.address)
-        return await _relay(view, caller, state, conn)
-    except transport_error.TransportError as exc:
-        if state.caller_gone:
-            raise
-        return classify.broken(exc)
-    finally:
-        await conn.close()
-
-
-def _target_request(
-    caller: callers.Caller, state: stream_state.StreamState, chosen: candidates.Candidate
-) -> message.Request:
-    body = msgspec.structs.replace(state.body, stream=True)
-    req = message.json_request("POST", caller.exchange.request.path, body)
-    req.headers.add("x-request-id", caller.request_id)
-    req.headers.add("x-group", chosen.name).add("x-epoch", str(chosen.epoch))
-    req.headers.add("x-resume-offset", str(state.delivered))
-    return req
-
-
-async def _relay(
-    view: views.View,
-    caller: callers.Caller,
-    state: stream_state.StreamState,
-    conn: http_connection.HttpConnection,
-) -> failure.Failure | None:
-    wait = view.cfg.get(settings.FIRST_TOKEN_DEADLINE)
-    reader = sse.Reader(conn)
-    try:
-        with trio.fail_after(wait):
-            head = await conn.read_response_head()
-        refusal = classify.refused(head)
-        if refusal is not None:
-            return refusal
-        while True:
-            with trio.fail_after(wait):
-                data = await reader.next_data()
-            if data is None:
-                text = "the target's stream ended early"
-                return failure.Failure(codes.Code.TARGET_LOST, text)
-            if data == sse.DONE:
-                await _finish(caller, state)
-                return None
-            await _deliver(caller, state, data)
-            wait = view.cfg.get(settings.PROGRESS_DEADLINE)
-    except trio.TooSlowError:
-        kind = transport_error.Kind.SILENT
-        text = f"the target said nothing for {wait} s"
-        return classify.broken(transport_error.TransportError(kind, True, text))
-
-
-async def _deliver(caller: callers.Caller, state: stream_state.StreamState, data: bytes) -> None:
-    chunk = msgspec.json.decode(data, type=completion.Chunk)
-    if not state.accept(chunk, trio.current_time()):
-        return
-    if not state.body.stream:
-        return
-    try:
-        if state.delivered == 1:
-            fields = header_lists.Headers().add("content-type", "text/event-stream")
-            fields.add("x-request-id", caller.request_id)
-            await caller.exchange.start_stream(200, fields)
-        await caller.exchange.send_chunk(b"data: " + data + b"\n\n")
-    except transport_error.TransportError:
-        state.caller_gone = True
-        raise
-
-
-async def _finish(caller: callers.Caller, state: stream_state.StreamState) -> None:
-    if state.body.stream:
-        await caller.exchange.send_chunk(b"data: [DONE]\n\n")
-        await caller.exchange.end_stream()
-        return
-    is_chat = caller.exchange.request.path == "/v1/chat/completions"
+    is_chat = caller.exchange.request.path == CHAT_PATH
     text = "".join(state.texts)
-    content = {"message": {"role": "assistant", "content": text}} if is_chat else {"text": text}
-    choice = {"index": 0, "finish_reason": "length", **content}
-    usage = {"completion_tokens": state.delivered}
-    body = {"id": caller.request_id, "choices": [choice], "usage": usage}
-    response = message.json_response(200, body)
+    usage = state.usage or completion.Usage(
+        stream.ask.prompt_tokens, state.delivered, stream.ask.prompt_tokens + state.delivered
+    )
+    answer = completion.Answer(
+        id=caller.request_id,
+        object="chat.completion" if is_chat else "text_completion",
+        created=int(events.wall_seconds()),
+        model=stream.body.request.model,
+        choices=_choices(text, is_chat, state.finish_reason or "length"),
+        usage=usage,
+    )
+    response = message.json_response(200, answer)
     response.headers.add("x-request-id", caller.request_id)
     await caller.exchange.respond(response)
+
+
+def _choices(
+    text: str, is_chat: bool, reason: str
+) -> list[completion.ChatChoice] | list[completion.TextChoice]:
+    if is_chat:
+        return [completion.ChatChoice(completion.ChatMessage("assistant", text), reason)]
+    return [completion.TextChoice(text, reason)]
+
+
+async def _tell_in_stream(caller: callers.Caller, found: failure.Failure) -> None:
+    """Tell of a failure after the stream has begun: an event with the error, and no ``[DONE]``."""
+    body = errors.response(found, caller.request_id).body
+    await caller.exchange.end_stream(b"data: " + body + b"\n\n")
--- /dev/null
+++ b/src/galenavane/serve/resume_token.py
@@ -0,0 +1,63 @@
+"""Signed tokens by which a caller goes on with its stream at any entry."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import expression
+import msgspec
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+
+LIFETIME_SECONDS = 600.0
+_DIGEST_BYTES = hashlib.sha256().digest_size
+
+
+class ResumeToken(msgspec.Struct, frozen=True):
+    """What an entry knows of a stream that began at another.
+
+    :ivar body_hash: hash of the request, which has to be sent again unchanged.
+    :ivar version: version of the model; no other one goes on with the answer.
+    :ivar expires_at: wall clock in seconds.
+    """
+
+    request_id: str
+    account: str
+    version: str
+    body_hash: str
+    expires_at: float
+
+
+def sign(key: str, token: ResumeToken) -> str:
+    """Return the text of a token."""
+    content = msgspec.json.encode(token)
+    return base64.urlsafe_b64encode(_digest(key, content) + content).decode()
+
+
+def verify(key: str, text: str, wall: float) -> expression.Result[ResumeToken, failure.Failure]:
+    """Check signature and age of a token."""
+    if not key:
+        return expression.Error(_bad("this deployment has no resume key"))
+    try:
+        found = base64.urlsafe_b64decode(text)
+    except (ValueError, binascii.Error):
+        return expression.Error(_bad("the resume token is damaged"))
+    content = found[_DIGEST_BYTES:]
+    if not hmac.compare_digest(found[:_DIGEST_BYTES], _digest(key, content)):
+        return expression.Error(_bad("the resume token's signature is wrong"))
+    token = msgspec.json.decode(content, type=ResumeToken)
+    if wall > token.expires_at:
+        return expression.Error(_bad("the resume token has expired"))
+    return expression.Ok(token)
+
+
+def _digest(key: str, content: bytes) -> bytes:
+    return hmac.digest(key.encode(), content, "sha256")
+
+
+def _bad(text: str) -> failure.Failure:
+    return failure.Failure(codes.Code.BAD_RESUME_TOKEN, text)
--- /dev/null
+++ b/src/galenavane/serve/stream_pump.py
@@ -0,0 +1,101 @@
+"""Turns what a target streams into what its caller gets; makes no input or output."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import h11
+import msgspec
+
+from galenavane import invariant
+from galenavane.net import transport_error
+from galenavane.serve import stream_state
+from galenavane.target import completion
+
+DONE = b"[DONE]"
+_SEPARATOR = b"\n\n"
+_PREFIX = b"data: "
+_CHUNK_TAIL = b"\r\n"
+
+Frame = abc.Callable[[bytes], bytes]
+
+_chunks = msgspec.json.Decoder(completion.Chunk)
+
+
+class StreamPump:
+    """One try of a stream; implements ``pump.Pump``.
+
+    :ivar done: the target has ended the answer, or broken it off.
+    :ivar error: why it was broken off, ``None`` for a whole answer.
+    """
+
+    __slots__ = ("_buffer", "_frame", "_out", "_source", "_state", "done", "error")
+
+    def __init__(
+        self, source: h11.Connection, state: stream_state.StreamState, frame: Frame | None
+    ) -> None:
+        self._source = source
+        self._state = state
+        self._frame = frame
+        self._buffer = b""
+        self._out = b""
+        self.done = False
+        self.error: Exception | None = None
+
+    def start(self, now: float) -> bytes:
+        """Return what is to be sent for events that came along with the head."""
+        return self.feed(b"", now, False)
+
+    def feed(self, data: bytes, now: float, is_read: bool = True) -> bytes:
+        """Take in bytes of the target's connection; return bytes for the caller's."""
+        self._out = b""
+        try:
+            if is_read:
+                self._source.receive_data(data)
+            self._read_events(now)
+        except h11.RemoteProtocolError as exc:
+            self._break_off(_broken(str(exc)))
+        except msgspec.DecodeError as exc:
+            self._break_off(_broken(f"damaged chunk: {exc}"))
+        except (transport_error.TransportError, invariant.ViolationError) as exc:
+            self._break_off(exc)
+        if not self._out or self._frame is None:
+            return b""
+        return self._frame(self._out)
+
+    def _break_off(self, error: Exception) -> None:
+        self.done = True
+        self.error = error
+
+    def _read_events(self, now: float) -> None:
+        source = self._source
+        while not self.done:
+            event = source.next_event()
+            if event is h11.NEED_DATA:
+                return
+            if not isinstance(event, h11.Data):
+                raise _broken("the target's stream ended early")
+            self._take(bytes(event.data), now)
+            # Only the end of this chunk is left, which can wait for the next read.
+            if event.chunk_end and source.trailing_data[0] == _CHUNK_TAIL:
+                return
+
+    def _take(self, data: bytes, now: float) -> None:
+        """Collect the new events of some bytes, as the caller gets them."""
+        if self._buffer:
+            data = self._buffer + data
+        parts = data.split(_SEPARATOR)
+        self._buffer = parts.pop()
+        for part in parts:
+            if not part.startswith(_PREFIX):
+                continue
+            content = part[len(_PREFIX) :]
+            if content == DONE:
+                self.done = True
+                return
+            if self._state.accept(_chunks.decode(content), now):
+                self._out += part + _SEPARATOR
+
+
+def _broken(text: str) -> transport_error.TransportError:
+    return transport_error.TransportError(transport_error.Kind.RESET, True, text)
--- a/src/galenavane/serve/stream_state.py
+++ b/src/galenavane/serve/stream_state.py
@@ -10,55 +10,64 @@
     """Progress of one answer over all tries.
 
     :ivar delivered: tokens delivered, which is the offset to resume from.
+    :ivar texts: text of each token that this entry delivered.
     :ivar first_token_at: monotonic time of the first token of the present try.
     :ivar tried: groups that failed since the last success.
+    :ivar usage: what the engine counted, ``None`` when it does not say.
     """
 
     __slots__ = (
         "_try_start",
-        "body",
-        "caller_gone",
         "delivered",
+        "finish_reason",
         "first_token_at",
         "request_id",
         "texts",
         "tried",
         "tries",
+        "usage",
     )
 
-    def __init__(self, request_id: str, body: completion.CompletionRequest) -> None:
+    def __init__(self, request_id: str, delivered: int = 0) -> None:
         self.request_id = request_id
-        self.body = body
-        self.delivered = 0
+        self.delivered = delivered
         self.texts: list[str] = []
         self.tried: set[str] = set()
         self.tries = 0
-        self.caller_gone = False
         self.first_token_at = 0.0
-        self._try_start = 0
+        self.finish_reason: str | None = None
+        self.usage: completion.Usage | None = None
+        self._try_start = delivered
 
     def begin_try(self) -> None:
-        """Note that a further group goes on with the answer."""
+        """Note that a further try goes on with the answer."""
         self.tries += 1
         self._try_start = self.delivered
 
     def accept(self, chunk: completion.Chunk, now: float) -> bool:
-        """Take in a chunk; return whether it is new. A hole or a foreign id is a defect."""
-        invariant.check(
-            invariant.Number.OWN_ANSWER,
-            chunk.id == self.request_id,
-            f"chunk of {chunk.id} in the answer to {self.request_id}",
-        )
+        """Take in a chunk; return whether it is new.
+
+        :raises ViolationError: when it is of another request or leaves a hole.
+        """
+        if chunk.id != self.request_id or chunk.offset > self.delivered:
+            self._report(chunk)
         if chunk.offset < self.delivered:
             return False
-        invariant.check(
-            invariant.Number.OWN_ANSWER,
-            chunk.offset == self.delivered,
-            f"token {chunk.offset} after {self.delivered} tokens",
-        )
         if self.delivered == self._try_start:
             self.first_token_at = now
         self.delivered += 1
-        choice = chunk.choices[0]
-        self.texts.append(choice.delta.content or choice.text)
+        if chunk.choices:
+            choice = chunk.choices[0]
+            self.texts.append(choice.delta.content or choice.text)
+            if choice.finish_reason is not None:
+                self.finish_reason = choice.finish_reason
+        if chunk.usage is not None:
+            self.usage = chunk.usage
         return True
+
+    def _report(self, chunk: completion.Chunk) -> None:
+        invariant.check(
+            invariant.Number.OWN_ANSWER,
+            False,
+            f"token {chunk.offset} of {chunk.id} after {self.delivered} of {self.request_id}",
+        )
--- a/src/galenavane/standin/engine.py
+++ b/src/galenavane/standin/engine.py
@@ -167,6 +167,9 @@
     request_id = req.headers.get("x-request-id")
     body = msgspec.json.decode(req.body, type=completion.CompletionRequest)
     events.log("target.request", instance=state.name, group=state.group, request=request_id)
+    replaced = engine.streams.get(request_id)
+    if replaced is not None:
+        replaced.cancel()
     scope = trio.CancelScope()
     engine.streams[request_id] = scope
     with scope:
@@ -194,10 +197,8 @@
         is_chat = exchange.request.path == "/v1/chat/completions"
         for offset in range(int(headers.get("x-resume-offset", "0")), body.max_tokens):
             await _decode_step(engine)
-            text = engine_text.token(prompt, offset)
-            await exchange.send_chunk(_event(request_id, offset, text, is_chat))
-        await exchange.send_chunk(b"data: [DONE]\n\n")
-        await exchange.end_stream()
+            await exchange.send_chunk(_event(request_id, offset, body, is_chat))
+        await exchange.end_stream(b"data: [DONE]\n\n")
     finally:
         engine.batch.leave()
 
@@ -208,8 +209,28 @@
         await trio.sleep(LOAD_SAMPLE_SECONDS)
 
 
-def _event(request_id: str, offset: int, text: str, is_chat: bool) -> bytes:
-    delta = completion.Delta(text if is_chat else "")
-    choice = completion.ChunkChoice(delta=delta, text="" if is_chat else text)
-    chunk = completion.Chunk(request_id, offset, [choice])
+def _event(
+    request_id: str, offset: int, body: completion.CompletionRequest, is_chat: bool
+) -> bytes:
+    prompt = body.text()
+    text = engine_text.token(prompt, offset)
+    is_last = offset + 1 == body.max_tokens
+    choice = completion.ChunkChoice(
+        delta=completion.Delta(text if is_chat else ""),
+        text="" if is_chat else text,
+        finish_reason="length" if is_last else None,
+    )
+    chunk = completion.Chunk(
+        request_id,
+        offset,
+        [choice],
+        object="chat.completion.chunk" if is_chat else "text_completion",
+        model=body.model,
+        usage=_usage(prompt, offset + 1) if is_last else None,
+    )
     return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+
+
+def _usage(prompt: str, tokens: int) -> completion.Usage:
+    prompt_tokens = len(prompt) // engine_batch.CHARACTERS_PER_TOKEN
+    return completion.Usage(prompt_tokens, tokens, prompt_tokens + tokens)
--- a/src/galenavane/target/completion.py
+++ b/src/galenavane/target/completion.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
 DEFAULT_MAX_TOKENS = 64
@@ -18,13 +20,17 @@
     """Body of ``/v1/completions`` and ``/v1/chat/completions``.
 
     :ivar model: model name, or ``model:adapter``.
+    :ivar n: number of choices; only one is served.
+    :ivar resume_text: text of the tokens before the offset that the answer goes on from.
     """
 
     model: str
     prompt: str = ""
     messages: list[ChatMessage] = []
-    max_tokens: int = DEFAULT_MAX_TOKENS
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_TOKENS
     stream: bool = False
+    n: typing.Annotated[int, msgspec.Meta(ge=1, le=1)] = 1
+    resume_text: str = ""
 
     def text(self) -> str:
         """Return the whole prompt as one text."""
@@ -52,13 +58,54 @@
     finish_reason: str | None = None
 
 
+class Usage(msgspec.Struct, frozen=True):
+    """Tokens of one request."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    total_tokens: int = 0
+
+
 class Chunk(msgspec.Struct, frozen=True):
     """One server-sent event of a stream.
 
     :ivar id: the request that the chunk belongs to.
     :ivar offset: number of the chunk's token in the answer, from 0.
+    :ivar object: type of the event, by the usual API.
+    :ivar usage: on the last chunk, when the engine counts.
     """
 
     id: str
     offset: int
     choices: list[ChunkChoice]
+    object: str = "text_completion"
+    created: int = 0
+    model: str = ""
+    usage: Usage | None = None
+
+
+class TextChoice(msgspec.Struct, frozen=True):
+    """The only choice of an answer to ``/v1/completions``."""
+
+    text: str
+    finish_reason: str
+    index: int = 0
+
+
+class ChatChoice(msgspec.Struct, frozen=True):
+    """The only choice of an answer to ``/v1/chat/completions``."""
+
+    message: ChatMessage
+    finish_reason: str
+    index: int = 0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer that is not streamed."""
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[TextChoice] | list[ChatChoice]
+    usage: Usage
