--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: demo test lint format type behave bench soak proof binary clean
+.PHONY: demo test lint format type behave bench soak proof binary clean capacity
 
 $(VENV)/ready: requirements.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -39,3 +39,6 @@
 
 clean:
 	rm -rf build
+
+capacity: $(VENV)/ready
+	$(PY) scripts/measure_control.py
--- a/src/galenavane/cli/standin.py
+++ b/src/galenavane/cli/standin.py
@@ -68,6 +68,57 @@
     return 0
 
 
+def fleet(
+    listen: addresses.Address,
+    /,
+    *,
+    platform: addresses.Address,
+    data_centre: str,
+    count: int,
+    first: int = 0,
+    domain_size: int = 32,
+) -> int:
+    """Run many members in one process, to measure what they cost the entries.
+
+    :param listen: IP:port of the first member; the others take the ports after it
+    :param platform: IP:port of the platform, which lists the instances
+    :param data_centre: data centre of the instances
+    :param count: number of instances
+    :param first: number of the first instance
+    :param domain_size: instances in one fabric domain
+    """
+    events.start(f"fleet-{first}", data_centre, uuid.uuid4().hex, None)
+    listed = [
+        instance.Instance(
+            f"engine-{number}",
+            f"{listen.host}:{listen.port + number - first}",
+            data_centre,
+            instance.Kind.ENGINE,
+            fabric_domain=f"domain-{number // domain_size}",
+        )
+        for number in range(first, first + count)
+    ]
+    trio.run(_serve_fleet, platform, listed)
+    return 0
+
+
+async def _serve_fleet(platform_address: addresses.Address, fleet: list[instance.Instance]) -> None:
+    sizes = engine_faults.Sizes()
+    async with trio.open_nursery() as nursery:
+        for one in fleet:
+            serve = functools.partial(
+                engines.run,
+                tcp.make(),
+                one.name,
+                addresses.parse(one.address),
+                sizes,
+                engine_faults.Faults(),
+                uuid.uuid4().hex,
+            )
+            await nursery.start(serve)
+            await register(platform_address, one)
+
+
 def plain(
     name: str,
     listen: addresses.Address,
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -42,6 +42,7 @@
     "standin": {
         "platform": standin.platform,
         "engine": standin.engine,
+        "fleet": standin.fleet,
         "plain": standin.plain,
     },
 }
--- a/tests/cli/help.feature
+++ b/tests/cli/help.feature
@@ -20,6 +20,7 @@
       | completion       |
       | standin platform |
       | standin engine   |
+      | standin fleet    |
       | standin plain    |
 
   Scenario: The shell is told the subcommands and flags
