Encrypt messages between entries, and bound and fuzz them

Strangers neither read nor speak: CURVE with one key for the deployment, callers admitted by pyzmq's own authenticator. A stranger that knows the public key is refused; libzmq then gives the connection up for good, so a socket that takes no message is opened anew.

--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -10,6 +10,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
+from galenavane.net import curve_key
 
 _S = setting.Setting
 
@@ -29,6 +30,14 @@
     "IP:port ...",
     "Entries that are asked while the platform can't be reached.",
 )
+PEER_KEYS = _S(
+    "peers",
+    "keys",
+    curve_key.check_list,
+    "",
+    "",
+    "Secret keys between entries on one line: own first, then others still in use.",
+)
 PLATFORM = _S("platform", "address", addresses.parse, None, "IP:port", "The platform's object API.")
 PLATFORM_TIMEOUT = _S(
     "platform", "timeout", setting.parse_number, 2.0, "seconds", "Longest wait for a call."
@@ -62,6 +71,7 @@
     OPERATORS,
     PEERS,
     SEEDS,
+    PEER_KEYS,
     PLATFORM,
     PLATFORM_TIMEOUT,
     TARGET_TIMEOUT,
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -22,7 +22,7 @@
     tables_task,
 )
 from galenavane.entry import view as views
-from galenavane.net import tcp
+from galenavane.net import curve_key, tcp
 from galenavane.observe import events
 from galenavane.peer import task as peer_task
 from galenavane.peer import zmq_transport
@@ -45,7 +45,7 @@
         targets=target_client.make(net, cfg.get(settings.TARGET_TIMEOUT)),
         rng=random.SystemRandom(),
         net=net,
-        transport=zmq_transport.make(cfg.get(settings.PEERS)),
+        transport=zmq_transport.make(cfg.get(settings.PEERS), _peer_keys(cfg)),
     )
     await serve(view, _wait_signal)
 
@@ -83,6 +83,10 @@
 )
 
 
+def _peer_keys(cfg: settings.Settings) -> list[curve_key.CurveKey]:
+    return [curve_key.parse(word) for word in cfg.get(settings.PEER_KEYS).split()]
+
+
 async def _wait_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
--- a/src/galenavane/net/message_socket.py
+++ b/src/galenavane/net/message_socket.py
@@ -5,6 +5,15 @@
 import trio
 import zmq
 
+from galenavane.net import curve_key
+
+MAX_MESSAGE_BYTES = 16_000_000
+MAX_QUEUED_MESSAGES = 100
+MAX_RECONNECT_MILLISECONDS = 2_000
+HANDSHAKE_MILLISECONDS = 5_000
+UNACKNOWLEDGED_MILLISECONDS = 5_000
+PING_MILLISECONDS = 15_000
+
 
 class MessageSocket:
     """One ZeroMQ socket; only one task may receive from it."""
@@ -50,16 +59,37 @@
         self._socket.close(linger=0)
 
 
-def bind_router(context: zmq.Context[zmq.Socket[bytes]], endpoint: str) -> MessageSocket:
-    """Return a socket that receives from every peer."""
+def bind_router(
+    context: zmq.Context[zmq.Socket[bytes]], endpoint: str, key: curve_key.CurveKey | None
+) -> MessageSocket:
+    """Return a socket that receives from every peer.
+
+    :param key: key that it decrypts with; callers are admitted by the context's authenticator.
+    """
     socket = context.socket(zmq.ROUTER)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MILLISECONDS)
+    if key is not None:
+        socket.curve_server = True
+        socket.curve_secretkey = key.secret
+        socket.curve_publickey = key.public
     socket.bind(endpoint)
     return MessageSocket(socket)
 
 
-def connect_dealer(context: zmq.Context[zmq.Socket[bytes]], endpoint: str) -> MessageSocket:
-    """Return a socket that sends to one peer."""
+def connect_dealer(
+    context: zmq.Context[zmq.Socket[bytes]], endpoint: str, key: curve_key.CurveKey | None
+) -> MessageSocket:
+    """Return a socket that sends to one peer, which has the same key."""
     socket = context.socket(zmq.DEALER)
-    socket.setsockopt(zmq.SNDHWM, 100)
+    socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MILLISECONDS)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MILLISECONDS)
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MILLISECONDS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MILLISECONDS)
+    if key is not None:
+        socket.curve_serverkey = key.public
+        socket.curve_secretkey = key.secret
+        socket.curve_publickey = key.public
     socket.connect(endpoint)
     return MessageSocket(socket)
--- a/src/galenavane/peer/zmq_transport.py
+++ b/src/galenavane/peer/zmq_transport.py
@@ -1,27 +1,88 @@
-"""Messages between entries over ZeroMQ."""
+"""Messages between entries over ZeroMQ, encrypted when there are keys."""
 
 from __future__ import annotations
 
+import time
+from collections import abc
+
 import zmq
+import zmq.auth.thread
 
 from galenavane.net import address as addresses
-from galenavane.net import message_socket
+from galenavane.net import curve_key, message_socket
 from galenavane.peer import transport
 
+IDLE_SECONDS = 60.0
+_NO_KEYS: tuple[None] = (None,)
+
+
+class _Admission:
+    """Admits callers that have one of the keys."""
+
+    __slots__ = ("_publics",)
+
+    def __init__(self, keys: abc.Sequence[curve_key.CurveKey]) -> None:
+        self._publics = {key.public for key in keys}
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        return key in self._publics
+
+
+class _Peer:
+    """Sockets to one peer, one for each key that it may have."""
+
+    __slots__ = ("sockets", "used_at")
+
+    def __init__(self, sockets: list[message_socket.MessageSocket]) -> None:
+        self.sockets = sockets
+        self.used_at = 0.0
+
 
 class _ZmqTransport:
-    __slots__ = ("_context", "_router", "_sockets")
+    __slots__ = ("_authenticator", "_context", "_keys", "_peers", "_router", "_swept_at")
 
-    def __init__(self, where: addresses.Address) -> None:
+    def __init__(self, where: addresses.Address, keys: abc.Sequence[curve_key.CurveKey]) -> None:
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
-        self._router = message_socket.bind_router(self._context, f"tcp://{where}")
-        self._sockets: dict[str, message_socket.MessageSocket] = {}
+        self._keys = keys
+        self._authenticator = _start_authenticator(self._context, keys) if keys else None
+        endpoint = f"tcp://{where}"
+        self._router = message_socket.bind_router(
+            self._context, endpoint, keys[0] if keys else None
+        )
+        self._peers: dict[str, _Peer] = {}
+        self._swept_at = time.monotonic()
 
     def send(self, address: str, data: bytes) -> bool:
-        if address not in self._sockets:
-            socket = message_socket.connect_dealer(self._context, f"tcp://{address}")
-            self._sockets[address] = socket
-        return self._sockets[address].send([data])
+        now = time.monotonic()
+        self._close_idle(now)
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(self._connect(address))
+        peer.used_at = now
+        # Only the socket with the peer's present key completes its handshake.
+        taken = [one.send([data]) for one in peer.sockets]
+        if not any(taken):
+            # Full or refused for good: the next message opens a new connection.
+            self._close_peer(address)
+        return any(taken)
+
+    def _connect(self, address: str) -> list[message_socket.MessageSocket]:
+        return [
+            message_socket.connect_dealer(self._context, f"tcp://{address}", key)
+            for key in self._keys or _NO_KEYS
+        ]
+
+    def _close_idle(self, now: float) -> None:
+        if now < self._swept_at + IDLE_SECONDS:
+            return
+        self._swept_at = now
+        for address, peer in list(self._peers.items()):
+            if now >= peer.used_at + IDLE_SECONDS:
+                self._close_peer(address)
+
+    def _close_peer(self, address: str) -> None:
+        for socket in self._peers.pop(address).sockets:
+            socket.close()
 
     async def receive(self) -> bytes:
         frames = await self._router.receive()
@@ -29,11 +90,28 @@
 
     def close(self) -> None:
         self._router.close()
-        for socket in self._sockets.values():
-            socket.close()
+        for address in list(self._peers):
+            self._close_peer(address)
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.term()
 
 
-def make(where: addresses.Address) -> transport.Transport:
-    """Return a transport that hears peers at an address."""
-    return _ZmqTransport(where)
+def _start_authenticator(
+    context: zmq.Context[zmq.Socket[bytes]], keys: abc.Sequence[curve_key.CurveKey]
+) -> zmq.auth.thread.ThreadAuthenticator:
+    authenticator = zmq.auth.thread.ThreadAuthenticator(context)
+    authenticator.start()
+    authenticator.configure_curve_callback(domain="*", credentials_provider=_Admission(keys))
+    return authenticator
+
+
+def make(
+    where: addresses.Address, keys: abc.Sequence[curve_key.CurveKey] = ()
+) -> transport.Transport:
+    """Return a transport that hears peers at an address.
+
+    :param keys: the first one decrypts; messages go to peers that have any, and peers that have
+        any are heard. Without keys, messages are in clear and everybody is heard.
+    """
+    return _ZmqTransport(where, keys)
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -15,6 +15,7 @@
     diff,
     entry,
     errors,
+    keys,
     load,
     preset,
     rollback,
@@ -37,6 +38,7 @@
     "rollback": rollback.rollback,
     "status": status.status,
     "timeline": timeline.timeline,
+    "keys": keys.keys,
     "errors": errors.errors,
     "load": load.load,
     "standin": {
--- /dev/null
+++ b/tests/steps/peer_membership.py
@@ -0,0 +1,184 @@
+"""Steps for membership decisions, facts and the message decoder."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import msgspec
+from behave import then
+from hypothesis import strategies
+
+from galenavane.peer import command, facts, facts_update, membership, messages, registration
+
+SETTINGS = hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=150)
+ENTRIES = 410
+DATA_CENTRES = 26
+CURVE_AND_FRAME_BYTES = 35
+TCP_AND_IP_BYTES = 52
+LIMIT_BYTES_PER_SECOND = 4096
+
+
+def make_state(name="a", place="p"):
+    """Return the membership of one entry that knows nobody."""
+    return membership.State(name, place, f"{name}:1", [])
+
+
+def hello(name, started_ms=1, generation=1, place="p", leaving=False):
+    """Return a hello of an entry."""
+    return messages.Hello(
+        2, "1.0", name, f"i{started_ms}", started_ms, place, f"{name}:1", generation, leaving, False
+    )
+
+
+def beat(name, started_ms=1, generation=1):
+    """Return a beat of an entry."""
+    return messages.Beat(2, 1, 0, name, started_ms, generation)
+
+
+def kinds(commands):
+    """Return the types of commands."""
+    return [type(one) for one in commands]
+
+
+@then("membership suspects an entry only after several missed beats")
+def suspect(context):
+    state, rng = make_state(), random.Random(1)
+    membership.hear_hello(state, hello("b"), 0.0)
+    period = membership.local_period(state)
+    membership.tick(state, 2.5 * period, rng)
+    assert not state.members["b"].is_suspected
+    noted = membership.tick(state, 3.6 * period, rng)
+    assert command.Note("peer.suspected", "b") in noted
+    assert [one.name for one in membership.live(state, 3.6 * period)] == ["b"]
+    membership.hear_beat(state, beat("b"), 4 * period)
+    assert not state.members["b"].is_suspected
+    assert membership.live(state, 12 * period) == []
+
+
+@then("membership ignores messages of an earlier incarnation")
+def ignore_earlier(context):
+    state = make_state()
+    membership.hear_hello(state, hello("b", started_ms=5, generation=3), 0.0)
+    known = state.members["b"]
+    assert membership.hear_hello(state, hello("b", started_ms=4, generation=9), 1.0) == []
+    assert membership.hear_beat(state, beat("b", started_ms=4, generation=9), 1.0) == []
+    assert state.members["b"] == known
+    assert kinds(membership.hear_beat(state, beat("b", started_ms=6), 1.0)) == [command.SayHello]
+
+
+@then("membership learns of a leaving entry from its first hello")
+def hear_leaving(context):
+    state = make_state()
+    membership.hear_hello(state, hello("b"), 0.0)
+    assert membership.leave(state) == [command.SayHello(["b:1"], False)]
+    noted = membership.hear_hello(state, hello("b", leaving=True), 1.0)
+    assert command.Note("peer.leaving", "b") in noted and state.members["b"].leaving
+
+
+@then("membership asks one peer at a time for a newer configuration")
+def ask_one(context):
+    state = make_state()
+    asked = []
+    for number in range(15):
+        asked += membership.hear_hello(state, hello(f"b{number}", generation=2), 0.0)
+    assert kinds(asked).count(command.AskConfiguration) == 1
+    later = membership.hear_beat(state, beat("b3", generation=2), 0.6)
+    assert later == [command.AskConfiguration("b3:1")]
+    told = membership.take_generation(state, 2)
+    assert told == [], "all of them have it"
+
+
+@then("membership names 3 watchers among 16 entries, and all of 2")
+def name_watchers(context):
+    names = [f"entry-{number}" for number in range(16)]
+    watchers = [name for name in names if membership.is_watcher(name, set(names) - {name})]
+    assert len(watchers) == 3
+    assert all(membership.is_watcher(name, names[:2]) for name in names[:2])
+
+
+@then("membership of 410 entries in 26 data centres sends and receives under 4096 bytes a second")
+def bound_traffic(context):
+    state, rng = make_state("entry-0000", "place-00"), random.Random(1)
+    listed = []
+    for number in range(ENTRIES):
+        place = f"place-{number % DATA_CENTRES:02d}"
+        name = f"entry-{number:04d}"
+        listed.append(registration.Registration(name, "", place, f"10.0.0.1:{number}", ""))
+    membership.list_entries(state, listed)
+    local = [one.name for one in listed if one.data_centre == "place-00" and one.name != state.name]
+    sender = facts_update.Sender()
+    own = facts.Facts(sends={f"place-00-service-{number:03d}": number for number in range(230)})
+    sent_bytes = sent = 0
+    for quarter in range(4 * 120):
+        now = quarter / 4
+        for name in local:
+            membership.hear_hello(state, hello(name, place="place-00"), now)
+        for name in state.partners:
+            member = state.members[name]
+            membership.hear_hello(state, hello(name, place=member.data_centre), now)
+        for one in membership.tick(state, now, rng):
+            if isinstance(one, command.SendBeat):
+                update = sender.next_update(own)
+                found = messages.Beat(2, 2**40, 9999, state.name, 2**40, 2**20, update)
+                sent += len(one.addresses)
+                sent_bytes += len(one.addresses) * len(messages.encode(found))
+    overhead = CURVE_AND_FRAME_BYTES + TCP_AND_IP_BYTES
+    both_ways = 2 * (sent_bytes + sent * overhead) / 120
+    assert sent_bytes * 2 > 100 * 120 and both_ways < LIMIT_BYTES_PER_SECOND, both_ways
+
+
+names = strategies.text("abc", min_size=1, max_size=3)
+demands = strategies.builds(
+    facts.Demand, strategies.floats(0, 9, width=32), strategies.floats(0, 9, width=32)
+)
+all_facts = strategies.builds(
+    facts.Facts,
+    sends=strategies.dictionaries(names, strategies.integers(1, 9), max_size=9),
+    demand=strategies.dictionaries(names, demands, max_size=9),
+    suspects=strategies.dictionaries(names, strategies.floats(1, 9, width=32), max_size=9),
+    leaving=strategies.lists(names, unique=True, max_size=9).map(sorted),
+)
+
+
+@then("facts of any kind arrive in parts of limited size")
+def send_parts(context):
+    @SETTINGS
+    @hypothesis.given(strategies.lists(all_facts, min_size=1, max_size=4))
+    def check(changes):
+        sender, heard = facts_update.Sender(), facts.Facts()
+        for own in changes:
+            heard = facts_update.apply(heard, sender.next_update(own))
+        for _ in range(40):
+            update = sender.next_update(changes[-1])
+            assert len(msgspec.msgpack.encode(update)) < 2 * facts_update.MAX_UPDATE_BYTES
+            heard = facts_update.apply(heard, update)
+        assert heard == changes[-1]
+
+    check()
+
+
+@then("peer messages that are damaged, unknown or of another version are dropped")
+def drop_damaged(context):
+    good = messages.encode(hello("b"))
+    assert messages.decode(good) == hello("b")
+    other = messages.encode(msgspec.structs.replace(hello("b"), protocol=1))
+    assert messages.decode(other) is None
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary(max_size=200))
+    def check(data):
+        found = messages.decode(data)
+        assert found is None or found.protocol == messages.PROTOCOL_VERSION
+
+    @SETTINGS
+    @hypothesis.given(strategies.integers(0, len(good) - 1), strategies.integers(0, 255))
+    def damage(index, byte):
+        data = bytearray(good)
+        data[index] = byte
+        messages.decode(bytes(data))
+        messages.decode(good[:index])
+
+    check()
+    damage()
+    assert messages.decode(b"\x91" * 100_000) is None
