--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -19,6 +19,7 @@
     operators,
     registration_task,
     reports_task,
+    routing_task,
     tables_task,
 )
 from galenavane.entry import view as views
@@ -77,6 +78,7 @@
     instances_task.run,
     tables_task.run,
     reports_task.run,
+    routing_task.run,
     control_task.run,
     meter_task.run,
     peer_task.run,
--- a/src/galenavane/target/report.py
+++ b/src/galenavane/target/report.py
@@ -16,6 +16,7 @@
     :ivar token_seconds: time between two tokens of a stream.
     :ivar prefill_tokens_per_second: speed of prefill.
     :ivar waiting_prefill_tokens: prompt tokens not yet computed.
+    :ivar age_seconds: how long before the report this was the load.
     """
 
     running: int = 0
@@ -24,6 +25,7 @@
     token_seconds: float = 0.02
     prefill_tokens_per_second: float = 10_000.0
     waiting_prefill_tokens: int = 0
+    age_seconds: float = 0.0
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -32,6 +34,8 @@
     :ivar incarnation: new at every start of the engine.
     :ivar token: highest fencing token seen, also by engines that ignore it.
     :ivar ready: whether the weights are loaded.
+    :ivar shard: weights that are in memory or being loaded, also of an engine in no group.
+    :ivar loaded: whether the shard is in memory.
     :ivar complete: on a leader, whether it has lately heard every member.
     :ivar finished: requests that ended since the start, for counting unreported sends.
     """
@@ -46,6 +50,8 @@
     version: str = ""
     adapters: list[str] = []
     role: command.Role = command.Role.BOTH
+    shard: str = ""
+    loaded: bool = False
     ready: bool = False
     complete: bool = False
     load: Load = Load()
