Measure the relay and let ready sockets collect

Sockets now collect for 3 ms a round, chunk frames to callers are written without h11 between head and end, and a chunk is decoded only as far as it is read. A group that refuses is asked again after a pause, not five times at once.

--- /dev/null
+++ b/src/galenavane/experiment/relay_ends.py
@@ -0,0 +1,113 @@
+"""Source and sink of a relay measurement, each a process with bare sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import sys
+import time
+
+import msgspec
+from hdrh import histogram
+
+from galenavane.net import address as addresses
+from galenavane.target import completion
+
+ROUND_SECONDS = 0.001
+READ_BYTES = 65536
+MAX_GAP_US = 10_000_000
+_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+class SinkResult(msgspec.Struct, frozen=True):
+    """What the sink saw in the measured window.
+
+    :ivar gap_p50_ms: median time between two tokens of a stream.
+    """
+
+    tokens: int
+    gap_p50_ms: float
+    gap_p95_ms: float
+    gap_p99_ms: float
+
+
+def frame_chunk(request_id: str, offset: int) -> bytes:
+    """Return one token as the stand-in engine sends it."""
+    choice = completion.ChunkChoice(text=f"1a2b-{offset} ")
+    chunk = completion.Chunk(request_id, offset, [choice], model="scribe")
+    event = b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+    return b"%x\r\n%b\r\n" % (len(event), event)
+
+
+def serve_source(streams: int, tokens_per_second: float, seconds: float) -> None:
+    """Accept the streams, print the port first, then send one token a stream in turn."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=streams)
+    print(listener.getsockname()[1], flush=True)
+    conns = [_accept(listener) for _ in range(streams)]
+    with contextlib.suppress(ConnectionError):
+        _send_tokens(conns, tokens_per_second, seconds)
+
+
+def _send_tokens(
+    conns: list[tuple[socket.socket, str]], tokens_per_second: float, seconds: float
+) -> None:
+    start = time.monotonic()
+    sent = 0
+    while time.monotonic() < start + seconds:
+        due = int((time.monotonic() - start) * tokens_per_second)
+        while sent < due:
+            conn, request_id = conns[sent % len(conns)]
+            conn.sendall(frame_chunk(request_id, sent // len(conns)))
+            sent += 1
+        time.sleep(ROUND_SECONDS)
+
+
+def _accept(listener: socket.socket) -> tuple[socket.socket, str]:
+    conn, _ = listener.accept()
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    head = b""
+    while b"\r\n\r\n" not in head:
+        head += conn.recv(READ_BYTES)
+    fields = head.decode().lower().split("\r\n")
+    request_id = next(line for line in fields if line.startswith("x-request-id:"))
+    conn.sendall(_HEAD)
+    return conn, request_id.partition(":")[2].strip()
+
+
+def read_sink(where: addresses.Address, streams: int, warm_seconds: float, seconds: float) -> None:
+    """Open the streams, and print what came in the window after the warm-up as JSON."""
+    poller = select.epoll()
+    conns: dict[int, socket.socket] = {}
+    for number in range(streams):
+        conn = socket.create_connection((where.host, where.port))
+        conn.sendall(b"GET / HTTP/1.1\r\nhost: relay\r\nx-request-id: r%d\r\n\r\n" % number)
+        conns[conn.fileno()] = conn
+        poller.register(conn.fileno(), select.EPOLLIN)
+    gaps = histogram.HdrHistogram(1, MAX_GAP_US, 3)
+    before: dict[int, float] = {}
+    tokens = 0
+    begin = time.monotonic() + warm_seconds
+    while (now := time.monotonic()) < begin + seconds:
+        for descriptor, _ in poller.poll(0.1):
+            count = conns[descriptor].recv(READ_BYTES).count(b"data: ")
+            now = time.monotonic()
+            if now >= begin and descriptor in before and count:
+                tokens += count
+                gaps.record_value(max(1, round((now - before[descriptor]) * 1e6)))
+            before[descriptor] = now
+    found = [gaps.get_value_at_percentile(percent) / 1000 for percent in (50, 95, 99)]
+    print(msgspec.json.encode(SinkResult(tokens, *found)).decode(), flush=True)
+
+
+def main() -> None:
+    """Run one end: ``source STREAMS RATE SECONDS`` or ``sink ADDRESS STREAMS WARM SECONDS``."""
+    role, *rest = sys.argv[1:]
+    if role == "source":
+        serve_source(int(rest[0]), float(rest[1]), float(rest[2]))
+    else:
+        read_sink(addresses.parse(rest[0]), int(rest[1]), float(rest[2]), float(rest[3]))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -60,15 +60,18 @@
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
     def frame_chunk(self, fields: header_lists.Headers, data: bytes) -> bytes:
-        """Return a chunk as bytes for the socket, after the head when it is the first."""
-        machine = self.conn.machine
-        chunk = h11.Data(data=data)
+        """Return a chunk as bytes for the socket, after the head when it is the first.
+
+        Head and end go through h11; between them it would add nothing but this frame, at a
+        third of the cost of a relayed token.
+        """
+        chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
         if self.answered:
-            return machine.send(chunk) or b""
+            return chunk
         self.answered = True
         self._stamp(fields).add("transfer-encoding", "chunked")
-        head = machine.send(h11.Response(status_code=200, headers=fields.pairs)) or b""
-        return head + (machine.send(chunk) or b"")
+        head = self.conn.machine.send(h11.Response(status_code=200, headers=fields.pairs))
+        return (head or b"") + chunk
 
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response."""
--- a/src/galenavane/net/relay_hub.py
+++ b/src/galenavane/net/relay_hub.py
@@ -10,6 +10,7 @@
 from galenavane.net import http_connection, pump, relayed
 
 CHECK_SECONDS = 0.1
+COLLECT_SECONDS = 0.003
 _READ = select.EPOLLIN | select.EPOLLRDHUP
 
 _hub: trio.lowlevel.RunVar[Hub] = trio.lowlevel.RunVar("relay_hub")
@@ -18,7 +19,8 @@
 class Hub:
     """Sockets under one epoll object.
 
-    A task for each stream would be woken once a token, and a wake-up costs more than the work.
+    A task for each stream would be woken once a token, and a wake-up costs more than the work. So
+    the one task lets ready sockets collect for a moment and serves them in one round.
     """
 
     __slots__ = ("_by_descriptor", "_epoll", "_is_running", "_next_check")
@@ -68,17 +70,22 @@
 
     async def _serve(self) -> None:
         try:
+            is_busy = False
             while self._by_descriptor:
-                with trio.move_on_after(CHECK_SECONDS):
-                    await trio.lowlevel.wait_readable(self._epoll.fileno())
-                self._serve_ready()
+                if not is_busy:
+                    with trio.move_on_after(CHECK_SECONDS):
+                        await trio.lowlevel.wait_readable(self._epoll.fileno())
+                await trio.sleep(COLLECT_SECONDS)
+                is_busy = self._serve_ready()
                 self._check_deadlines()
         finally:
             self._is_running = False
 
-    def _serve_ready(self) -> None:
+    def _serve_ready(self) -> bool:
+        """Serve every ready socket once; return whether there was any."""
         now = trio.current_time()
-        for descriptor, mask in self._epoll.poll(0):
+        ready = self._epoll.poll(0)
+        for descriptor, mask in ready:
             stream = self._by_descriptor.get(descriptor)
             if stream is None or stream.ended.is_set():
                 continue
@@ -91,6 +98,7 @@
                 stream.flush(now)
             if was_blocked != bool(stream.unsent) or stream.ended.is_set():
                 self._arm(stream)
+        return bool(ready)
 
     def _arm(self, stream: relayed.Relayed) -> None:
         """Stop reading the source while the sink takes nothing."""
--- a/src/galenavane/net/relayed.py
+++ b/src/galenavane/net/relayed.py
@@ -9,6 +9,7 @@
 
 from galenavane.net import disconnect, http_connection, pump, transport_error
 
+READ_SIZE_BYTES = 16384
 MAX_PIPELINED_BYTES = 65536
 
 
@@ -64,7 +65,7 @@
     def read_source(self, now: float) -> None:
         """Read once and pass on what the pump returns."""
         try:
-            data = os.read(self.source, http_connection.READ_SIZE_BYTES)
+            data = os.read(self.source, READ_SIZE_BYTES)
         except BlockingIOError:
             return
         except OSError as exc:
@@ -106,7 +107,7 @@
     def read_sink(self) -> None:
         """Notice that the client is gone; keep bytes of its next request."""
         try:
-            data = os.read(self.sink, http_connection.READ_SIZE_BYTES)
+            data = os.read(self.sink, READ_SIZE_BYTES)
             self._machine.receive_data(data)
         except BlockingIOError:
             return
--- a/src/galenavane/serve/model_stream.py
+++ b/src/galenavane/serve/model_stream.py
@@ -36,6 +36,7 @@
 WRITE_SECONDS = 20.0
 MAX_TRIES = 5
 TRIES_PER_GRANT = 2
+RETRY_PAUSE_SECONDS = 0.25
 RETRY_AFTER_SECONDS = 1.0
 MAX_CANCEL_ANSWER_BYTES = 10_000
 
@@ -79,6 +80,9 @@
             break
         events.log("request.retry", request=stream.caller.request_id, group=held.ok.chosen.name)
         state.tried.add(held.ok.chosen.name)
+        if failed.outcome is outcomes.Outcome.NOT_RUN:
+            # A group that refuses is forming or leaving; asked again at once it refuses again.
+            await disconnect.race(stream.caller.exchange.conn, trio.sleep, RETRY_PAUSE_SECONDS)
     assert told is not None
     stream.attempts.check_told(told.outcome)
     return msgspec.structs.replace(
--- a/src/galenavane/serve/stream_pump.py
+++ b/src/galenavane/serve/stream_pump.py
@@ -19,7 +19,7 @@
 
 Frame = abc.Callable[[bytes], bytes]
 
-_chunks = msgspec.json.Decoder(completion.Chunk)
+_chunks = msgspec.json.Decoder(completion.NewTokens)
 
 
 class StreamPump:
@@ -82,20 +82,26 @@
 
     def _take(self, data: bytes, now: float) -> None:
         """Collect the new events of some bytes, as the caller gets them."""
-        if self._buffer:
-            data = self._buffer + data
-        parts = data.split(_SEPARATOR)
+        if not self._buffer and data.find(_SEPARATOR) == len(data) - len(_SEPARATOR):
+            if self._is_new(data[: -len(_SEPARATOR)], now):
+                self._out = self._out + data if self._out else data
+            return
+        parts = (self._buffer + data).split(_SEPARATOR)
         self._buffer = parts.pop()
         for part in parts:
-            if not part.startswith(_PREFIX):
-                continue
-            content = part[len(_PREFIX) :]
-            if content == DONE:
-                self.done = True
-                return
-            if self._state.accept(_chunks.decode(content), now):
+            if self._is_new(part, now):
                 self._out += part + _SEPARATOR
 
+    def _is_new(self, event: bytes, now: float) -> bool:
+        """Take in one event; return whether its caller has to get it."""
+        if self.done or not event.startswith(_PREFIX):
+            return False
+        content = event[len(_PREFIX) :]
+        if content == DONE:
+            self.done = True
+            return False
+        return self._state.accept(_chunks.decode(content), now)
+
 
 def _broken(text: str) -> transport_error.TransportError:
     return transport_error.TransportError(transport_error.Kind.RESET, True, text)
--- a/src/galenavane/target/completion.py
+++ b/src/galenavane/target/completion.py
@@ -39,7 +39,7 @@
         return self.prompt
 
 
-class Delta(msgspec.Struct, frozen=True):
+class Delta(msgspec.Struct, frozen=True, gc=False):
     """New text of a chunk."""
 
     content: str = ""
@@ -58,7 +58,7 @@
     finish_reason: str | None = None
 
 
-class Usage(msgspec.Struct, frozen=True):
+class Usage(msgspec.Struct, frozen=True, gc=False):
     """Tokens of one request."""
 
     prompt_tokens: int = 0
@@ -66,6 +66,23 @@
     total_tokens: int = 0
 
 
+class NewText(msgspec.Struct, frozen=True, gc=False):
+    """The part of a chunk's choice that an entry reads."""
+
+    delta: Delta = Delta()
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class NewTokens(msgspec.Struct, frozen=True, gc=False):
+    """The part of a chunk that an entry reads; the rest passes through unread."""
+
+    id: str
+    offset: int
+    choices: list[NewText] = []
+    usage: Usage | None = None
+
+
 class Chunk(msgspec.Struct, frozen=True):
     """One server-sent event of a stream.
 
