--- a/src/galenavane/entry/routing_task.py
+++ b/src/galenavane/entry/routing_task.py
@@ -33,18 +33,21 @@
     while True:
         newest = max(view.seen.set_at, view.tables.set_at, view.peer_facts.set_at)
         if newest > taken:
-            router.update_groups(view.router, find_groups(view))
+            _hear_peers(view)
+            router.update_groups(view.router, find_groups(view), trio.current_time())
             taken = newest
         dispatch.carry_out(view, router.step(view.router, trio.current_time(), view.rng))
         await trio.sleep(STEP_SECONDS)
 
 
+def _hear_peers(view: views.View) -> None:
+    told = {name: one.facts for name, one in view.peer_facts.value.items()}
+    router.hear_peers(view.router, told, _count_silent(view), trio.current_time())
+
+
 async def _tell(view: views.View) -> None:
     while True:
-        now = trio.current_time()
-        told = {name: one.facts for name, one in view.peer_facts.value.items()}
-        router.hear_peers(view.router, told, _count_silent(view), now)
-        view.own_facts.publish(router.own_facts(view.router, now))
+        view.own_facts.publish(router.own_facts(view.router, trio.current_time()))
         await trio.sleep(TELL_SECONDS)
 
 
--- a/src/galenavane/route/admission.py
+++ b/src/galenavane/route/admission.py
@@ -6,8 +6,12 @@
 from galenavane.failure import failure
 from galenavane.route import decision, fair_queue, rate, waiting
 
+FIRST_CLASS = 0
 MAX_WAITING = 1_000
 MAX_ACCOUNT_WAITING = 250
+RESERVE_RAISE = 0.01
+RESERVE_LOWER = 0.0005
+MAX_RESERVED = 0.25
 MIN_GRANTS_PER_SECOND = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 30.0
@@ -17,15 +21,16 @@
     """Waiting requests of one pool, and how fast they have lately got groups.
 
     :ivar granted: grants a second by priority class.
-    :ivar inversions: grants made while a higher class waited.
+    :ivar reserved: share of each group's places that only the first class may use; it grows
+        while more than ``RESERVE_LOWER / RESERVE_RAISE`` of that class has to wait.
     """
 
-    __slots__ = ("granted", "inversions", "queue")
+    __slots__ = ("granted", "queue", "reserved")
 
     def __init__(self) -> None:
         self.queue = fair_queue.FairQueue()
         self.granted: dict[int, rate.Rate] = {}
-        self.inversions = 0
+        self.reserved = 0.0
 
     def predict_wait(self, item: waiting.Waiting, now: float) -> float:
         """Return the predicted time in seconds until a new request gets a group."""
@@ -74,11 +79,15 @@
 
     def grant(self, item: waiting.Waiting, now: float) -> None:
         """Remove a request from the queue because it gets a group."""
-        head = self.queue.head()
-        if head is not None and head.ask.priority < item.ask.priority:
-            self.inversions += 1
         self.queue.pop(item)
         self.granted.setdefault(item.ask.priority, rate.Rate()).add(1.0, now)
+        if item.ask.priority == FIRST_CLASS:
+            change = RESERVE_RAISE if now > item.arrived_at else -RESERVE_LOWER
+            self.reserved = min(MAX_RESERVED, max(0.0, self.reserved + change))
+
+    def reserved_from(self, priority: int) -> float:
+        """Return the share of each group's places that a class may not use."""
+        return 0.0 if priority == FIRST_CLASS else self.reserved
 
     def expire(self, now: float) -> list[decision.Refused]:
         """Refuse what has waited until its deadline."""
--- a/src/galenavane/route/candidate.py
+++ b/src/galenavane/route/candidate.py
@@ -28,7 +28,7 @@
     address: str
     epoch: int = 0
     load: report.Load = dataclasses.field(default_factory=report.Load)
-    unreported: int = 0
+    unreported: float = 0.0
     cached_tokens: int = 0
     distance_seconds: float = 0.0
     has_adapter: bool = True
@@ -36,6 +36,6 @@
     place_seconds: float = 0.0
     prefill_wait_seconds: float = 0.0
 
-    def in_flight(self) -> int:
+    def in_flight(self) -> float:
         """Return the requests that it probably has now."""
         return self.load.running + self.load.waiting + self.unreported
--- a/src/galenavane/route/concurrency.py
+++ b/src/galenavane/route/concurrency.py
@@ -6,14 +6,12 @@
 from collections import abc
 
 SLOW_FACTOR = 3.0
-SLACK_SECONDS = 0.1
+SLACK_SECONDS = 0.5
 DECREASE = 0.85
-INCREASE = 0.02
+INCREASE = 0.05
 MIN_SHARE = 0.25
 MAX_SHARE = 1.0
 COOL_DOWN_SECONDS = 0.5
-RESERVE_SHARE = 0.1
-MAX_RESERVED_CLASSES = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,12 +30,14 @@
     def __init__(self) -> None:
         self._learned: dict[str, _Learned] = {}
 
-    def limit(self, group: str, capacity: int, priority: int) -> int:
-        """Return how many requests of a class may be in flight; lower classes leave room."""
+    def limit(self, group: str, capacity: int, reserved: float) -> float:
+        """Return below how many requests in flight a further one may be sent.
+
+        :param reserved: share of the capacity that is kept for a higher class.
+        """
         learned = self._learned.get(group)
-        usable = capacity * (learned.share if learned else MAX_SHARE)
-        reserved = capacity * RESERVE_SHARE * min(priority, MAX_RESERVED_CLASSES)
-        return max(1, round(usable - reserved))
+        share = learned.share if learned else MAX_SHARE
+        return max(1.0, capacity * (share - reserved))
 
     def observe(self, group: str, predicted: float, first_token: float | None, now: float) -> None:
         """Take in a first-token time in seconds, ``None`` for a failure."""
--- a/src/galenavane/route/fleet.py
+++ b/src/galenavane/route/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import abc
 
@@ -12,6 +13,7 @@
 SAMPLED_NEAR = 48
 SAMPLED_FAR = 16
 NEAR_SECONDS = 0.001
+DEVIATION_MEMORY_SECONDS = 3.0
 
 
 class _Groups:
@@ -30,11 +32,12 @@
     :ivar groups: every known group by name.
     """
 
-    __slots__ = ("_pools", "groups")
+    __slots__ = ("_pools", "_refreshed_at", "groups")
 
     def __init__(self) -> None:
         self.groups: dict[str, tracked.Tracked] = {}
         self._pools: dict[pools.Pool, _Groups] = {}
+        self._refreshed_at = float("-inf")
 
     def update(self, found: abc.Iterable[group_facts.GroupFacts], sent: sends.Sends) -> None:
         """Replace all groups by those of new reports."""
@@ -46,6 +49,25 @@
             is_near = one.facts.distance_seconds <= NEAR_SECONDS
             (groups.near if is_near else groups.far).append(one)
 
+    def refresh(self, sent: sends.Sends, now: float) -> None:
+        """Estimate again each group's requests of others, from what peers and reports now say.
+
+        The mean over a pool is believed at once. What one group deviates from it is old, and every
+        entry learns it at the same time and would correct it in full; so each corrects its part,
+        and slowly.
+        """
+        gain = 1.0 - math.exp((self._refreshed_at - now) / DEVIATION_MEMORY_SECONDS)
+        self._refreshed_at = now
+        entries = len(sent.peers) + 1
+        for groups in self._pools.values():
+            pool = groups.near + groups.far
+            told = [one.unknown_requests + sent.of_peers(one.facts.name) for one in pool]
+            usual = sum(told) / sum(one.facts.load.capacity for one in pool)
+            for one, requests in zip(pool, told, strict=True):
+                expected = usual * one.facts.load.capacity
+                one.deviation += gain * ((requests - expected) / entries - one.deviation)
+                one.others = max(0.0, expected + one.deviation)
+
     def add_prefill(self, group: str, now: float, seconds: float) -> None:
         """Note prompt work that was sent to a group."""
         one = self.groups.get(group)
@@ -80,17 +102,18 @@
 
 
 def _track(
-    facts: group_facts.GroupFacts, before: tracked.Tracked | None, sent: sends.Sends
+    facts: group_facts.GroupFacts,
+    before: tracked.Tracked | None,
+    sent: sends.Sends,
 ) -> tracked.Tracked:
-    if before is not None and (before.facts.as_of, before.facts.epoch) == (
-        facts.as_of,
-        facts.epoch,
-    ):
-        return tracked.Tracked(facts, before.unknown_requests, before.prefill_until)
+    is_same = before is not None and before.facts.epoch == facts.epoch
+    if before is not None and is_same and before.facts.as_of == facts.as_of:
+        before.facts = facts
+        return before
+    deviation = before.deviation if before is not None and is_same else 0.0
     load = facts.load
-    reported = load.running + load.waiting
-    unknown = max(0, reported - sent.known_at(facts.name, facts.as_of))
+    unknown = load.running + load.waiting - sent.known_at(facts.name, facts.as_of)
     until = facts.as_of + load.waiting_prefill_tokens / load.prefill_tokens_per_second
     for one in sent.prefills_after(facts.name, facts.as_of):
         until = max(until, one.at) + one.seconds
-    return tracked.Tracked(facts, unknown, until)
+    return tracked.Tracked(facts, unknown, deviation, 0.0, until)
--- a/src/galenavane/route/pick.py
+++ b/src/galenavane/route/pick.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import abc
 
@@ -10,18 +11,22 @@
 ADAPTER_LOAD_SECONDS = 0.5
 NEAR_SECONDS = 0.005
 NEAR_SHARE = 0.1
+UNCERTAINTY = 0.5
 
 
 def predict_first_token(one: candidates.Candidate, prompt_tokens: int) -> float:
     """Return the predicted time to first token in seconds."""
+    queue = _expected_ahead(one.in_flight(), one.load.capacity) * one.place_seconds
+    return least_first_token(one, prompt_tokens) + queue * one.suspicion
+
+
+def least_first_token(one: candidates.Candidate, prompt_tokens: int) -> float:
+    """Return the time to first token in seconds when a place is free."""
     load = one.load
-    ahead = max(0, one.in_flight() - load.capacity + 1)
-    queue = ahead * one.place_seconds
     left = max(0, prompt_tokens - one.cached_tokens)
     prefill = one.prefill_wait_seconds + left / load.prefill_tokens_per_second
     adapter = 0.0 if one.has_adapter else ADAPTER_LOAD_SECONDS
-    busy = (queue + prefill + adapter + load.token_seconds) * one.suspicion
-    return busy + one.distance_seconds
+    return (prefill + adapter + load.token_seconds) * one.suspicion + one.distance_seconds
 
 
 def pick(
@@ -37,5 +42,15 @@
     scores = [predict_first_token(one, prompt_tokens) for one in found]
     bound = min(scores) * (1.0 + NEAR_SHARE) + NEAR_SECONDS
     near = [one for one, score in zip(found, scores, strict=True) if score <= bound]
-    weights = [max(1, one.load.capacity - one.in_flight()) for one in near]
+    weights = [max(1.0, one.load.capacity - one.in_flight()) for one in near]
     return rng.choices(near, weights)[0]
+
+
+def _expected_ahead(in_flight: float, capacity: int) -> float:
+    """Return how many requests will end before a new one gets a place, on average.
+
+    Counts of requests in flight are not of this moment, so a nearly full batch may be full.
+    """
+    deviation = UNCERTAINTY * math.sqrt(capacity)
+    over = (in_flight - capacity + 1) / deviation
+    return deviation * (over if over > 20.0 else math.log1p(math.exp(over)))
--- a/src/galenavane/route/prefix_index.py
+++ b/src/galenavane/route/prefix_index.py
@@ -10,6 +10,7 @@
 MAX_BLOCKS = 100_000
 MAX_GROUP_BLOCKS = 4_096
 MAX_HOLDERS = 32
+SAMPLED_BLOCKS = 4
 DOUBTFUL_CREDIT = 0.5
 _PROBES = (1.0, 0.75, 0.5, 0.25)
 
@@ -27,7 +28,10 @@
 
 
 class PrefixIndex:
-    """A bounded index from prefix block to groups."""
+    """A bounded index from prefix block to groups.
+
+    One block in ``SAMPLED_BLOCKS``, chosen by its hash, stands for its neighbours.
+    """
 
     __slots__ = ("_groups", "_holders", "_max_blocks")
 
@@ -57,6 +61,8 @@
         if event.number != held.last_number + 1:
             held.gaps += 1
         held.last_number = event.number
+        if event.block % SAMPLED_BLOCKS:
+            return
         if event.stored:
             self._store(group, held, event.block)
         else:
@@ -66,16 +72,19 @@
         """Note blocks that a request now sent will leave in a group's cache."""
         held = self._held(group)
         for block in blocks:
-            self._store(group, held, block)
+            if block % SAMPLED_BLOCKS == 0:
+                self._store(group, held, block)
 
     def cached(self, blocks: abc.Sequence[int]) -> dict[str, float]:
         """Return how many leading blocks groups probably hold; doubtful ones count half."""
-        deepest = self._deepest(blocks)
+        ends = [at for at, block in enumerate(blocks, 1) if block % SAMPLED_BLOCKS == 0]
+        deepest = self._deepest(blocks, ends)
         found: dict[str, float] = {}
         for part in _PROBES:
-            count = int(deepest * part)
-            if count == 0:
+            place = int(deepest * part)
+            if place == 0:
                 break
+            count = ends[place - 1]
             block = blocks[count - 1]
             for group in reversed(self._holders.get(block, {})):
                 if len(found) == MAX_HOLDERS:
@@ -110,20 +119,23 @@
         held = self._groups[group]
         return 1.0 if held.blocks[block] == held.gaps else DOUBTFUL_CREDIT
 
-    def _deepest(self, blocks: abc.Sequence[int]) -> int:
-        """Return the length of the longest prefix that some group holds, by bisection."""
-        low, high = 0, len(blocks)
+    def _deepest(self, blocks: abc.Sequence[int], ends: abc.Sequence[int]) -> int:
+        """Return how many sampled blocks of the prompt some group holds, by bisection."""
+        low, high = 0, len(ends)
         while low < high:
             middle = (low + high + 1) // 2
-            if blocks[middle - 1] in self._holders:
+            if blocks[ends[middle - 1] - 1] in self._holders:
                 low = middle
             else:
                 high = middle - 1
         return low
 
     def _store(self, group: str, held: _Held, block: int) -> None:
+        is_known = block in held.blocks
         held.blocks[block] = held.gaps
         held.blocks.move_to_end(block)
+        if is_known:
+            return
         self._holders.setdefault(block, {})[group] = None
         bound = min(MAX_GROUP_BLOCKS, max(1, self._max_blocks // len(self._groups)))
         while len(held.blocks) > bound:
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -150,9 +150,10 @@
     return decisions
 
 
-def update_groups(router: Router, found: abc.Iterable[group_facts.GroupFacts]) -> None:
+def update_groups(router: Router, found: abc.Iterable[group_facts.GroupFacts], now: float) -> None:
     """Replace the complete groups by those of new reports and tables."""
     router.fleet.update(found, router.sends)
+    router.fleet.refresh(router.sends, now)
     known = router.fleet.groups
     router.index.keep(known)
     router.concurrency.keep(known)
@@ -192,9 +193,9 @@
     return facts.Facts(dict(router.sends.own), router.limits.tell(now), suspects)
 
 
-def in_flight(router: Router, group: tracked.Tracked) -> int:
+def in_flight(router: Router, group: tracked.Tracked) -> float:
     """Return the requests that a group probably has now, of all entries."""
-    return group.unknown_requests + router.sends.known(group.facts.name)
+    return group.others + router.sends.own.get(group.facts.name, 0)
 
 
 def _refuse_by_limits(
@@ -230,16 +231,16 @@
         chosen = _choose(router, pool, item, now, rng) if item is not None else None
         if item is None or chosen is None:
             break
-        predicted = pick.predict_first_token(chosen, item.ask.prompt_tokens)
-        if now + predicted > item.ask.deadline:
+        least = pick.least_first_token(chosen, item.ask.prompt_tokens)
+        if now + least > item.ask.deadline:
             state.queue.remove(item)
             _refund(router, item)
-            text = f"the first token would take {predicted:.1f} s, past the deadline"
-            decisions.append(admission.refuse(item, codes.Code.DEADLINE, text, predicted))
+            text = f"the first token would take {least:.1f} s, past the deadline"
+            decisions.append(admission.refuse(item, codes.Code.DEADLINE, text, least))
             continue
         state.grant(item, now)
         decisions.append(decision.Granted(grants.Grant(item.ask, chosen, now)))
-        _note_sent(router, pool, item, chosen, predicted, now)
+        _note_sent(router, pool, item, chosen, now)
     return decisions
 
 
@@ -250,18 +251,16 @@
     groups = router.fleet.sample(pool, cached, rng)
     proved = [one for one in groups if now <= one.facts.proved_until]
     usable = [one for one in proved if one.facts.name not in item.tried] or proved
+    reserved = router.admissions[pool].reserved_from(item.ask.priority)
+    limit = router.concurrency.limit
     open_groups = [
         _candidate(router, one, item, cached.get(one.facts.name, 0.0), now)
         for one in usable
-        if in_flight(router, one) < _limit(router, one, item.ask.priority)
+        if in_flight(router, one) < limit(one.facts.name, one.facts.load.capacity, reserved)
     ]
     return router.choose(open_groups, item.ask.prompt_tokens, rng)
 
 
-def _limit(router: Router, group: tracked.Tracked, priority: int) -> int:
-    return router.concurrency.limit(group.facts.name, group.facts.load.capacity, priority)
-
-
 def _candidate(
     router: Router, group: tracked.Tracked, item: waiting.Waiting, cached: float, now: float
 ) -> candidates.Candidate:
@@ -289,7 +288,6 @@
     pool: pools.Pool,
     item: waiting.Waiting,
     chosen: candidates.Candidate,
-    predicted: float,
     now: float,
 ) -> None:
     left = max(0, item.ask.prompt_tokens - chosen.cached_tokens)
@@ -297,6 +295,7 @@
     router.sends.begin(chosen.name, now, seconds)
     router.fleet.add_prefill(chosen.name, now, seconds)
     router.index.expect(chosen.name, item.blocks)
+    predicted = pick.predict_first_token(chosen, item.ask.prompt_tokens)
     router.sent[item.ask.request_id] = _Sent(chosen.name, pool, predicted)
     usual = router.usual.setdefault(pool, _Usual())
     usual.prefill_seconds += LEARNING_RATE * (seconds - usual.prefill_seconds)
--- a/src/galenavane/route/sends.py
+++ b/src/galenavane/route/sends.py
@@ -45,9 +45,9 @@
         self._history: collections.deque[Snapshot] = collections.deque()
         self._prefills: dict[str, collections.deque[Prefill]] = {}
 
-    def known(self, group: str) -> int:
-        """Return the requests in flight that this entry knows of."""
-        return self.own.get(group, 0) + self._peer_total.get(group, 0)
+    def of_peers(self, group: str) -> int:
+        """Return the requests in flight that heard peers sent."""
+        return self._peer_total.get(group, 0)
 
     def known_at(self, group: str, at: float) -> int:
         """Return the requests in flight that were known at an earlier time."""
