--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -21,6 +21,14 @@
     "entry", "operators", addresses.parse, None, "IP:port", "Where operators are served."
 )
 PEERS = _S("entry", "peers", addresses.parse, None, "IP:port", "Where other entries are heard.")
+SEEDS = _S(
+    "peers",
+    "seeds",
+    addresses.check_list,
+    "",
+    "IP:port ...",
+    "Entries that are asked while the platform can't be reached.",
+)
 PLATFORM = _S("platform", "address", addresses.parse, None, "IP:port", "The platform's object API.")
 PLATFORM_TIMEOUT = _S(
     "platform", "timeout", setting.parse_number, 2.0, "seconds", "Longest wait for a call."
@@ -45,6 +53,14 @@
     "seconds",
     "Longest wait for streams at a stop.",
 )
+RESUME_KEY = _S(
+    "requests",
+    "resume_key",
+    setting.parse_text,
+    "",
+    "",
+    "Secret that all entries share; signs resume tokens. Without it streams can't be resumed.",
+)
 
 ALL: tuple[_S[typing.Any], ...] = (
     NAME,
@@ -53,6 +69,7 @@
     CALLERS,
     OPERATORS,
     PEERS,
+    SEEDS,
     PLATFORM,
     PLATFORM_TIMEOUT,
     TARGET_TIMEOUT,
@@ -60,6 +77,7 @@
     FIRST_TOKEN_DEADLINE,
     PROGRESS_DEADLINE,
     DRAIN_DEADLINE,
+    RESUME_KEY,
 )
 
 _T = typing.TypeVar("_T", str, int, float, bool, addresses.Address)
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -12,10 +12,12 @@
     apply,
     check,
     completion,
+    diff,
     entry,
     errors,
     load,
     preset,
+    rollback,
     standin,
     status,
     timeline,
@@ -29,8 +31,10 @@
 COMMANDS: dict[str, typing.Any] = {
     "entry": entry.entry,
     "check": check.check,
+    "diff": diff.diff,
     "apply": apply.apply,
     "preset": preset.preset,
+    "rollback": rollback.rollback,
     "status": status.status,
     "timeline": timeline.timeline,
     "errors": errors.errors,
@@ -51,11 +55,21 @@
     """
     try:
         sys.exit(_run(argv))
-    except failure.UserError as exc:
-        print(f"galenavane: error {exc.failure.code.value}: {exc}", file=sys.stderr)
+    except (failure.UserError, KeyboardInterrupt, BaseExceptionGroup) as exc:
+        cause = _find_cause(exc)
+        if isinstance(cause, KeyboardInterrupt):
+            sys.exit(EXIT_INTERRUPTED)
+        if not isinstance(cause, failure.UserError):
+            raise
+        print(f"galenavane: error {cause.failure.code.value}: {cause}", file=sys.stderr)
         sys.exit(EXIT_USER_ERROR)
-    except KeyboardInterrupt:
-        sys.exit(EXIT_INTERRUPTED)
+
+
+def _find_cause(exc: BaseException) -> BaseException:
+    """Return the only cause inside nested exception groups, else the outermost group."""
+    while isinstance(exc, BaseExceptionGroup) and len(exc.exceptions) == 1:
+        exc = exc.exceptions[0]
+    return exc
 
 
 def _run(argv: abc.Sequence[str] | None) -> int:
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from galenavane import invariant
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
@@ -45,19 +46,42 @@
     request_id = view.new_id()
     events.log("request.begin", request=request_id, path=exchange.request.path)
     try:
-        found = await _route(view, exchange, request_id)
+        found = await _route_safely(view, exchange, request_id)
+        _log_end(view, request_id, found)
+        if found is None or found.code is codes.Code.CALLER_GONE:
+            return
+        if not exchange.answered:
+            await exchange.respond(errors.response(found, request_id))
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
         _count(view, "caller_gone", "unknown")
-        return
+
+
+def _log_end(view: views.View, request_id: str, found: failure.Failure | None) -> None:
     if found is None:
         events.log("request.end", request=request_id, code="answered")
         _count(view, "answered", outcomes.Outcome.ANSWERED.value)
         return
     events.log("request.end", request=request_id, code=found.code.name, outcome=found.outcome.value)
     _count(view, found.code.name.lower(), found.outcome.value)
-    if not exchange.answered:
-        await exchange.respond(errors.response(found, request_id))
+
+
+async def _route_safely(
+    view: views.View, exchange: http_server.Exchange, request_id: str
+) -> failure.Failure | None:
+    """Answer a request; a defect ends this request and not the process."""
+    try:
+        return await _route(view, exchange, request_id)
+    except transport_error.TransportError:
+        raise
+    except invariant.ViolationError as exc:
+        is_wrong_answer = exc.number is invariant.Number.OWN_ANSWER
+        code = codes.Code.WRONG_ANSWER if is_wrong_answer else codes.Code.INTERNAL
+        return failure.Failure(code, str(exc), outcomes.Outcome.UNKNOWN)
+    except Exception as exc:
+        events.log("request.defect", request=request_id, text=repr(exc))
+        text = f"defect: {type(exc).__name__}"
+        return failure.Failure(codes.Code.INTERNAL, text, outcomes.Outcome.UNKNOWN)
 
 
 def _count(view: views.View, code: str, outcome: str) -> None:
