Look for broken invariants under random faults

Cause: the invariants were checked by four hand-written scenarios only. Handlers of simulated listeners ran in the dialling task's context and so logged as the dialler; they now run in the listener's context. Entries are listed in the platform, as real ones are, so that simulated entries know their peers.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 	$(PY) -m behave --no-summary --format json.pretty --outfile build/behave.json --format progress tests || true
 	$(PY) .ci/report.py build/behave.json KNOWN-RED.txt
 
+soak: $(VENV)/ready
+	$(PY) -m galenavane.soak --seed $(SEED) --minutes $(MINUTES)
+
 binary: $(VENV)/ready
 	mkdir -p build
 	$(PY) -m shiv --quiet --compressed --console-script galenavane --output-file build/galenavane --no-deps . --requirement requirements-run.lock
--- a/src/galenavane/simulate/deployment.py
+++ b/src/galenavane/simulate/deployment.py
@@ -19,7 +19,7 @@
 from galenavane.platform import instance
 from galenavane.simulate import net as nets
 from galenavane.simulate import owner as owners
-from galenavane.standin import engine, engine_faults, plain
+from galenavane.standin import engine, engine_faults, engine_state, plain
 from galenavane.standin import platform as platforms
 from galenavane.target import client as target_client
 
@@ -33,11 +33,15 @@
     """Simulated processes by name, with where they listen.
 
     :ivar entries: callers' address of each entry by name.
+    :ivar engines: true state of each engine's present incarnation by name.
+    :ivar ledgers: what each plain target ran, over all its incarnations.
     """
 
     __slots__ = (
         "_hosts",
+        "engines",
         "entries",
+        "ledgers",
         "net",
         "nursery",
         "operator",
@@ -56,6 +60,8 @@
         self.owners: dict[str, owners.Owner] = {}
         self.entries: dict[str, addresses.Address] = {}
         self.targets: dict[str, addresses.Address] = {}
+        self.engines: dict[str, engine_state.State] = {}
+        self.ledgers: dict[str, list[plain.Run]] = {}
         self.views: dict[str, views.View] = {}
         self.stops: dict[str, trio.Event] = {}
         self._hosts = itertools.count(1)
@@ -98,6 +104,7 @@
                 sizes or engine_faults.Sizes(),
                 faults or engine_faults.Faults(),
                 self.new_id(),
+                functools.partial(self.engines.__setitem__, name),
             ),
         )
         await self.list_instance(
@@ -106,11 +113,16 @@
             )
         )
 
-    async def start_plain(self, name: str, data_centre: str, service: str) -> None:
+    async def start_plain(
+        self, name: str, data_centre: str, service: str, faults: plain.Faults | None = None
+    ) -> None:
         """Start one process of a plain service and have it listed."""
         where = self.targets.setdefault(name, self.new_address())
+        ledger = self.ledgers.setdefault(name, [])
         await self._start(
-            name, data_centre, lambda net: functools.partial(plain.run, net, name, where)
+            name,
+            data_centre,
+            lambda net: functools.partial(plain.run, net, name, where, ledger, faults),
         )
         await self.list_instance(
             instance.Instance(name, str(where), data_centre, instance.Kind.PLAIN, service=service)
@@ -129,6 +141,8 @@
             return functools.partial(_serve_entry, view, stop)
 
         await self._start(name, data_centre, prepare)
+        peers = str(cfg.get(settings.PEERS))
+        await self.list_instance(instance.Instance(name, peers, data_centre, instance.Kind.ENTRY))
 
     def _make_view(
         self, cfg: settings.Settings, net: network.Network, own: owners.Owner
@@ -152,7 +166,7 @@
         own = owners.Owner(name)
         self.owners[name] = own
         serve = prepare(self.net.face(own))
-        source = events.Source(name, data_centre, self.new_id(), _wall)
+        source = events.Source(name, data_centre, self.new_id(), wall_seconds)
         await self.nursery.start(_run_process, own, source, serve)
 
     def kill(self, name: str) -> None:
@@ -181,6 +195,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(serve)
             task_status.started()
+    own.ended = True
 
 
 async def _serve_entry(
@@ -193,7 +208,8 @@
     await process.serve(view, stop.wait)
 
 
-def _wall() -> float:
+def wall_seconds() -> float:
+    """Return the wall clock of a simulation."""
     return WALL_START_SECONDS + trio.current_time()
 
 
--- a/src/galenavane/simulate/links.py
+++ b/src/galenavane/simulate/links.py
@@ -20,6 +20,11 @@
         """Stop all traffic between two sets, in both directions."""
         self.cuts.append((one, two))
 
+    def mend(self, one: frozenset[str], two: frozenset[str]) -> None:
+        """Remove one cut; connections that lost bytes stay silent."""
+        if (one, two) in self.cuts:
+            self.cuts.remove((one, two))
+
     def heal(self) -> None:
         """Remove every cut; connections that lost bytes stay silent."""
         self.cuts.clear()
--- a/src/galenavane/simulate/net.py
+++ b/src/galenavane/simulate/net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextvars
 import dataclasses
 import math
 
@@ -21,6 +22,7 @@
     handler: http_server.Handler
     limits: http_server.Limits
     nursery: trio.Nursery
+    context: contextvars.Context
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,7 +80,7 @@
             raise _not_connected(f"{where}: refused")
         ours, theirs = stream.pair(self._own, found.owner, self._net.links)
         self._net.open.append((ours, theirs))
-        found.nursery.start_soon(self._accept, found, theirs)
+        found.context.run(found.nursery.start_soon, self._accept, found, theirs)
         return http_connection.HttpConnection(ours, h11.CLIENT)
 
     async def _accept(self, found: _Listener, theirs: stream.Stream) -> None:
@@ -98,7 +100,8 @@
         """Accept connections until cancelled."""
         async with trio.open_nursery() as nursery:
             chosen = limits or http_server.Limits()
-            self._net.listeners[where] = _Listener(self._own, handler, chosen, nursery)
+            context = contextvars.copy_context()
+            self._net.listeners[where] = _Listener(self._own, handler, chosen, nursery, context)
             task_status.started(where)
             try:
                 await trio.sleep_forever()
--- a/src/galenavane/simulate/owner.py
+++ b/src/galenavane/simulate/owner.py
@@ -9,20 +9,27 @@
     """A process that can be frozen, thawed and killed.
 
     :ivar scope: cancels every task of the process.
+    :ivar ended: whether the process has ended by itself.
     """
 
-    __slots__ = ("_thawed", "name", "scope")
+    __slots__ = ("_thawed", "ended", "name", "scope")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.scope = trio.CancelScope()
+        self.ended = False
         self._thawed = trio.Event()
         self._thawed.set()
 
     @property
     def is_alive(self) -> bool:
-        """Whether the process has not been killed."""
-        return not self.scope.cancel_called
+        """Whether the process has neither been killed nor ended."""
+        return not (self.scope.cancel_called or self.ended)
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether the process is stopped for now."""
+        return not self._thawed.is_set()
 
     def freeze(self) -> None:
         """Stop the process at its next input or output."""
--- /dev/null
+++ b/src/galenavane/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs of whole deployments under every failure."""
--- /dev/null
+++ b/src/galenavane/soak/fault.py
@@ -0,0 +1,70 @@
+"""One fault of a schedule."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Kind(enum.StrEnum):
+    """What is made to fail, or what operators do."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    DARK_DOMAIN = "dark_domain"
+    STRAGGLER = "straggler"
+    ENGINE_SILENT = "engine_silent"
+    CUT = "cut"
+    SILENT_CONNECTIONS = "silent_connections"
+    CUT_AFTER = "cut_after"
+    LOSE_ANSWERS = "lose_answers"
+    PLATFORM_DOWN = "platform_down"
+    PLATFORM_SLOW = "platform_slow"
+    PLATFORM_LOSES_ANSWERS = "platform_loses_answers"
+    PLATFORM_SILENT_WATCH = "platform_silent_watch"
+    PLATFORM_RATE = "platform_rate"
+    SWITCH_PRESET = "switch_preset"
+    OPERATOR_RACE = "operator_race"
+    STOP_ENTRY = "stop_entry"
+    LEAVE = "leave"
+
+
+PLANNED = frozenset({Kind.SWITCH_PRESET, Kind.OPERATOR_RACE, Kind.STOP_ENTRY, Kind.LEAVE})
+PLATFORM = frozenset(
+    {
+        Kind.PLATFORM_DOWN,
+        Kind.PLATFORM_SLOW,
+        Kind.PLATFORM_LOSES_ANSWERS,
+        Kind.PLATFORM_SILENT_WATCH,
+        Kind.PLATFORM_RATE,
+    }
+)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault: when it begins, how long it lasts and whom it concerns.
+
+    :ivar at_seconds: time after the start of the schedule.
+    :ivar names: processes that it concerns, or presets to switch to.
+    :ivar others: the other side of a cut.
+    :ivar amount: bytes, calls a second or slowness factor.
+    """
+
+    at_seconds: float
+    kind: Kind
+    seconds: float
+    names: list[str] = []
+    others: list[str] = []
+    amount: int = 0
+
+    @property
+    def is_planned(self) -> bool:
+        """Whether operators do it on purpose."""
+        return self.kind in PLANNED
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        sides = ",".join(self.names) + (f" | {','.join(self.others)}" if self.others else "")
+        amount = f" amount={self.amount}" if self.amount else ""
+        return f"{self.at_seconds:6.2f} s {self.kind.value} {self.seconds:.2f} s {sides}{amount}"
--- /dev/null
+++ b/src/galenavane/soak/observer.py
@@ -0,0 +1,244 @@
+"""Sees every process of a run at once and compares what it did with what was promised."""
+
+from __future__ import annotations
+
+import collections
+
+import trio
+
+from galenavane import invariant
+from galenavane.control import completeness, table
+from galenavane.failure import outcome as outcomes
+from galenavane.observe import events
+from galenavane.simulate import deployment
+from galenavane.soak import fault, injector, operators, topology, trace, traffic, violation
+from galenavane.soak import record as records
+
+SAMPLE_SECONDS = 0.25
+MISSING_SECONDS = completeness.PROOF_SECONDS + 2 * SAMPLE_SECONDS
+LEAVING_SECONDS = 5.0
+IN_FORCE_SECONDS = 6.0
+QUIET_SECONDS = 15.0
+MAX_VIOLATIONS = 20
+_Number = invariant.Number
+
+
+class Observer:
+    """What has been seen of the whole deployment.
+
+    :ivar violations: broken promises in order of time.
+    """
+
+    __slots__ = (
+        "_blind_at",
+        "_generations",
+        "_in_group_at",
+        "_injector",
+        "_made",
+        "_ops",
+        "_served",
+        "_told",
+        "_topology",
+        "_up_since",
+        "violations",
+    )
+
+    def __init__(
+        self,
+        made: deployment.Deployment,
+        found: topology.Topology,
+        inject: injector.Injector,
+        ops: operators.Operators,
+    ) -> None:
+        self._made = made
+        self._topology = found
+        self._injector = inject
+        self._ops = ops
+        self._in_group_at: dict[tuple[str, str, str, int], float] = {}
+        self._blind_at: dict[str, float] = {}
+        self._up_since: dict[str, tuple[str, float]] = {}
+        self._generations: dict[str, int] = {}
+        self._served: set[str] = set()
+        self._told: set[int] = set()
+        self.violations: list[violation.Violation] = []
+
+    def report(self, number: int, text: str) -> None:
+        """Note a broken promise."""
+        if len(self.violations) < MAX_VIOLATIONS:
+            seen = violation.Violation(number, trio.current_time(), text)
+            self.violations.append(seen)
+            events.log("soak.violation", number=number, text=text)
+
+    def hear(self, event: trace.Event) -> None:
+        """Take in one event of the run."""
+        if event.kind == "invariant.violated":
+            self.report(int(str(event.fields["number"])), str(event.fields["text"]))
+        elif event.kind == "request.send":
+            self._check_send(event)
+        elif event.kind == "target.request":
+            self._served.add(str(event.fields["request"]))
+        elif event.kind == "target.end" and event.fields["cut"] and self._is_quiet():
+            text = f"{event.fields['instance']} cut off request {event.fields['request']}"
+            self.report(_Number.PLANNED_STOP, f"{text} though only planned things were done")
+        elif event.kind == "config.in_force":
+            self._check_generation(event)
+
+    def _check_send(self, event: trace.Event) -> None:
+        group_name = str(event.fields.get("group") or "")
+        if not group_name:
+            self._check_leaving(event.process, str(event.fields.get("instance", "")))
+            return
+        epoch = int(str(event.fields["epoch"]))
+        group = self._find_group(event.process, group_name, epoch)
+        if group is None:
+            return
+        for member in group.members:
+            key = (member.instance, member.incarnation, group_name, epoch)
+            gone = trio.current_time() - self._in_group_at.get(key, float("-inf"))
+            if gone > MISSING_SECONDS:
+                text = f"{event.process} sent a request to {group_name} epoch {epoch}"
+                missing = f"{member.instance} has been missing for {gone:.2f} s"
+                self.report(_Number.COMPLETE_GROUP, f"{text} but {missing}")
+            self._check_leaving(event.process, member.instance)
+
+    def _find_group(self, process: str, name: str, epoch: int) -> table.Group | None:
+        view = self._made.views[process]
+        for one in view.tables.value.values():
+            for group in one.groups:
+                if (group.name, group.epoch) == (name, epoch):
+                    return group
+        return None
+
+    def _check_leaving(self, process: str, name: str) -> None:
+        since = self._injector.leaving_since.get(name)
+        if since is None:
+            return
+        known = max(since + self._injector.list_lag_seconds, self._blind_at.get(process, 0.0))
+        late = trio.current_time() - known
+        if late > LEAVING_SECONDS:
+            text = f"{process} sent new work to {name}, {late:.2f} s after it is known to leave"
+            self.report(_Number.LEAVING_GETS_NOTHING, text)
+
+    def _check_generation(self, event: trace.Event) -> None:
+        incarnation = str(event.fields["incarnation"])
+        generation = int(str(event.fields["generation"]))
+        before = self._generations.get(incarnation, 0)
+        if generation <= before:
+            text = f"{event.process} went from generation {before} to {generation}"
+            self.report(_Number.CONFIGURATION, text)
+        self._generations[incarnation] = generation
+
+    def _is_quiet(self) -> bool:
+        if any(not one.is_planned for one in self._injector.active):
+            return False
+        return trio.current_time() - self._injector.unquiet_at > QUIET_SECONDS
+
+    async def watch(self) -> None:
+        """Look at the true state of every process until cancelled."""
+        while True:
+            self._sample_engines()
+            self._sample_entries()
+            self._check_accepted()
+            await trio.sleep(SAMPLE_SECONDS)
+
+    def _sample_engines(self) -> None:
+        now = trio.current_time()
+        complete: dict[str, tuple[str, int]] = {}
+        for name, state in self._made.engines.items():
+            own = self._made.owners[name]
+            if not own.is_alive or own.is_frozen or not state.is_ready(now):
+                continue
+            at = (state.group, state.epoch)
+            self._in_group_at[(name, state.incarnation, *at)] = now
+            if not state.is_complete(now):
+                continue
+            for peer in state.peers:
+                other = complete.setdefault(peer.instance, at)
+                if other != at:
+                    text = f"{peer.instance} is a member of {at} and of {other}, both complete"
+                    self.report(_Number.ONE_GROUP, text)
+
+    def _sample_entries(self) -> None:
+        now = trio.current_time()
+        for name, view in self._made.views.items():
+            own = self._made.owners[name]
+            if not own.is_alive or own.is_frozen or self._is_blind(name):
+                self._blind_at[name] = now
+            if self._up_since.get(name, ("", 0.0))[0] != view.incarnation:
+                self._up_since[name] = (view.incarnation, now)
+                self._blind_at[name] = now
+            self._check_tables(view.tables.value)
+
+    def _is_blind(self, name: str) -> bool:
+        return any(
+            one.kind in fault.PLATFORM or name in one.names or name in one.others
+            for one in self._injector.active
+            if not one.is_planned
+        )
+
+    def _check_tables(self, tables: dict[str, table.Table]) -> None:
+        for one in tables.values():
+            if id(one) in self._told:
+                continue
+            self._told.add(id(one))
+            counts = collections.Counter(
+                member.instance for group in one.groups for member in group.members
+            )
+            for name, count in counts.items():
+                if count > 1:
+                    text = f"the table of {one.data_centre} has {name} in {count} groups"
+                    self.report(_Number.ONE_GROUP, text)
+
+    def _check_accepted(self) -> None:
+        now = trio.current_time()
+        for one in self._ops.accepted:
+            if not IN_FORCE_SECONDS <= now - one.at_seconds < IN_FORCE_SECONDS + SAMPLE_SECONDS:
+                continue
+            for name, view in self._made.views.items():
+                if self._blind_at.get(name, 0.0) > one.at_seconds - QUIET_SECONDS:
+                    continue
+                current = view.configuration.value
+                generation = current.head.generation if current else 0
+                if generation < one.head.generation:
+                    text = f"generation {one.head.generation} is not in force at {name}"
+                    self.report(_Number.CONFIGURATION, f"{text} after {IN_FORCE_SECONDS} s")
+
+    def check_records(self, told: list[records.Record], schedule: list[fault.Fault]) -> None:
+        """Compare what callers were told with what targets ran."""
+        had_unplanned = any(not one.is_planned for one in schedule)
+        silenced = {
+            name
+            for one in schedule
+            if one.kind is fault.Kind.SILENT_CONNECTIONS
+            for name in one.names
+        }
+        runs = traffic.jobs_of(self._made.ledgers)
+        counts = collections.Counter(run.job for run in runs)
+        ran = {run.request_id for run in runs} | self._served
+        for job, count in sorted(counts.items()):
+            if count > 1:
+                self.report(_Number.AT_MOST_ONCE, f"{job} was run {count} times")
+        for one in told:
+            if one.outcome == outcomes.Outcome.NOT_RUN and one.request_id in ran:
+                text = f"request {one.request_id} ({one.job or 'completion'}) at {one.entry}"
+                self.report(_Number.NOT_RUN_IS_TRUE, f"{text} was told not_run but ran")
+            if one.ending is records.Ending.WHOLE and one.job and not counts[one.job]:
+                self.report(_Number.OWN_ANSWER, f"{one.job} was answered but no target ran it")
+            if one.ending in (records.Ending.BROKEN, records.Ending.TIMEOUT) and not had_unplanned:
+                text = f"a request at {one.entry} begun at {one.begun_at:.2f} s was cut off"
+                self.report(_Number.PLANNED_STOP, f"{text} though only planned things were done")
+            if one.ending is records.Ending.TIMEOUT and one.entry not in silenced:
+                text = f"a request at {one.entry} begun at {one.begun_at:.2f} s never ended"
+                self.report(violation.STUCK, text)
+
+    def check_heads(self, generation: int) -> None:
+        """Compare the accepted changes with each other and with the last generation."""
+        writers: dict[int, str] = {}
+        for one in self._ops.accepted:
+            if writers.setdefault(one.head.generation, one.head.writer) != one.head.writer:
+                text = f"generation {one.head.generation} was accepted twice"
+                self.report(_Number.CONFIGURATION, text)
+        last = max((one.head.generation for one in self._ops.accepted), default=0)
+        if generation < last:
+            text = f"the platform holds generation {generation}, {last} was accepted"
+            self.report(_Number.CONFIGURATION, text)
--- /dev/null
+++ b/src/galenavane/soak/topology.py
@@ -0,0 +1,120 @@
+"""Who takes part in a soak run, and what operators have declared."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import random
+
+from galenavane.config import declaration
+
+KEY = "soak-key"
+MODEL = "scribe"
+MODEL_SERVICE = "scribe-model"
+PLAIN_SERVICE = "order-desk"
+MEMBERS = 2
+ENGINES_PER_DOMAIN = 3
+PRESETS = {"ordinary": "v1", "maintenance": "v1", "renewed": "v2"}
+_DATA_CENTRES = ("makole", "kikuyu", "chamwino")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Scale:
+    """How much takes part in a run.
+
+    :ivar entries_each: for each number of data centres that may be drawn, entries of each.
+    :ivar domains_each: fabric domains of a data centre.
+    :ivar seconds: length of the schedule.
+    """
+
+    entries_each: list[tuple[int, ...]]
+    domains_each: int
+    seconds: float
+
+
+FULL = Scale([(3, 2), (3, 2), (2, 2, 2)], 2, 25.0)
+SMALL = Scale([(2, 1)], 1, 10.0)
+TINY = Scale([(1, 1)], 1, 4.0)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Where a process runs; ``fabric_domain`` only for engines."""
+
+    name: str
+    data_centre: str
+    fabric_domain: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Topology:
+    """The processes of a run.
+
+    :ivar checks_token: whether engines refuse old fencing tokens.
+    """
+
+    scale: Scale
+    data_centres: list[str]
+    entries: list[Place]
+    engines: list[Place]
+    plains: list[Place]
+    checks_token: bool
+
+    def in_data_centre(self, name: str) -> list[str]:
+        """Return the names of all processes of a data centre."""
+        places = self.entries + self.engines + self.plains
+        return [one.name for one in places if one.data_centre == name]
+
+
+def generate(rng: random.Random, scale: Scale) -> Topology:
+    """Return data centres with entries, engines and plain targets."""
+    entries_each = rng.choice(scale.entries_each)
+    centres = list(_DATA_CENTRES[: len(entries_each)])
+    entries = [
+        Place(f"entry-{centre}-{number}", centre)
+        for centre, many in zip(centres, entries_each, strict=True)
+        for number in range(many)
+    ]
+    engines = [
+        Place(f"engine-{centre}-{domain}-{number}", centre, f"{centre}-{domain}")
+        for centre in centres
+        for domain in range(scale.domains_each)
+        for number in range(ENGINES_PER_DOMAIN)
+    ]
+    plains = [Place(f"desk-{number}", centres[number % len(centres)]) for number in range(3)]
+    return Topology(scale, centres, entries, engines, plains, rng.random() < 0.5)
+
+
+def replicas(scale: Scale, preset: str) -> int:
+    """Return how many groups a preset runs in each data centre."""
+    return scale.domains_each - 1 if preset == "maintenance" else scale.domains_each
+
+
+def declare(found: Topology) -> declaration.Declarations:
+    """Return the declarations of a run."""
+    fencing = declaration.Fencing.CHECKED if found.checks_token else declaration.Fencing.IGNORED
+    kinds = declaration.ServiceKind
+    services = [
+        declaration.Service(PLAIN_SERVICE, kinds.PLAIN, 0, 1, idempotent=["GET /jobs*"]),
+        declaration.Service(MODEL_SERVICE, kinds.MODEL, 1, MEMBERS, fencing),
+    ]
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    presets = [declaration.Preset(name) for name in sorted(PRESETS)]
+    runs = [
+        declaration.Run(
+            name,
+            MODEL_SERVICE,
+            MODEL,
+            version,
+            {one: replicas(found.scale, name) for one in found.data_centres},
+        )
+        for name, version in sorted(PRESETS.items())
+    ]
+    return declaration.Declarations(
+        deployment=declaration.Weights("soak"),
+        services=services,
+        models=[declaration.Model(MODEL, ["v1", "v2"])],
+        accounts=[declaration.Account("clerks", digest)],
+        presets=presets,
+        runs=runs,
+    )
--- /dev/null
+++ b/src/galenavane/soak/traffic.py
@@ -0,0 +1,241 @@
+"""Callers of a soak run: completions, lookups and jobs with and without keys."""
+
+from __future__ import annotations
+
+import random
+from collections import abc
+
+import msgspec
+import trio
+
+from galenavane.failure import outcome as outcomes
+from galenavane.net import address as addresses
+from galenavane.net import headers as header_lists
+from galenavane.net import http_connection, message, round_trip, transport_error
+from galenavane.observe import events
+from galenavane.serve import errors, sse
+from galenavane.simulate import deployment, owner
+from galenavane.soak import record as records
+from galenavane.soak import topology
+from galenavane.standin import engine_text, plain
+from galenavane.target import completion
+
+COMPLETIONS_PER_SECOND = 5.0
+JOBS_PER_SECOND = 2.0
+LOOKUPS_PER_SECOND = 0.5
+CONNECT_SECONDS = 1.0
+DEADLINE_SECONDS = 15.0
+PATIENCE_SECONDS = 120.0
+MAX_ANSWER_BYTES = 1_000_000
+MAX_JOB_TRIES = 4
+JOB_PAUSE_SECONDS = 0.7
+
+Report = abc.Callable[[int, str], None]
+
+
+class Traffic:
+    """The callers and what they were told.
+
+    :ivar report: called with the invariant's number and a text when an answer is wrong.
+    """
+
+    __slots__ = ("_face", "_made", "_names", "_rng", "records", "report")
+
+    def __init__(
+        self, made: deployment.Deployment, names: list[str], rng: random.Random, report: Report
+    ) -> None:
+        self._made = made
+        self._names = names
+        self._rng = rng
+        self._face = made.net.face(owner.Owner("caller"))
+        self.records: list[records.Record] = []
+        self.report = report
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for a time and wait until every one has ended."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._arrive, seconds, COMPLETIONS_PER_SECOND, self._complete)
+            nursery.start_soon(self._arrive, seconds, JOBS_PER_SECOND, self._place)
+            nursery.start_soon(self._arrive, seconds, LOOKUPS_PER_SECOND, self._look_up)
+
+    async def _arrive(
+        self,
+        seconds: float,
+        rate: float,
+        send: abc.Callable[[int, random.Random], abc.Awaitable[None]],
+    ) -> None:
+        rng = random.Random(self._rng.getrandbits(64))
+        end = trio.current_time() + seconds
+        number = 0
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                await trio.sleep(rng.expovariate(rate))
+                nursery.start_soon(send, number, random.Random(rng.getrandbits(64)))
+                number += 1
+
+    def _begin(self, entry: str, job: str = "", key: str = "") -> records.Record:
+        made = records.Record(entry, trio.current_time(), job, key)
+        self.records.append(made)
+        return made
+
+    def _end(
+        self, told: records.Record, ending: records.Ending, response: message.Response | None
+    ) -> None:
+        told.ending = ending
+        told.ended_at = trio.current_time()
+        if response is not None:
+            told.status = response.status
+            told.request_id = response.headers.get("x-request-id")
+        events.log(
+            "caller.end",
+            request=told.request_id,
+            entry=told.entry,
+            job=told.job,
+            ending=ending.value,
+            outcome=told.outcome,
+        )
+
+    def _refuse(self, told: records.Record, response: message.Response) -> None:
+        told.outcome = msgspec.json.decode(response.body, type=errors.ErrorBody).error.outcome
+        self._end(told, records.Ending.REFUSED, response)
+
+    async def _dial(self, rng: random.Random) -> tuple[str, http_connection.HttpConnection] | None:
+        """Connect to an entry as a balancer does: one that refuses is passed over."""
+        for name in rng.sample(self._names, len(self._names)):
+            try:
+                where = self._made.entries[name]
+                return name, await self._face.dial(where, CONNECT_SECONDS)
+            except transport_error.TransportError:
+                continue
+        return None
+
+    async def _complete(self, number: int, rng: random.Random) -> None:
+        prompt = f"Inscription {number}" + " for a carafe" * rng.randint(0, 40)
+        count = rng.choice([1, 5, 20, 60, 200])
+        body = completion.CompletionRequest(topology.MODEL, prompt, [], count, rng.random() < 0.8)
+        found = await self._dial(rng)
+        if found is None:
+            return
+        name, conn = found
+        told = self._begin(name)
+        req = message.Request("POST", "/v1/completions", _fields(), msgspec.json.encode(body))
+        try:
+            with trio.fail_after(PATIENCE_SECONDS):
+                await conn.send_request(req, "entry")
+                head = await conn.read_response_head()
+                await self._read_answer(told, conn, head, body)
+        except transport_error.TransportError:
+            self._end(told, records.Ending.BROKEN, None)
+        except trio.TooSlowError:
+            self._end(told, records.Ending.TIMEOUT, None)
+        finally:
+            await conn.close()
+
+    async def _read_answer(
+        self,
+        told: records.Record,
+        conn: http_connection.HttpConnection,
+        head: message.Response,
+        body: completion.CompletionRequest,
+    ) -> None:
+        told.request_id = head.headers.get("x-request-id")
+        if head.status != 200:
+            head.body = await conn.read_body(MAX_ANSWER_BYTES)
+            self._refuse(told, head)
+            return
+        wanted = engine_text.answer(body.prompt, body.max_tokens)
+        if body.stream:
+            is_whole = await self._read_stream(told, conn, wanted)
+            ending = records.Ending.WHOLE if is_whole else records.Ending.BROKEN
+            self._end(told, ending, head)
+            return
+        head.body = await conn.read_body(MAX_ANSWER_BYTES)
+        text = str(msgspec.json.decode(head.body)["choices"][0]["text"])
+        self._compare(told, text, wanted, True)
+        self._end(told, records.Ending.WHOLE, head)
+
+    async def _read_stream(
+        self, told: records.Record, conn: http_connection.HttpConnection, wanted: str
+    ) -> bool:
+        """Read a stream; return whether its end was reached."""
+        reader = sse.Reader(conn)
+        text = ""
+        while True:
+            data = await reader.next_data()
+            if data is None or data == sse.DONE:
+                self._compare(told, text, wanted, data is not None)
+                return data is not None
+            chunk = msgspec.json.decode(data, type=completion.Chunk)
+            if chunk.id != told.request_id:
+                self.report(3, f"chunk of {chunk.id} in the answer to {told.request_id}")
+            text += chunk.choices[0].text
+            self._compare(told, text, wanted, False)
+
+    def _compare(self, told: records.Record, text: str, wanted: str, is_whole: bool) -> None:
+        if text != wanted and (is_whole or not wanted.startswith(text)):
+            self.report(3, f"request {told.request_id} at {told.entry} got a wrong answer")
+
+    async def _look_up(self, number: int, rng: random.Random) -> None:
+        await self._call_plain("GET", "/jobs", "", "", rng)
+
+    async def _place(self, number: int, rng: random.Random) -> None:
+        """Place one job; a caller with a key may send it twice at once and repeat it."""
+        job = f"job-{number}"
+        key = job if rng.random() < 0.6 else ""
+        copies = rng.choice([1, 2]) if key else 1
+        async with trio.open_nursery() as nursery:
+            for _ in range(copies):
+                nursery.start_soon(self._place_once, job, key, random.Random(rng.getrandbits(64)))
+
+    async def _place_once(self, job: str, key: str, rng: random.Random) -> None:
+        for _ in range(MAX_JOB_TRIES):
+            told = await self._call_plain("POST", "/jobs", job, key, rng)
+            if told is not None and told.ending is records.Ending.WHOLE:
+                return
+            is_not_run = told is None or told.outcome == outcomes.Outcome.NOT_RUN
+            if not (key or is_not_run):
+                return
+            await trio.sleep(rng.uniform(0.0, 2 * JOB_PAUSE_SECONDS))
+
+    async def _call_plain(
+        self, method: str, path: str, job: str, key: str, rng: random.Random
+    ) -> records.Record | None:
+        name = rng.choice(self._names)
+        told = self._begin(name, job, key)
+        fields = _fields()
+        if key:
+            fields.add("idempotency-key", key)
+        target = f"/services/{topology.PLAIN_SERVICE}{path}"
+        req = message.Request(method, target, fields, job.encode())
+        try:
+            response = await self._send(self._made.entries[name], req)
+        except transport_error.TransportError as exc:
+            ending = records.Ending.BROKEN if exc.bytes_sent else records.Ending.REFUSED
+            self._end(told, ending, None)
+            return told if exc.bytes_sent else None
+        if response.status >= 300:
+            self._refuse(told, response)
+        else:
+            if job and msgspec.json.decode(response.body, type=_Placed).job != job:
+                self.report(3, f"the answer to {job} is {response.body!r}")
+            self._end(told, records.Ending.WHOLE, response)
+        return told
+
+    async def _send(self, where: addresses.Address, req: message.Request) -> message.Response:
+        return await round_trip.send(self._face, where, req, PATIENCE_SECONDS, MAX_ANSWER_BYTES)
+
+
+class _Placed(msgspec.Struct, frozen=True):
+    """Answer of the plain stand-in to a job."""
+
+    job: str
+
+
+def _fields() -> header_lists.Headers:
+    fields = header_lists.Headers().add("authorization", f"Bearer {topology.KEY}")
+    return fields.add("x-deadline-seconds", str(DEADLINE_SECONDS))
+
+
+def jobs_of(ledgers: dict[str, list[plain.Run]]) -> list[plain.Run]:
+    """Return every job that any target ran."""
+    return [run for name in sorted(ledgers) for run in ledgers[name]]
--- /dev/null
+++ b/src/galenavane/soak/wrong.py
@@ -0,0 +1,166 @@
+"""Wrong versions of one decision each, which the soak has to catch."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import typing
+from collections import abc
+
+import expression
+import msgspec
+
+from galenavane import invariant
+from galenavane.config import head as heads
+from galenavane.control import completeness, plan, sighting, table
+from galenavane.entry import process
+from galenavane.entry import view as views
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.net import transport_error
+from galenavane.platform import client, instance
+from galenavane.serve import classify, stream_state
+
+_Number = invariant.Number
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wrong:
+    """One decision replaced.
+
+    :ivar number: the invariant that it breaks.
+    :ivar owner: module or class that holds the decision.
+    """
+
+    name: str
+    number: invariant.Number
+    owner: object
+    attribute: str
+    replacement: abc.Callable[..., typing.Any]
+
+
+@contextlib.contextmanager
+def swapped_in(wrong: Wrong) -> abc.Iterator[None]:
+    """Replace the decision for a time."""
+    right = getattr(wrong.owner, wrong.attribute)
+    setattr(wrong.owner, wrong.attribute, wrong.replacement)
+    try:
+        yield
+    finally:
+        setattr(wrong.owner, wrong.attribute, right)
+
+
+def _is_confirmed_by_any_report(
+    group: table.Group,
+    member: table.Member,
+    seen: abc.Mapping[str, sighting.Sighting],
+    now: float,
+) -> bool:
+    found = seen.get(member.instance)
+    answer = found.report if found is not None else None
+    return answer is not None and (answer.group, answer.epoch) == (group.name, group.epoch)
+
+
+_free_instances = plan._free_instances
+
+
+def _free_although_used(inputs: plan.Inputs, kept: object) -> object:
+    return _free_instances(inputs, [])
+
+
+def _begin_again(state: stream_state.StreamState) -> None:
+    state.tries += 1
+    state.delivered = 0
+    state._try_start = 0
+
+
+_broken = classify.broken
+
+
+def _broken_is_not_run(exc: transport_error.TransportError) -> failure.Failure:
+    return msgspec.structs.replace(_broken(exc), outcome=outcomes.Outcome.NOT_RUN)
+
+
+def _may_always_retry(found: failure.Failure, is_idempotent: bool) -> bool:
+    return True
+
+
+_instances = client._Client.instances
+
+
+async def _instances_all_live(
+    self: client._Client,
+) -> expression.Result[instance.InstanceList, failure.Failure]:
+    found = await _instances(self)
+    return found.map(
+        lambda listed: instance.InstanceList(
+            [msgspec.structs.replace(one, state=instance.State.LIVE) for one in listed.instances]
+        )
+    )
+
+
+async def _wait_for_nothing(view: views.View) -> None:
+    return
+
+
+_put = client._Client.put
+
+
+async def _put_head_always(
+    self: client._Client, key: str, value: str, if_version: int | None
+) -> expression.Result[int, failure.Failure]:
+    return await _put(self, key, value, None if key == heads.HEAD_KEY else if_version)
+
+
+ALL = (
+    Wrong(
+        "route on a stale completeness proof",
+        _Number.COMPLETE_GROUP,
+        completeness,
+        "is_confirmed",
+        _is_confirmed_by_any_report,
+    ),
+    Wrong(
+        "take instances that are in a group already",
+        _Number.ONE_GROUP,
+        plan,
+        "_free_instances",
+        _free_although_used,
+    ),
+    Wrong(
+        "begin the answer anew in the middle of a stream",
+        _Number.OWN_ANSWER,
+        stream_state.StreamState,
+        "begin_try",
+        _begin_again,
+    ),
+    Wrong(
+        "tell not_run after bytes were sent",
+        _Number.NOT_RUN_IS_TRUE,
+        classify,
+        "broken",
+        _broken_is_not_run,
+    ),
+    Wrong(
+        "repeat a non-idempotent request after bytes were sent",
+        _Number.AT_MOST_ONCE,
+        classify,
+        "may_retry",
+        _may_always_retry,
+    ),
+    Wrong(
+        "ignore that a target is leaving",
+        _Number.LEAVING_GETS_NOTHING,
+        client._Client,
+        "instances",
+        _instances_all_live,
+    ),
+    Wrong("stop without waiting", _Number.PLANNED_STOP, process, "_wait_idle", _wait_for_nothing),
+    Wrong(
+        "write the head unconditionally",
+        _Number.CONFIGURATION,
+        client._Client,
+        "put",
+        _put_head_always,
+    ),
+)
--- a/src/galenavane/standin/engine.py
+++ b/src/galenavane/standin/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import urllib.parse
+from collections import abc
 
 import msgspec
 import trio
@@ -47,12 +48,15 @@
     sizes: engine_faults.Sizes,
     faults: engine_faults.Faults,
     incarnation: str,
+    watcher: abc.Callable[[engine_state.State], None] | None = None,
     *,
     task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve as one member until cancelled."""
+    """Serve as one member until cancelled; ``watcher`` is given the state to look at."""
     engine = _Engine(name, sizes, incarnation)
     engine.state.faults = faults
+    if watcher is not None:
+        watcher(engine.state)
 
     async def handle(exchange: http_server.Exchange) -> None:
         await _handle(engine, exchange)
--- a/src/galenavane/standin/plain.py
+++ b/src/galenavane/standin/plain.py
@@ -48,11 +48,15 @@
     net: network.Network,
     name: str,
     where: addresses.Address,
+    ledger: list[Run] | None = None,
+    faults: Faults | None = None,
     *,
     task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve the plain service until cancelled."""
+    """Serve the plain service until cancelled; a given ledger outlives the process."""
     state = _Service(name)
+    state.ledger = state.ledger if ledger is None else ledger
+    state.faults = faults or state.faults
 
     async def handle(exchange: http_server.Exchange) -> None:
         await _handle(state, exchange)
