--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -9,8 +9,8 @@
 from galenavane.entry import latest
 from galenavane.net import network
 from galenavane.observe import meter, metrics
-from galenavane.peer import facts, members, transport
-from galenavane.platform import api, instance
+from galenavane.peer import facts, members, registration, transport
+from galenavane.platform import api, instance, lease
 from galenavane.route import router
 from galenavane.serve import waiter
 from galenavane.target import api as target_api
@@ -22,10 +22,16 @@
     :ivar seen: reports of targets by instance name.
     :ivar tables: assignment tables by data centre.
     :ivar token: fencing token while the lease of the data centre is held.
+    :ivar grant: the lease with its end, also a lapsed one that nobody else is known to have.
+    :ivar commanding: whether commands to targets are in flight.
     :ivar own_facts: what this entry tells its peers; admission and picking publish it.
     :ivar peer_facts: what peers told, by peer name; the peer task publishes it.
     :ivar router: state of admission and picking, owned by ``serve.dispatch``.
     :ivar waiters: requests that wait for routing's decision, by request id.
+    :ivar registrations: entries known to the platform, ``None`` until they were read.
+    :ivar offered: configuration that a peer sent; the configuration task decides.
+    :ivar platform_generation: generation that the platform last showed, 0 before.
+    :ivar dropped_messages: damaged or unknown messages of peers.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -33,17 +39,23 @@
     __slots__ = (
         "active",
         "cfg",
+        "commanding",
         "configuration",
+        "dropped_messages",
+        "grant",
         "incarnation",
         "instances",
         "leaving",
         "meter",
         "metrics",
         "net",
+        "offered",
         "own_facts",
         "peer_facts",
         "peers",
         "platform",
+        "platform_generation",
+        "registrations",
         "rng",
         "router",
         "seen",
@@ -78,7 +90,13 @@
         self.tables = latest.Latest[dict[str, table.Table]]({})
         self.seen = latest.Latest[dict[str, sighting.Sighting]]({})
         self.token = latest.Latest[int | None](None)
+        self.grant = latest.Latest[lease.Grant | None](None)
+        self.commanding = latest.Latest[bool](False)
         self.peers = latest.Latest[list[members.Member]]([])
+        self.registrations = latest.Latest[list[registration.Registration] | None](None)
+        self.offered = latest.Latest[in_force.InForce | None](None)
+        self.platform_generation = latest.Latest[int](0)
+        self.dropped_messages = latest.Latest[int](0)
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
         self.router = router.Router()
