Relay TCP connections with faults for proofs with real processes

The soak's callers take any network, so that the same callers can be used against real processes. Defects logged by the HTTP server fail a soak run.

--- a/src/galenavane/cli/standin.py
+++ b/src/galenavane/cli/standin.py
@@ -16,6 +16,7 @@
 from galenavane.platform import instance
 from galenavane.standin import engine as engines
 from galenavane.standin import engine_faults
+from galenavane.standin import link as links
 from galenavane.standin import plain as plains
 from galenavane.standin import platform as platforms
 
@@ -94,6 +95,20 @@
     return 0
 
 
+def link(
+    listen: addresses.Address, target: addresses.Address, control: addresses.Address, /
+) -> int:
+    """Relay TCP connections and cut, delay or silence them on demand.
+
+    :param listen: IP:port to listen on
+    :param target: IP:port to relay to
+    :param control: IP:port that takes ``POST /faults``
+    """
+    events.start("link", "", uuid.uuid4().hex, None)
+    trio.run(links.run, tcp.make(), listen, target, control)
+    return 0
+
+
 async def _serve_listed(
     platform_address: addresses.Address,
     listed: instance.Instance,
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -43,6 +43,7 @@
         "platform": standin.platform,
         "engine": standin.engine,
         "plain": standin.plain,
+        "link": standin.link,
     },
 }
 COMMANDS["completion"] = completion.make(COMMANDS)
--- a/src/galenavane/soak/observer.py
+++ b/src/galenavane/soak/observer.py
@@ -73,6 +73,8 @@
         """Take in one event of the run."""
         if event.kind == "invariant.violated":
             self.report(int(str(event.fields["number"])), str(event.fields["text"]))
+        elif event.kind in ("connection.defect", "request.defect"):
+            self.report(violation.CRASHED, event.describe())
         elif event.kind == "request.send":
             self._check_send(event)
         elif event.kind == "target.request":
--- a/src/galenavane/soak/run.py
+++ b/src/galenavane/soak/run.py
@@ -11,7 +11,7 @@
 
 from galenavane.net import transport_error
 from galenavane.observe import events
-from galenavane.simulate import clock, deployment
+from galenavane.simulate import clock, deployment, owner
 from galenavane.soak import (
     fault,
     injector,
@@ -129,8 +129,8 @@
 
 async def _disturb(state: _Run, made: deployment.Deployment, inject: injector.Injector) -> None:
     assert state.seen is not None
-    names = [place.name for place in state.topology.entries]
-    callers = traffic.Traffic(made, names, random.Random(state.seed), state.seen.report)
+    net = made.net.face(owner.Owner("caller"))
+    callers = traffic.Traffic(net, made.entries, random.Random(state.seed), state.seen.report)
     state.told = callers
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run, state.topology.scale.seconds + CALM_SECONDS)
--- a/src/galenavane/soak/traffic.py
+++ b/src/galenavane/soak/traffic.py
@@ -11,10 +11,9 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, round_trip, transport_error
+from galenavane.net import http_connection, message, network, round_trip, transport_error
 from galenavane.observe import events
 from galenavane.serve import errors, sse
-from galenavane.simulate import deployment, owner
 from galenavane.soak import record as records
 from galenavane.soak import topology
 from galenavane.standin import engine_text, plain
@@ -39,15 +38,19 @@
     :ivar report: called with the invariant's number and a text when an answer is wrong.
     """
 
-    __slots__ = ("_face", "_made", "_names", "_rng", "records", "report")
+    __slots__ = ("_entries", "_names", "_net", "_rng", "records", "report")
 
     def __init__(
-        self, made: deployment.Deployment, names: list[str], rng: random.Random, report: Report
+        self,
+        net: network.Network,
+        entries: dict[str, addresses.Address],
+        rng: random.Random,
+        report: Report,
     ) -> None:
-        self._made = made
-        self._names = names
+        self._net = net
+        self._entries = entries
+        self._names = list(entries)
         self._rng = rng
-        self._face = made.net.face(owner.Owner("caller"))
         self.records: list[records.Record] = []
         self.report = report
 
@@ -103,8 +106,7 @@
         """Connect to an entry as a balancer does: one that refuses is passed over."""
         for name in rng.sample(self._names, len(self._names)):
             try:
-                where = self._made.entries[name]
-                return name, await self._face.dial(where, CONNECT_SECONDS)
+                return name, await self._net.dial(self._entries[name], CONNECT_SECONDS)
             except transport_error.TransportError:
                 continue
         return None
@@ -208,7 +210,7 @@
         target = f"/services/{topology.PLAIN_SERVICE}{path}"
         req = message.Request(method, target, fields, job.encode())
         try:
-            response = await self._send(self._made.entries[name], req)
+            response = await self._send(self._entries[name], req)
         except transport_error.TransportError as exc:
             ending = records.Ending.BROKEN if exc.bytes_sent else records.Ending.REFUSED
             self._end(told, ending, None)
@@ -222,7 +224,7 @@
         return told
 
     async def _send(self, where: addresses.Address, req: message.Request) -> message.Response:
-        return await round_trip.send(self._face, where, req, PATIENCE_SECONDS, MAX_ANSWER_BYTES)
+        return await round_trip.send(self._net, where, req, PATIENCE_SECONDS, MAX_ANSWER_BYTES)
 
 
 class _Placed(msgspec.Struct, frozen=True):
--- a/src/galenavane/soak/wrong.py
+++ b/src/galenavane/soak/wrong.py
@@ -12,7 +12,7 @@
 
 from galenavane import invariant
 from galenavane.config import head as heads
-from galenavane.control import completeness, plan, sighting, table
+from galenavane.control import completeness, pool, sighting, table
 from galenavane.entry import process
 from galenavane.entry import view as views
 from galenavane.failure import failure
@@ -61,11 +61,11 @@
     return answer is not None and (answer.group, answer.epoch) == (group.name, group.epoch)
 
 
-_free_instances = plan._free_instances
+_make_pool = pool.make
 
 
-def _free_although_used(inputs: plan.Inputs, kept: object) -> object:
-    return _free_instances(inputs, [])
+def _pool_of_all(groups: object, *args: typing.Any) -> pool.Pool:
+    return _make_pool([], *args)
 
 
 def _begin_again(state: stream_state.StreamState) -> None:
@@ -123,9 +123,9 @@
     Wrong(
         "take instances that are in a group already",
         _Number.ONE_GROUP,
-        plan,
-        "_free_instances",
-        _free_although_used,
+        pool,
+        "make",
+        _pool_of_all,
     ),
     Wrong(
         "begin the answer anew in the middle of a stream",
