--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 soak: $(VENV)/ready
 	$(PY) -m galenavane.soak --seed $(SEED) --minutes $(MINUTES)
 
+proof: $(VENV)/ready
+	$(PY) -m galenavane.proof
+
 binary: $(VENV)/ready
 	mkdir -p build
 	$(PY) -m shiv --quiet --compressed --console-script galenavane --output-file build/galenavane --no-deps . --requirement requirements-run.lock
--- a/src/galenavane/soak/wrong.py
+++ b/src/galenavane/soak/wrong.py
@@ -50,13 +50,13 @@
         setattr(wrong.owner, wrong.attribute, right)
 
 
-def _is_confirmed_by_any_report(
-    group: table.Group,
-    member: table.Member,
-    seen: abc.Mapping[str, sighting.Sighting],
-    now: float,
+def _is_complete_by_any_report(
+    group: table.Group, seen: abc.Mapping[str, sighting.Sighting], now: float
 ) -> bool:
-    found = seen.get(member.instance)
+    return all(_was_seen_in(group, seen.get(one.instance)) for one in group.members)
+
+
+def _was_seen_in(group: table.Group, found: sighting.Sighting | None) -> bool:
     answer = found.report if found is not None else None
     return answer is not None and (answer.group, answer.epoch) == (group.name, group.epoch)
 
@@ -117,8 +117,8 @@
         "route on a stale completeness proof",
         _Number.COMPLETE_GROUP,
         completeness,
-        "is_confirmed",
-        _is_confirmed_by_any_report,
+        "is_complete",
+        _is_complete_by_any_report,
     ),
     Wrong(
         "take instances that are in a group already",
