--- a/src/galenavane/serve/model_stream.py
+++ b/src/galenavane/serve/model_stream.py
@@ -100,6 +100,8 @@
             failed = await _try(view, stream, held.chosen, number)
             if failed is None or failed.outcome is not outcomes.Outcome.UNKNOWN:
                 break
+            if not _is_proved(view, held.chosen):
+                break
         is_whole = failed is None
         return failed
     finally:
@@ -111,6 +113,14 @@
             await _cancel(view, stream, held.chosen)
 
 
+def _is_proved(view: views.View, chosen: candidates.Candidate) -> bool:
+    """Whether the group is still known to be complete in the same epoch."""
+    known = view.router.fleet.groups.get(chosen.name)
+    if known is None or known.facts.epoch != chosen.epoch:
+        return False
+    return trio.current_time() <= known.facts.proved_until
+
+
 def _measure(
     view: views.View, state: stream_state.StreamState, first: float | None, before: int
 ) -> None:
