Prove streams under faults, refuse doubtful requests, remove old records

The split test found that the pump took a lone byte for a whole event (find() == -1); mended. Requests with both lengths, damaged framing or an endless head are refused before the handler, with status and number.

--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -17,6 +17,7 @@
     lease_task,
     meter_task,
     operators,
+    records_task,
     registration_task,
     reports_task,
     routing_task,
@@ -80,6 +81,7 @@
     reports_task.run,
     routing_task.run,
     control_task.run,
+    records_task.run,
     meter_task.run,
     peer_task.run,
 )
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -18,14 +18,19 @@
 
 
 class HttpConnection:
-    """An h11 state machine and the stream it speaks over."""
+    """An h11 state machine and the stream it speaks over.
 
-    __slots__ = ("_is_ended", "bytes_sent", "machine", "stream")
+    :ivar bytes_sent: whether any byte was handed to the stream.
+    :ivar error_status: status for what the other end sent, when it is malformed.
+    """
+
+    __slots__ = ("_is_ended", "bytes_sent", "error_status", "machine", "stream")
 
     def __init__(self, stream: trio.abc.Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.stream = stream
         self.machine = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.bytes_sent = False
+        self.error_status = 400
         self._is_ended = False
 
     async def send(self, *events: h11.Event) -> None:
@@ -55,6 +60,7 @@
             try:
                 event = self.machine.next_event()
             except h11.RemoteProtocolError as exc:
+                self.error_status = exc.error_status_hint
                 kind = transport_error.Kind.MALFORMED
                 if self._is_ended:
                     kind = transport_error.Kind.RESET
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -8,6 +8,7 @@
 import h11
 import trio
 
+from galenavane.failure import code as codes
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
@@ -173,7 +174,11 @@
 ) -> None:
     if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    too_large = exc.kind is transport_error.Kind.TOO_LARGE
-    response = message.json_response(413 if too_large else 400, {"error": str(exc)})
+    status = conn.error_status
+    code = codes.Code.BAD_REQUEST
+    if exc.kind is transport_error.Kind.TOO_LARGE:
+        status, code = 413, codes.Code.BODY_TOO_LARGE
+    detail = {"code": code.value, "name": code.name.lower(), "outcome": "not_run"}
+    response = message.json_response(status, {"error": {**detail, "message": str(exc)}})
     response.headers.add("connection", "close")
     await Exchange(conn, message.Request("", "")).respond(response)
--- a/src/galenavane/serve/model_request.py
+++ b/src/galenavane/serve/model_request.py
@@ -55,7 +55,9 @@
     if begun.is_error():
         return begun.error
     ask = _make_ask(configuration, caller, body.request, run, adapter)
-    stream = model_stream.ModelStream(caller, body, begun.ok, ask, _head(view, caller, body, run))
+    stream = model_stream.ModelStream(
+        caller, body, begun.ok, ask, _head(view, caller, body, run, begun.ok.request_id)
+    )
     return await _answer(view, stream)
 
 
@@ -122,14 +124,15 @@
     caller: callers.Caller,
     body: completion_body.CompletionBody,
     run: declaration.Run,
+    stream_id: str,
 ) -> header_lists.Headers:
-    """Return the header fields of a streamed answer."""
+    """Return the header fields of a streamed answer; its id stays when it is resumed."""
     fields = header_lists.Headers().add("content-type", "text/event-stream")
     fields.add("cache-control", "no-store").add("x-request-id", caller.request_id)
     key = view.cfg.get(settings.RESUME_KEY)
     if key:
         token = resume_token.ResumeToken(
-            caller.request_id,
+            stream_id,
             caller.account.name,
             run.version,
             body.digest(caller.exchange.request.path),
--- a/src/galenavane/serve/stream_pump.py
+++ b/src/galenavane/serve/stream_pump.py
@@ -82,8 +82,9 @@
 
     def _take(self, data: bytes, now: float) -> None:
         """Collect the new events of some bytes, as the caller gets them."""
-        if not self._buffer and data.find(_SEPARATOR) == len(data) - len(_SEPARATOR):
-            if self._is_new(data[: -len(_SEPARATOR)], now):
+        end = data.find(_SEPARATOR)
+        if not self._buffer and end >= 0 and end + len(_SEPARATOR) == len(data):
+            if self._is_new(data[:end], now):
                 self._out = self._out + data if self._out else data
             return
         parts = (self._buffer + data).split(_SEPARATOR)
--- a/src/galenavane/simulate/deployment.py
+++ b/src/galenavane/simulate/deployment.py
@@ -215,6 +215,7 @@
         settings.PEERS: addresses.Address(where.host, 8002),
         settings.PLATFORM: platform,
         settings.SEEDS: seeds,
+        settings.RESUME_KEY: "simulated",
     }
     values.update({(one.section, one.key): value for one, value in given.items()})
     return settings.Settings(values)
--- a/src/galenavane/simulate/faulty_net.py
+++ b/src/galenavane/simulate/faulty_net.py
@@ -27,7 +27,7 @@
 class Fault:
     """What happens to one connection.
 
-    :ivar after_bytes: bytes of the request or answer before a reset.
+    :ivar after_bytes: bytes before a reset, or of an answer before silence.
     """
 
     kind: Kind = Kind.NONE
@@ -71,4 +71,4 @@
     elif fault.kind is Kind.SILENT_REQUEST:
         ours.silent = True
     elif fault.kind is Kind.SILENT_ANSWER:
-        theirs.silent = True
+        theirs.silent_after = fault.after_bytes
--- a/src/galenavane/simulate/stream.py
+++ b/src/galenavane/simulate/stream.py
@@ -11,6 +11,7 @@
     """A duplex byte stream whose two ends are made by :func:`pair`.
 
     :ivar silent: bytes sent are lost without an error.
+    :ivar silent_after: bytes sent after so many more are lost; ``None`` never.
     :ivar cut_after: the connection is reset once so many more bytes were sent; ``None`` never.
     """
 
@@ -18,6 +19,7 @@
         self.own = own
         self.other = other
         self.silent = False
+        self.silent_after: int | None = None
         self.cut_after: int | None = None
         self._links = state
         self._buffer = bytearray()
@@ -48,6 +50,11 @@
         if self.cut_after is not None:
             self.cut_after -= len(data)
         await trio.sleep(self._links.latency_seconds)
+        if self.silent_after is not None:
+            self._deliver(data[: self.silent_after])
+            self.silent_after -= len(data)
+            self.silent = self.silent or self.silent_after <= 0
+            return
         self._deliver(data)
 
     def _deliver(self, data: bytes) -> None:
--- /dev/null
+++ b/tests/steps/net_http_server.py
@@ -0,0 +1,120 @@
+"""Steps on the HTTP server, over streams in memory."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+from behave import then
+
+from galenavane.net import http_server, message
+from galenavane.simulate import clock
+
+POST = b"POST / HTTP/1.1\r\nhost: x\r\n"
+RAW = {
+    "both lengths": POST + b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two different lengths": POST + b"content-length: 5\r\ncontent-length: 6\r\n\r\nabcdef",
+    "length that is no number": POST + b"content-length: five\r\n\r\n",
+    "negative length": POST + b"content-length: -1\r\n\r\n",
+    "unknown transfer encoding": POST + b"transfer-encoding: gzip, chunked\r\n\r\n",
+    "transfer encoding in HTTP/1.0": b"POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n",
+    "space before colon": POST + b"content-length : 5\r\n\r\nabcde",
+    "bare CR in a value": POST + b"x: a\rb\r\n\r\n",
+    "no host": b"POST / HTTP/1.1\r\n\r\n",
+    "damaged chunk size": POST + b"transfer-encoding: chunked\r\n\r\n0x5\r\nabcde\r\n0\r\n\r\n",
+    "endless head": POST + b"x: " + b"a" * 40_000,
+    "body over the limit": POST + b"content-length: 1200000\r\n\r\n" + b"a" * 1_200_000,
+}
+
+
+def talk(data, body=b"ok"):
+    """Send bytes to a server; return what it answers and the requests it handled."""
+    handled = []
+
+    async def handle(exchange):
+        handled.append(exchange.request)
+        await exchange.respond(message.Response(200, body=body))
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        limits = http_server.Limits(idle_seconds=5.0)
+        answer = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(http_server.serve_stream, server, handle, limits)
+            nursery.start_soon(send, client, data)
+            async for part in client:
+                answer += part
+        return answer, trio.current_time()
+
+    answer, passed = clock.run(main, 1)
+    return answer, handled, passed
+
+
+async def send(client, data):
+    try:
+        await client.send_all(data)
+    except trio.BrokenResourceError:
+        pass
+
+
+@then('the raw request "{name}" is answered with {status:d} and the connection closes')
+def check_refused(context, name, status):
+    answer, handled, _ = talk(RAW[name])
+    assert answer.startswith(b"HTTP/1.1 %d " % status), answer[:200]
+    assert not handled
+    assert answer.count(b"HTTP/1.1") == 1
+
+
+@then('a folded field "a\\r\\n b" is handled as "a b"')
+def check_folded(context):
+    _, handled, _ = talk(b"GET / HTTP/1.1\r\nhost: x\r\nx-a: a\r\n b\r\n\r\n")
+    assert handled[0].headers.get("x-a") == "a b"
+
+
+@then("two requests in one write are answered in order")
+def check_pipelined(context):
+    one = b"GET /%d HTTP/1.1\r\nhost: x\r\n\r\n"
+    answer, handled, _ = talk(one % 1 + one % 2)
+    assert [req.target for req in handled] == ["/1", "/2"]
+    assert answer.count(b"HTTP/1.1 200") == 2
+
+
+@then("a client that sends half a request is closed after 20 seconds")
+def check_half(context):
+    _, handled, passed = talk(POST + b"content-length: 5\r\n\r\nab")
+    assert not handled
+    assert 19 < passed < 21, passed
+
+
+@then("a client that reads nothing is closed after 20 seconds")
+def check_unread(context):
+    async def handle(exchange):
+        await exchange.respond(message.Response(200, body=b"x" * 100))
+
+    async def main():
+        client, server = trio.testing.lockstep_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, client, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            await http_server.serve_stream(server, handle, http_server.Limits())
+        return trio.current_time()
+
+    passed = clock.run(main, 1)
+    assert 19 < passed < 21, passed
+
+
+@then("a request that expects 100-continue gets 100 and then 200")
+def check_continue(context):
+    data = POST + b"content-length: 2\r\nexpect: 100-continue\r\n\r\nab"
+    answer, handled, _ = talk(data[:-2])
+    assert answer.startswith(b"HTTP/1.1 100 "), answer
+    assert not handled
+    answer, handled, _ = talk(data)
+    assert b"HTTP/1.1 200" in answer
+    assert handled[0].body == b"ab"
+
+
+@then("an answer to HEAD keeps its length and has no body")
+def check_head(context):
+    answer, _, _ = talk(b"HEAD / HTTP/1.1\r\nhost: x\r\n\r\n", body=b"12345")
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"content-length: 5" in head.lower()
+    assert body == b""
--- /dev/null
+++ b/tests/steps/serve_sweep.py
@@ -0,0 +1,81 @@
+"""Steps on the removal of old records."""
+
+from __future__ import annotations
+
+import collections
+import types
+
+import expression
+import trio
+from behave import then
+
+from galenavane.entry import records_task
+from galenavane.observe import events
+from galenavane.serve import record, sweep
+from galenavane.simulate import clock
+from galenavane.standin import platform_store
+
+NOW = 1_800_000_000.0
+
+
+def make(hours, attempt="a"):
+    started = NOW - hours * 3600
+    return record.Record("hash", attempt, record.Phase.ANSWERED, started, started + 60)
+
+
+@then("the shards of {count:d} data centres are 4096, each swept by one")
+def check_shards(context, count):
+    names = [f"dc-{number}" for number in range(count)]
+    swept = collections.Counter(shard for name in names for shard in sweep.own_shards(name, names))
+    assert len(swept) == 4096
+    assert set(swept.values()) == {1}
+
+
+@then("the sweep of {count:d} data centres lists 0.2 shards a second in all")
+def check_rate(context, count):
+    names = [f"dc-{number}" for number in range(count)]
+    assert abs(count / sweep.pause_seconds(names) - 0.2) < 1e-9
+
+
+@then("of records begun 1, 23 and 25 hours ago and a damaged one only the last but one is removed")
+def check_old(context):
+    store = platform_store.Store()
+    for hours in (1, 23, 25):
+        store.put(f"record/000/{hours}", record.encode(make(hours)), 0)
+    store.put("record/000/damaged", "{", 0)
+    old = sweep.choose_old(store.list_objects(record.shard_prefix(0)).objects, NOW)
+    assert [one.key for one in old] == ["record/000/25"]
+
+
+class ChangingPlatform:
+    """Writes a record anew after it has been listed."""
+
+    def __init__(self):
+        self.store = platform_store.Store()
+
+    async def list_objects(self, prefix):
+        await trio.lowlevel.checkpoint()
+        listed = self.store.list_objects(prefix)
+        self.store.put("record/000/changed", record.encode(make(0, "b")), None)
+        return expression.Ok(listed)
+
+    async def delete(self, key, if_version):
+        await trio.lowlevel.checkpoint()
+        done = self.store.put(key, "", if_version)
+        error = types.SimpleNamespace(code=types.SimpleNamespace(name="PLATFORM_CONFLICT"))
+        return expression.Ok(0) if done else expression.Error(error)
+
+
+@then("a sweep does not remove a record that is written between list and delete")
+def check_changed(context):
+    platform = ChangingPlatform()
+    for name in ("changed", "old"):
+        platform.store.put(f"record/000/{name}", record.encode(make(25)), 0)
+
+    async def main():
+        events.become(events.Source("entry", "here", "i", lambda: NOW))
+        await records_task.sweep_shard(types.SimpleNamespace(platform=platform), 0)
+
+    clock.run(main, 1)
+    assert platform.store.get("record/000/old").version == 0
+    assert record.decode(platform.store.get("record/000/changed").value).attempt == "b"
