--- /dev/null
+++ b/tests/experiment/interleavings.feature
@@ -0,0 +1,18 @@
+Feature: Lease, table and commands under every interleaving of a small bound
+
+  Scenario Outline: Every interleaving of <steps> steps keeps the invariants
+    Then every interleaving of <steps> steps with <entries> entries holds
+
+    Examples:
+      | entries | steps |
+      | 2       | 4     |
+      | 3       | 3     |
+
+  Scenario Outline: The exploration catches <wrong>
+    Then the interleavings of <steps> steps catch <wrong>
+
+    Examples:
+      | wrong                          | steps |
+      | a successor that does not wait | 4     |
+      | epochs without the token       | 4     |
+      | commands after the lease       | 5     |
--- /dev/null
+++ b/tests/platform/lease.feature
@@ -0,0 +1,41 @@
+Feature: One entry of a data centre holds the lease
+
+  Scenario: A renewal whose answer was lost is settled by reading back
+    Given a lease held since second 0
+    When its renewal at second 2 takes effect and the answer is lost
+    And the lease is read at second 3
+    Then the lease is held until second 7.5
+
+  Scenario: A late attempt does not lengthen the lease of the next one
+    Given a lease held since second 0
+    When its renewal at second 2 is under way without an answer
+    And the lease is read unchanged at second 4
+    And that renewal takes effect at second 4.5
+    And another renewal at second 8 conflicts
+    And the lease is read at second 8.1
+    Then the lease is held until second 7.5
+
+  Scenario: A successor waits until the holder has given up by any clock
+    Given a lease held since second 0
+    When another entry reads it at second 0.1
+    Then the other entry may claim it at second 7.6 and not before
+
+  Scenario: A released lease is claimed at once
+    Given a lease held since second 0
+    When it is released at second 1
+    And another entry reads it at second 1
+    Then the other entry may claim it at once at second 1
+
+  Scenario: A platform with older data never makes a token go down
+    Given a lease held since second 0
+    When another entry reads it at second 0
+    And the platform goes back to no lease
+    And another entry reads it at second 1
+    Then the other entry may claim it at second 8.5 and not before
+    And the other entry claims it with token 2
+
+  Scenario: A token that only a target remembers is not used again
+    Given a lease held since second 0
+    When a target shows token 9 at second 1
+    Then the lease is not usable at second 1
+    And the entry claims it with token 10 at second 8.5
