--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -9,7 +9,15 @@
 from galenavane.config import in_force, sections, settings, settle
 from galenavane.entry import view as views
 from galenavane.observe import clock, events
-from galenavane.peer import command, facts, facts_update, membership, messages, seen_message
+from galenavane.peer import (
+    command,
+    facts,
+    facts_update,
+    membership,
+    messages,
+    seen_message,
+    traffic,
+)
 
 TICK_SECONDS = 0.25
 LOG_DROPPED_SECONDS = 10.0
@@ -18,7 +26,16 @@
 class _State:
     """Membership, and what was told and heard of facts."""
 
-    __slots__ = ("facts", "logged_at", "members", "sender", "started_ms", "view")
+    __slots__ = (
+        "facts",
+        "logged_at",
+        "members",
+        "received",
+        "sender",
+        "sent",
+        "started_ms",
+        "view",
+    )
 
     def __init__(self, view: views.View) -> None:
         self.view = view
@@ -32,22 +49,38 @@
         self.facts: dict[str, facts.PeerFacts] = {}
         self.started_ms = int(events.wall_seconds() * 1000)
         self.logged_at = float("-inf")
+        self.sent = traffic.Traffic()
+        self.received = traffic.Traffic()
 
 
 async def run(view: views.View) -> None:
     """Exchange messages until cancelled."""
     state = _State(view)
+    began = trio.current_time()
     try:
         async with trio.open_nursery() as nursery:
             for task in (_receive, _tick, _follow_registrations, _follow_configuration, _leave):
                 nursery.start_soon(task, state)
     finally:
         view.transport.close()
+        _log_totals(state, trio.current_time() - began)
+
+
+def _log_totals(state: _State, seconds: float) -> None:
+    events.log(
+        "peer.totals",
+        seconds=seconds,
+        sent=state.sent.messages,
+        sent_bytes=state.sent.message_bytes,
+        received=state.received.messages,
+        received_bytes=state.received.message_bytes,
+    )
 
 
 async def _receive(state: _State) -> None:
     while True:
         data = await state.view.transport.receive()
+        state.received.count(data)
         message = messages.decode(data)
         if message is None or not _take(state, message):
             _count_dropped(state, len(data))
@@ -137,7 +170,7 @@
     message = messages.Configuration(
         messages.PROTOCOL_VERSION, events.stamp(), heads.encode(current.head), missing
     )
-    state.view.transport.send(want.address, messages.encode(message))
+    _send_all(state, [want.address], message)
 
 
 async def _tick(state: _State) -> None:
@@ -186,6 +219,7 @@
 def _send_all(state: _State, told: list[str], message: messages.Message) -> None:
     data = messages.encode(message)
     for address in told:
+        state.sent.count(data)
         state.view.transport.send(address, data)
 
 
