Remove sections and heads that no kept generation needs

Ways weighed: by the loser of a conflict (unsound: a third acceptance may name the section), by age (no clock is shared), in two steps under the section's version. Chosen: the last, by the acceptance whose generation is a multiple of ten, over a sixteenth of the sections; 200 generations are kept.

Without the version, and without the wait for a later head, one scenario each of tests/config/accept.feature fails; the random one alone caught neither.

--- a/src/galenavane/cli/acceptance.py
+++ b/src/galenavane/cli/acceptance.py
@@ -9,7 +9,7 @@
 import expression
 
 from galenavane.cli import generations
-from galenavane.config import accept, capacity, declaration, diff
+from galenavane.config import accept, capacity, declaration, diff, sweep
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
@@ -68,6 +68,7 @@
         raise failure.UserError(await _explain_conflict(platform, current))
     head = _need(accepted)
     print(f'accepted: generation {head.generation}, preset "{head.preset}"')
+    await sweep.sweep(platform, head.generation)
     return 0
 
 
--- /dev/null
+++ b/src/galenavane/config/sweep.py
@@ -0,0 +1,119 @@
+"""Removes sections and heads that no kept generation needs.
+
+A section is removed in two steps, so that it can't vanish under an acceptance that is under way: it
+is marked with its version while one head is current, and removed under that version once a later
+head is. An acceptance that names it either read the earlier head, and then fails; or it wrote the
+section anew, and then the version differs.
+"""
+
+from __future__ import annotations
+
+import expression
+import msgspec
+
+from galenavane.config import head as heads
+from galenavane.config import settle
+from galenavane.failure import failure
+from galenavane.platform import api
+
+KEPT_GENERATIONS = 200
+EVERY_GENERATIONS = 10
+MARKS_KEY = "config/marks"
+_DIGITS = "0123456789abcdef"
+
+
+class Marks(msgspec.Struct, frozen=True):
+    """Sections that no kept head named.
+
+    :ivar generation: the current one after they were read.
+    :ivar versions: platform version of each marked section by key.
+    """
+
+    generation: int
+    versions: dict[str, int]
+
+
+class _Kept:
+    """Section keys that the current head and the last ``KEPT_GENERATIONS`` name."""
+
+    __slots__ = ("generation", "keys")
+
+    def __init__(self, current: heads.Head) -> None:
+        self.generation = current.generation
+        self.keys: set[str] = set()
+        self._add(current)
+
+    def add_unless_old(self, text: str) -> bool:
+        """Keep the sections of a replaced head, unless it is too old; return whether it is kept."""
+        head = settle.decode(text)
+        if head.is_error():
+            return True
+        if head.ok.generation < self.generation - KEPT_GENERATIONS:
+            return False
+        self._add(head.ok)
+        return True
+
+    def _add(self, head: heads.Head) -> None:
+        self.keys.update(heads.section_key(digest) for digest in head.sections.values())
+
+
+async def sweep(platform: api.Api, generation: int) -> expression.Result[int, failure.Failure]:
+    """Remove what was marked earlier and mark anew; return how many objects were removed.
+
+    :param generation: the one that the caller has just accepted.
+    """
+    if generation % EVERY_GENERATIONS:
+        return expression.Ok(0)
+    current = await _read_head(platform)
+    if current.is_error():
+        return expression.Error(current.error)
+    # Read after the head, so that every generation before it is in the list.
+    listed = await platform.list_objects(heads.HISTORY_PREFIX)
+    marked = await platform.get(MARKS_KEY)
+    if listed.is_error() or marked.is_error():
+        return expression.Error(listed.error if listed.is_error() else marked.error)
+    kept = _Kept(current.ok)
+    old = [one for one in listed.ok.objects if not kept.add_unless_old(one.value)]
+    removed = 0
+    for one in old:
+        removed += (await platform.delete(one.key, one.version)).is_ok()
+    removed += await _remove_marked(platform, marked.ok.value, kept)
+    return (await _mark(platform, kept, generation)).map(lambda _: removed)
+
+
+async def _read_head(platform: api.Api) -> expression.Result[heads.Head, failure.Failure]:
+    found = await platform.get(heads.HEAD_KEY)
+    if found.is_error():
+        return expression.Error(found.error)
+    return settle.decode(found.ok.value)
+
+
+async def _remove_marked(platform: api.Api, text: str, kept: _Kept) -> int:
+    try:
+        marks = msgspec.json.decode(text, type=Marks)
+    except msgspec.DecodeError:
+        return 0
+    if marks.generation >= kept.generation:
+        return 0
+    removed = 0
+    for key, version in marks.versions.items():
+        if key not in kept.keys:
+            removed += (await platform.delete(key, version)).is_ok()
+    return removed
+
+
+async def _mark(
+    platform: api.Api, kept: _Kept, generation: int
+) -> expression.Result[int, failure.Failure]:
+    """Mark what is not kept among a sixteenth of the sections, which bounds what is read."""
+    digit = _DIGITS[generation // EVERY_GENERATIONS % len(_DIGITS)]
+    listed = await platform.list_objects(heads.SECTION_PREFIX + digit)
+    if listed.is_error():
+        return expression.Error(listed.error)
+    versions = {one.key: one.version for one in listed.ok.objects if one.key not in kept.keys}
+    # Read after the sections: whoever wrote one of them started from this head or an earlier one.
+    current = await _read_head(platform)
+    if current.is_error():
+        return expression.Error(current.error)
+    marks = msgspec.json.encode(Marks(current.ok.generation, versions)).decode()
+    return await platform.put(MARKS_KEY, marks, None)
