Let the fakes' leaders say that they hear their members

Cause: completeness now asks the leader too; the fakes of the planner's scenarios and of the interleavings never set it, so two scenarios failed and the interleavings' check of complete groups was empty.

--- a/src/galenavane/experiment/interleaved_world.py
+++ b/src/galenavane/experiment/interleaved_world.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from galenavane.control import sighting, table
 from galenavane.platform import instance, lease, lease_value
 from galenavane.standin import engine_faults, engine_state
@@ -129,11 +131,13 @@
 
 
 def sightings(world: World) -> dict[str, sighting.Sighting]:
-    """Return what every entry sees of the targets."""
+    """Return what every entry sees of the targets; a ready leader has heard its members."""
     found = {}
     for number, one in enumerate(world.targets):
         listed = instance.Instance(
             one.name, f"10.0.0.{number + 1}:1", DATA_CENTRE, instance.Kind.ENGINE, "d"
         )
-        found[one.name] = sighting.Sighting(listed, one.report(world.now, report.Load()), world.now)
+        answer = one.report(world.now, report.Load())
+        answer = msgspec.structs.replace(answer, complete=answer.ready and answer.rank == 0)
+        found[one.name] = sighting.Sighting(listed, answer, world.now)
     return found
--- a/tests/steps/control_plan.py
+++ b/tests/steps/control_plan.py
@@ -71,6 +71,7 @@
                 shard=shard,
                 loaded=True,
                 ready=True,
+                complete=rank == 0,
             )
             found = after[member.instance]
             if found.report.incarnation == member.incarnation and found.reported_at >= now:
