--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -58,7 +58,7 @@
     "requests",
     "drain",
     setting.parse_number,
-    60.0,
+    660.0,
     "seconds",
     "Longest wait for streams at a stop.",
 )
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -74,6 +74,8 @@
         nursery.cancel_scope.cancel()
 
 
+REFUSE_SECONDS = 2.0
+
 _TASKS = (
     configuration_task.run,
     instances_task.run,
@@ -99,5 +101,9 @@
 
 async def _wait_idle(view: views.View) -> None:
     with trio.move_on_after(view.cfg.get(settings.DRAIN_DEADLINE)):
+        # Requests that are still on their way here get a refusal, not a broken connection.
+        await trio.sleep(REFUSE_SECONDS)
         while view.active.value > 0:
             await view.active.wait_change()
+    if view.active.value > 0:
+        events.log("entry.cut", active=view.active.value)
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -14,7 +14,7 @@
 from galenavane.peer import facts, members, registration, seen_message, transport
 from galenavane.platform import api, instance, lease
 from galenavane.route import router
-from galenavane.serve import waiter
+from galenavane.serve import plain_health, waiter
 from galenavane.target import api as target_api
 
 MAX_QUEUED_REPORTS = 1000
@@ -37,6 +37,7 @@
     :ivar offered: configuration that a peer sent; the configuration task decides.
     :ivar platform_generation: generation that the platform last showed, 0 before.
     :ivar dropped_messages: damaged or unknown messages of peers.
+    :ivar plain_health: which plain targets lately failed this entry's calls.
     :ivar leaving: whether this entry is stopping.
     :ivar active: callers' requests in flight.
     """
@@ -58,6 +59,7 @@
         "own_facts",
         "peer_facts",
         "peers",
+        "plain_health",
         "platform",
         "platform_generation",
         "registrations",
@@ -112,6 +114,7 @@
         self.router = router.Router()
         self.waiters: dict[str, waiter.Waiter] = {}
         self.leaving = latest.Latest[bool](False)
+        self.plain_health = plain_health.PlainHealth()
         self.active = latest.Latest[int](0)
 
     def new_id(self) -> str:
--- a/src/galenavane/serve/front.py
+++ b/src/galenavane/serve/front.py
@@ -51,7 +51,10 @@
         if found is None or found.code is codes.Code.CALLER_GONE:
             return
         if not exchange.answered:
-            await exchange.respond(errors.response(found, request_id))
+            answer = errors.response(found, request_id)
+            if view.leaving.value:
+                answer.headers.add("connection", "close")
+            await exchange.respond(answer)
     except transport_error.TransportError:
         events.log("request.end", request=request_id, code="caller_gone")
         _count(view, "caller_gone", "unknown")
--- /dev/null
+++ b/src/galenavane/serve/plain_health.py
@@ -0,0 +1,57 @@
+"""Which plain targets have lately failed; decided from the results of calls alone."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+FIRST_PAUSE_SECONDS = 1.0
+LONGEST_PAUSE_SECONDS = 30.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Suspicion:
+    """A target that failed.
+
+    :ivar failures: failed calls in a row.
+    :ivar until: monotonic time until which others go first.
+    """
+
+    failures: int
+    until: float
+
+
+class PlainHealth:
+    """Failures by target name; a success clears them."""
+
+    __slots__ = ("_suspected",)
+
+    def __init__(self) -> None:
+        self._suspected: dict[str, _Suspicion] = {}
+
+    def succeeded(self, name: str) -> None:
+        """Note that a target answered or refused by itself."""
+        self._suspected.pop(name, None)
+
+    def failed(self, name: str, now: float) -> None:
+        """Note that a target was unreachable, silent or broke off."""
+        before = self._suspected.get(name)
+        self._forget_old(now)
+        failures = 1 if before is None else before.failures + 1
+        pause = min(LONGEST_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2.0 ** (failures - 1))
+        self._suspected[name] = _Suspicion(failures, now + pause)
+
+    def prefer(self, names: abc.Iterable[str], now: float) -> set[str]:
+        """Return the names that may be tried; all of them when every one is suspected."""
+        wanted = set(names)
+        healthy = {name for name in wanted if not self._is_suspected(name, now)}
+        return healthy or wanted
+
+    def _forget_old(self, now: float) -> None:
+        oldest_kept = now - LONGEST_PAUSE_SECONDS
+        kept = {name: one for name, one in self._suspected.items() if one.until >= oldest_kept}
+        self._suspected = kept
+
+    def _is_suspected(self, name: str, now: float) -> bool:
+        found = self._suspected.get(name)
+        return found is not None and now < found.until
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -111,14 +111,17 @@
 def _candidates(
     view: views.View, service: declaration.Service, tried: set[str]
 ) -> list[candidates.Candidate]:
-    return [
-        candidates.Candidate(one.name, one.address)
+    """Return the live targets not yet tried; those that lately failed only when all did."""
+    live = {
+        one.name: candidates.Candidate(one.name, one.address)
         for one in view.instances.value
         if one.kind is instance.Kind.PLAIN
         and one.service == service.name
         and one.state is instance.State.LIVE
         and one.name not in tried
-    ]
+    }
+    preferred = view.plain_health.prefer(live, trio.current_time())
+    return [found for name, found in live.items() if name in preferred]
 
 
 async def _try(
@@ -136,6 +139,9 @@
     )
     attempts.begin()
     wait = max(0.1, call.caller.deadline - trio.current_time())
+    if call.is_idempotent:
+        # Leaves time for another target when this one is silent.
+        wait /= 2
     where = addresses.parse(chosen.address)
     try:
         response = await round_trip.send(
@@ -143,7 +149,9 @@
         )
     except transport_error.TransportError as exc:
         attempts.end(exc.bytes_sent, False)
+        view.plain_health.failed(chosen.name, trio.current_time())
         return classify.broken(exc)
     attempts.end(True, classify.is_refusal(response))
+    view.plain_health.succeeded(chosen.name)
     found = classify.refused(response)
     return forwarded.response(response) if found is None else found
--- a/tests/serve/model_stream.feature
+++ b/tests/serve/model_stream.feature
@@ -9,6 +9,9 @@
   Scenario: A planned stop cuts off no stream and takes no new request
     Then an entry that is stopped ends its stream whole and refuses a new request as leaving
 
+  Scenario: A request on an idle connection of a stopping entry gets a refusal
+    Then a request 1.0 seconds after a stop, on a connection opened before, is refused as leaving
+
   Scenario: An answer to another request never reaches the caller
     Given engines that put another request's id into their chunks
     Then a completion ends with wrong_answer and the entry serves on
--- a/tests/steps/serve_model_stream.py
+++ b/tests/steps/serve_model_stream.py
@@ -100,6 +100,22 @@
     simulate(scenario)
 
 
+@then("a request 1.0 seconds after a stop, on a connection opened before, is refused as leaving")
+def check_idle_connection(context):
+    async def scenario(made):
+        conn = await made.operator.dial(made.entries["entry-0"], 1.0)
+        made.stops["entry-0"].set()
+        await trio.sleep(1.0)
+        await conn.send_request(request(BODY), "entry")
+        head = await conn.read_response_head()
+        body = msgspec.json.decode(await conn.read_body(10_000))
+        assert body["error"]["name"] == "leaving"
+        assert body["error"]["outcome"] == "not_run"
+        assert head.headers.get("connection") == "close"
+
+    simulate(scenario)
+
+
 @given("engines that put another request's id into their chunks")
 def damage_engines(context):
     honest = engine._event
--- /dev/null
+++ b/tests/steps/serve_plain_request.py
@@ -0,0 +1,126 @@
+"""Steps on calls to plain services."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import trio
+from behave import given, then
+
+from galenavane.experiment import small_deployment
+from galenavane.net import headers, message
+from galenavane.platform import instance
+from galenavane.serve import forwarded, plain_health
+from galenavane.simulate import clock, faulty_net
+
+
+@then("a plain target that failed twice goes last for 2 seconds and then not")
+def check_health(context):
+    health = plain_health.PlainHealth()
+    health.failed("a", 0.0)
+    health.failed("a", 10.0)
+    assert health.prefer(["a", "b"], 11.9) == {"b"}
+    assert health.prefer(["a", "b"], 12.0) == {"a", "b"}
+    health.failed("a", 20.0)
+    assert health.prefer(["a"], 20.0) == {"a"}
+    health.succeeded("a")
+    assert health.prefer(["a", "b"], 20.0) == {"a", "b"}
+
+
+@given("a small deployment")
+def make_plain(context):
+    context.first_fault = faulty_net.Kind.NONE
+    context.state = instance.State.LIVE
+
+
+@given("a small deployment whose next connection to a target is silent")
+def make_silent(context):
+    make_plain(context)
+    context.first_fault = faulty_net.Kind.SILENT_ANSWER
+
+
+@given("a small deployment whose targets are leaving")
+def make_leaving(context):
+    make_plain(context)
+    context.state = instance.State.LEAVING
+
+
+def simulate(context, scenario):
+    async def main():
+        faults = []
+
+        def next_fault(where):
+            if where.port >= 20 and faults:
+                return faulty_net.Fault(faults.pop())
+            return faulty_net.Fault()
+
+        async with trio.open_nursery() as nursery:
+            made = small_deployment.SmallDeployment(nursery, random.Random(1))
+            await made.start(0, 2, next_fault)
+            where = small_deployment.addresses.Address("10.0.0.1", 10)
+            made.entries.append(where)
+            view = await made.start_entry(where, next_fault)
+            view.instances.publish(
+                [msgspec.structs.replace(one, state=context.state) for one in view.instances.value]
+            )
+            await scenario(made, faults)
+            nursery.cancel_scope.cancel()
+
+    clock.run(main, 1)
+
+
+async def call(made, method, path, body=b""):
+    req = small_deployment.make_request(method, path, body, 3.0)
+    return await made.call(made.entries[0], req)
+
+
+@then("a lookup is answered and an order is told unknown")
+def check_repeat(context):
+    async def scenario(made, faults):
+        faults.append(context.first_fault)
+        lookup = await call(made, "GET", "/jobs")
+        faults[:] = [context.first_fault]
+        order = await call(made, "POST", "/jobs", b"job")
+        assert msgspec.json.decode(order.body)["error"]["outcome"] == "unknown"
+        assert [line.job for line in await made.ledger()] == ["job"]
+        assert lookup.status == 200, lookup
+
+    simulate(context, scenario)
+
+
+def forward(fields):
+    """Return the fields that a target gets for a caller's fields."""
+    req = message.Request("GET", "/services/desk/jobs", fields)
+    exchange = type("Exchange", (), {"request": req})()
+    account = type("Account", (), {"name": "caller"})()
+    caller = type("Caller", (), {"exchange": exchange, "account": account, "request_id": "own"})()
+    return forwarded.request(caller, "/jobs").headers
+
+
+@then('a target gets the account "caller" though the caller says x-account "other"')
+def check_account(context):
+    fields = headers.Headers().add("X-Account", "other").add("Authorization", "Bearer key")
+    sent = forward(fields.add("x-request-id", "foreign"))
+    assert [value for name, value in sent.pairs if name == b"x-account"] == [b"caller"]
+    assert [value for name, value in sent.pairs if name == b"x-request-id"] == [b"own"]
+    assert sent.get("authorization") == ""
+    assert sent.get("forwarded") == "by=_galenavane"
+
+
+@then("a target gets no field that the caller's Connection names")
+def check_connection(context):
+    fields = headers.Headers().add("Connection", "close, X-Secret").add("x-secret", "1")
+    sent = forward(fields.add("te", "trailers").add("x-kept", "1"))
+    assert sent.get("x-secret") == sent.get("te") == sent.get("connection") == ""
+    assert sent.get("x-kept") == "1"
+
+
+@then("an order is told not_run and no target ran it")
+def check_leaving(context):
+    async def scenario(made, faults):
+        order = await call(made, "POST", "/jobs", b"job")
+        assert msgspec.json.decode(order.body)["error"]["outcome"] == "not_run"
+        assert not await made.ledger()
+
+    simulate(context, scenario)
