Load by profile, with plot and comparison, and measure with real processes

galenavane load reads accounts, rates, lengths and prefix shares from an INI file, draws latency by percentile and compares with an earlier result. make bench measures six entries against calling the leaders directly. Wrong versions may replace a decision in several places, since completeness is guarded twice (the proof of the reports and the router's lapse of it): with one of the two replaced the soak and make proof saw nothing break.

--- a/src/galenavane/cli/load.py
+++ b/src/galenavane/cli/load.py
@@ -8,37 +8,78 @@
 import msgspec
 import trio
 
-from galenavane.load import generator, report
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.load import destination, generator, report
+from galenavane.load import plot as plots
+from galenavane.load import profile as profiles
 from galenavane.net import address as addresses
 
 
 def load(
     *,
     entries: list[addresses.Address],
-    key: str,
+    key: str = "",
+    profile: pathlib.Path | None = None,
     model: str = "scribe",
     service: str = "order-desk",
     seconds: float = 10.0,
     rate: float = 10.0,
     orders: float = 2.0,
     max_tokens: int = 32,
+    seed: int = 1,
     output: pathlib.Path | None = None,
+    plot: pathlib.Path | None = None,
+    compare: pathlib.Path | None = None,
 ) -> int:
     """Send a load to entries and check every answer.
 
     :param entries: IP:port of one entry or more, used in turn
-    :param key: bearer key of the client account
+    :param key: bearer key of the client account, when there is no profile
+    :param profile: INI file with accounts, rates and lengths, instead of the next five
     :param model: model of the completions
     :param service: plain service that takes jobs
     :param seconds: how long requests arrive
     :param rate: completions a second
     :param orders: non-idempotent jobs a second, each sent through two entries
     :param max_tokens: tokens of an answer
+    :param seed: seed of arrivals and lengths
     :param output: file for the result as JSON
+    :param plot: file for the latencies as SVG
+    :param compare: JSON result of an earlier run, to be drawn too
     """
-    plan = generator.Plan(entries, key, model, service, seconds, rate, orders, max_tokens, seed=1)
+    wanted = profiles.Profile(
+        [profiles.Account("load", key, 1.0)],
+        model,
+        service,
+        rate,
+        orders,
+        answer_tokens=(max_tokens, max_tokens),
+    )
+    if profile is not None:
+        wanted = profiles.load(profile)
+    earlier = _read_earlier(compare)
+    where = [destination.Destination(one) for one in entries]
+    plan = generator.Plan(where, wanted, seconds, seed)
     result = trio.run(functools.partial(generator.run, plan))
     print(report.render(result))
+    found = report.summarise(result)
     if output is not None:
-        output.write_bytes(msgspec.json.encode(report.summarise(result)))
+        output.write_bytes(msgspec.json.encode(found))
+    _draw(plot, found, earlier)
     return 1 if result.wrong else 0
+
+
+def _read_earlier(path: pathlib.Path | None) -> report.Summary | None:
+    if path is None:
+        return None
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=report.Summary)
+    except (OSError, msgspec.DecodeError) as exc:
+        text = f"{path}: {exc}"
+        raise failure.UserError(failure.Failure(codes.Code.BAD_SETTING, text)) from None
+
+
+def _draw(path: pathlib.Path | None, found: report.Summary, earlier: report.Summary | None) -> None:
+    if path is not None:
+        path.write_text(plots.draw(found, earlier))
--- /dev/null
+++ b/src/galenavane/load/destination.py
@@ -0,0 +1,29 @@
+"""Where a load sends its requests."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from galenavane.net import address as addresses
+from galenavane.net import headers as header_lists
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Destination:
+    """An entry, or a group's leader when engines are called directly.
+
+    :ivar group: name of the leader's group, empty for an entry.
+    :ivar epoch: epoch of the leader's group.
+    """
+
+    address: addresses.Address
+    group: str = ""
+    epoch: int = 0
+
+    def fields(self, key: str, number: int) -> header_lists.Headers:
+        """Return the header fields of a request."""
+        found = header_lists.Headers().add("content-type", "application/json")
+        if not self.group:
+            return found.add("authorization", f"Bearer {key}")
+        found.add("x-request-id", f"direct-{number}")
+        return found.add("x-group", self.group).add("x-epoch", str(self.epoch))
--- a/src/galenavane/load/generator.py
+++ b/src/galenavane/load/generator.py
@@ -10,9 +10,9 @@
 import msgspec
 import trio
 
+from galenavane.load import destination, profile, sample
 from galenavane.load import result as results
 from galenavane.net import address as addresses
-from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, round_trip, tcp, transport_error
 from galenavane.serve import errors, sse
 from galenavane.standin import engine_text
@@ -27,20 +27,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """What to send.
+    """What to send, where and for how long."""
 
-    :ivar rate: completions a second.
-    :ivar orders: jobs a second.
-    """
-
-    entries: list[addresses.Address]
-    key: str
-    model: str
-    service: str
+    destinations: list[destination.Destination]
+    profile: profile.Profile
     seconds: float
-    rate: float
-    orders: float
-    max_tokens: int
     seed: int
 
 
@@ -48,56 +39,73 @@
     """Send the load and wait for every answer."""
     result = results.Result()
     rng = random.Random(plan.seed)
+    sent = plan.profile
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_arrivals, plan, rng, plan.rate, _complete, result)
-        nursery.start_soon(_arrivals, plan, rng, plan.orders, _place, result)
+        nursery.start_soon(_arrivals, plan, rng, sent.completions, _complete, result)
+        nursery.start_soon(_arrivals, plan, rng, sent.jobs, _place, result)
+        nursery.start_soon(_arrivals, plan, rng, sent.lookups, _look_up, result)
     return result
 
 
-_Send = abc.Callable[[Plan, int, float, results.Result], abc.Awaitable[None]]
+_Send = abc.Callable[[Plan, int, float, random.Random, results.Result], abc.Awaitable[None]]
 
 
 async def _arrivals(
-    plan: Plan, rng: random.Random, rate: float, send: _Send, result: results.Result
+    plan: Plan, seeds: random.Random, rate: float, send: _Send, result: results.Result
 ) -> None:
     if rate <= 0:
         return
+    rng = random.Random(seeds.getrandbits(64))
     start = trio.current_time()
     due = start
     number = 0
     async with trio.open_nursery() as nursery:
         while due < start + plan.seconds:
             await trio.sleep_until(due)
-            nursery.start_soon(send, plan, number, due, result)
+            own = random.Random(rng.getrandbits(64))
+            nursery.start_soon(send, plan, number, due, own, result)
             number += 1
             due += rng.expovariate(rate)
 
 
-def _headers(plan: Plan) -> header_lists.Headers:
-    fields = header_lists.Headers().add("authorization", f"Bearer {plan.key}")
-    return fields.add("content-type", "application/json")
-
-
-async def _complete(plan: Plan, number: int, due: float, result: results.Result) -> None:
-    where = plan.entries[number % len(plan.entries)]
-    prompt = f"Inscription {number} for carafe {plan.seed}"
-    body = completion.CompletionRequest(plan.model, prompt, [], plan.max_tokens, True)
-    req = message.Request("POST", "/v1/completions", _headers(plan), msgspec.json.encode(body))
+async def _complete(
+    plan: Plan, number: int, due: float, rng: random.Random, result: results.Result
+) -> None:
+    where = plan.destinations[number % len(plan.destinations)]
+    key = plan.profile.draw_account(rng).key
+    prompt = plan.profile.draw_prompt(number, rng)
+    body = completion.CompletionRequest(
+        plan.profile.model, prompt, [], plan.profile.draw_answer(rng), True
+    )
+    fields = where.fields(key, number)
+    req = message.Request("POST", "/v1/completions", fields, msgspec.json.encode(body))
+    reading = _Reading(due)
     try:
         with trio.fail_after(ANSWER_SECONDS):
-            await _read_stream(where, req, prompt, due, plan, result)
+            await _read_stream(where.address, req, body, reading, result)
     except transport_error.TransportError as exc:
         result.refused[f"completion connection {exc.kind.value}"] += 1
     except trio.TooSlowError:
         result.refused["completion timeout"] += 1
+    result.samples.append(sample.Sample(due, reading.first_seconds, reading.is_whole))
+
+
+class _Reading:
+    """What has been read of one answer."""
+
+    __slots__ = ("due", "first_seconds", "is_whole")
+
+    def __init__(self, due: float) -> None:
+        self.due = due
+        self.first_seconds: float | None = None
+        self.is_whole = False
 
 
 async def _read_stream(
     where: addresses.Address,
     req: message.Request,
-    prompt: str,
-    due: float,
-    plan: Plan,
+    body: completion.CompletionRequest,
+    reading: _Reading,
     result: results.Result,
 ) -> None:
     conn = await tcp.make().dial(where, CONNECT_SECONDS)
@@ -107,21 +115,20 @@
         if head.status != 200:
             _count_refusal(await conn.read_body(MAX_ANSWER_BYTES), result)
             return
-        text = await _read_tokens(conn, due, result)
+        text = await _read_tokens(conn, reading, result)
     finally:
         await conn.close()
-    if text == engine_text.answer(prompt, plan.max_tokens):
-        result.answered += 1
-    else:
-        result.wrong += 1
+    reading.is_whole = text == engine_text.answer(body.prompt, body.max_tokens)
+    result.answered += reading.is_whole
+    result.wrong += not reading.is_whole
 
 
 async def _read_tokens(
-    conn: http_connection.HttpConnection, due: float, result: results.Result
+    conn: http_connection.HttpConnection, reading: _Reading, result: results.Result
 ) -> str:
     reader = sse.Reader(conn)
     texts: list[str] = []
-    before = due
+    before = reading.due
     while True:
         data = await reader.next_data()
         if data is None:
@@ -131,6 +138,8 @@
             await _read_end(conn)
             return "".join(texts)
         now = trio.current_time()
+        if reading.first_seconds is None:
+            reading.first_seconds = now - reading.due
         histogram = result.between_tokens if texts else result.first_token
         histogram.record_value(max(1, round((now - before) * 1e6)))
         before = now
@@ -142,43 +151,59 @@
         pass
 
 
-async def _place(plan: Plan, number: int, due: float, result: results.Result) -> None:
+async def _look_up(
+    plan: Plan, number: int, due: float, rng: random.Random, result: results.Result
+) -> None:
+    where = plan.destinations[number % len(plan.destinations)]
+    fields = where.fields(plan.profile.draw_account(rng).key, number)
+    req = message.Request("GET", f"/services/{plan.profile.service}/jobs", fields)
+    await _call_plain(where.address, req, result)
+
+
+async def _place(
+    plan: Plan, number: int, due: float, rng: random.Random, result: results.Result
+) -> None:
     """Place one job through two entries at once, with one idempotency key."""
     job = f"job-{plan.seed}-{number}"
+    key = plan.profile.draw_account(rng).key
     result.sent_jobs.append(job)
     answers: list[bool] = []
     async with trio.open_nursery() as nursery:
         for offset in range(2):
-            where = plan.entries[(number + offset) % len(plan.entries)]
-            nursery.start_soon(_place_once, plan, where, job, answers, result)
+            where = plan.destinations[(number + offset) % len(plan.destinations)]
+            fields = where.fields(key, number).add("idempotency-key", job)
+            target = f"/services/{plan.profile.service}/jobs"
+            req = message.Request("POST", target, fields, job.encode())
+            nursery.start_soon(_place_once, where.address, req, answers, result)
     if any(answers):
         result.placed.append(job)
 
 
 async def _place_once(
-    plan: Plan,
-    where: addresses.Address,
-    job: str,
-    answers: list[bool],
-    result: results.Result,
+    where: addresses.Address, req: message.Request, answers: list[bool], result: results.Result
 ) -> None:
-    fields = _headers(plan).add("idempotency-key", job)
-    req = message.Request("POST", f"/services/{plan.service}/jobs", fields, job.encode())
     for _ in range(MAX_JOB_TRIES):
-        try:
-            response = await round_trip.send(
-                tcp.make(), where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES
-            )
-        except transport_error.TransportError as exc:
-            result.refused[f"job connection {exc.kind.value}"] += 1
-        else:
-            if response.status < 300:
-                answers.append(True)
-                return
-            _count_refusal(response.body, result)
+        if await _call_plain(where, req, result):
+            answers.append(True)
+            return
         await trio.sleep(JOB_RETRY_SECONDS)
 
 
+async def _call_plain(
+    where: addresses.Address, req: message.Request, result: results.Result
+) -> bool:
+    """Call a plain service; return whether it answered with success."""
+    try:
+        response = await round_trip.send(tcp.make(), where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES)
+    except transport_error.TransportError as exc:
+        result.refused[f"{req.method} connection {exc.kind.value}"] += 1
+        return False
+    if response.status < 300:
+        return True
+    _count_refusal(response.body, result)
+    return False
+
+
 def _count_refusal(body: bytes, result: results.Result) -> None:
     detail = msgspec.json.decode(body, type=errors.ErrorBody).error
     result.refused[f"{detail.code} {detail.name} ({detail.outcome})"] += 1
--- /dev/null
+++ b/src/galenavane/load/profile.py
@@ -0,0 +1,118 @@
+"""What a load sends, read from a small INI file."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import math
+import pathlib
+import random
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+
+CHARACTERS_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Account:
+    """A client account of the load.
+
+    :ivar share: part of all requests relative to the other accounts.
+    """
+
+    name: str
+    key: str
+    share: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Profile:
+    """Arrivals, lengths and accounts.
+
+    :ivar completions: completions a second.
+    :ivar jobs: non-idempotent jobs a second, each sent through two entries.
+    :ivar lookups: idempotent calls a second to the plain service.
+    :ivar prompt_tokens: shortest and longest prompt, drawn evenly on a log scale.
+    :ivar answer_tokens: shortest and longest answer, drawn the same way.
+    :ivar prefix_share: part of a prompt that it shares with others.
+    :ivar prefixes: how many different shared prefixes there are.
+    """
+
+    accounts: list[Account]
+    model: str = "scribe"
+    service: str = "order-desk"
+    completions: float = 10.0
+    jobs: float = 2.0
+    lookups: float = 0.0
+    prompt_tokens: tuple[int, int] = (8, 8)
+    answer_tokens: tuple[int, int] = (32, 32)
+    prefix_share: float = 0.0
+    prefixes: int = 1
+
+    def draw_account(self, rng: random.Random) -> Account:
+        """Return the account of the next request."""
+        weights = [one.share for one in self.accounts]
+        return rng.choices(self.accounts, weights)[0]
+
+    def draw_prompt(self, number: int, rng: random.Random) -> str:
+        """Return the prompt of the next request: a shared prefix and a part of its own."""
+        length = _draw(self.prompt_tokens, rng) * CHARACTERS_PER_TOKEN
+        prefix = f"prefix {rng.randrange(self.prefixes)} " * (length // 8 + 1)
+        shared = prefix[: int(length * self.prefix_share)]
+        own = f"inscription {number} " * (length // 8 + 1)
+        return shared + own[: max(16, length - len(shared))]
+
+    def draw_answer(self, rng: random.Random) -> int:
+        """Return the number of tokens of the next answer."""
+        return _draw(self.answer_tokens, rng)
+
+
+def _draw(bounds: tuple[int, int], rng: random.Random) -> int:
+    low, high = bounds
+    return round(low * math.pow(high / low, rng.random()))
+
+
+def load(path: pathlib.Path) -> Profile:
+    """Read a profile.
+
+    :raises failure.UserError: naming file and what is wrong.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text())
+        return _parse(parser)
+    except (OSError, configparser.Error, ValueError, KeyError) as exc:
+        text = f"{path}: {exc}"
+        raise failure.UserError(failure.Failure(codes.Code.BAD_SETTING, text)) from None
+
+
+def _parse(parser: configparser.ConfigParser) -> Profile:
+    accounts = [
+        Account(section.removeprefix("account "), one["key"], float(one.get("share", "1")))
+        for section, one in parser.items()
+        if section.startswith("account ")
+    ]
+    if not accounts:
+        raise ValueError("no account is named")
+    found = parser["load"]
+    return Profile(
+        accounts=accounts,
+        model=found.get("model", "scribe"),
+        service=found.get("service", "order-desk"),
+        completions=found.getfloat("completions", 10.0),
+        jobs=found.getfloat("jobs", 2.0),
+        lookups=found.getfloat("lookups", 0.0),
+        prompt_tokens=_bounds(found.get("prompt_tokens", "8")),
+        answer_tokens=_bounds(found.get("answer_tokens", "32")),
+        prefix_share=found.getfloat("prefix_share", 0.0),
+        prefixes=found.getint("prefixes", 1),
+    )
+
+
+def _bounds(text: str) -> tuple[int, int]:
+    low, _, high = text.partition("-")
+    bounds = int(low), int(high or low)
+    if not 0 < bounds[0] <= bounds[1]:
+        raise ValueError(f'"{text}" is no range of tokens')
+    return bounds
--- a/src/galenavane/load/report.py
+++ b/src/galenavane/load/report.py
@@ -7,14 +7,20 @@
 
 from galenavane.load import result as results
 
+CURVE_PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.9, 100)
+
 
 class Latency(msgspec.Struct, frozen=True):
-    """Percentiles in milliseconds."""
+    """Percentiles in milliseconds.
+
+    :ivar curve: percentile and milliseconds, for a plot.
+    """
 
     p50_ms: float
     p95_ms: float
     p99_ms: float
     count: int
+    curve: list[tuple[float, float]] = []
 
 
 class Summary(msgspec.Struct, frozen=True):
@@ -56,7 +62,8 @@
 
 def _latency(found: histogram.HdrHistogram) -> Latency:
     p50, p95, p99 = (found.get_value_at_percentile(one) / 1000 for one in (50, 95, 99))
-    return Latency(p50, p95, p99, found.get_total_count())
+    curve = [(one, found.get_value_at_percentile(one) / 1000) for one in CURVE_PERCENTILES]
+    return Latency(p50, p95, p99, found.get_total_count(), curve)
 
 
 def _render(one: Latency) -> str:
--- a/src/galenavane/soak/wrong.py
+++ b/src/galenavane/soak/wrong.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import math
 import typing
 from collections import abc
 
@@ -24,30 +25,41 @@
 _Number = invariant.Number
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Swap:
+    """One function or bound and what replaces it.
+
+    :ivar owner: module or class that holds it.
+    """
+
+    owner: object
+    attribute: str
+    replacement: typing.Any
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wrong:
-    """One decision replaced.
+    """One decision made wrongly, wherever it is taken.
 
     :ivar number: the invariant that it breaks.
-    :ivar owner: module or class that holds the decision.
     """
 
     name: str
     number: invariant.Number
-    owner: object
-    attribute: str
-    replacement: abc.Callable[..., typing.Any]
+    swaps: tuple[Swap, ...]
 
 
 @contextlib.contextmanager
 def swapped_in(wrong: Wrong) -> abc.Iterator[None]:
-    """Replace the decision for a time."""
-    right = getattr(wrong.owner, wrong.attribute)
-    setattr(wrong.owner, wrong.attribute, wrong.replacement)
+    """Make the decision wrongly for a time."""
+    right = [getattr(one.owner, one.attribute) for one in wrong.swaps]
+    for one in wrong.swaps:
+        setattr(one.owner, one.attribute, one.replacement)
     try:
         yield
     finally:
-        setattr(wrong.owner, wrong.attribute, right)
+        for one, value in zip(wrong.swaps, right, strict=True):
+            setattr(one.owner, one.attribute, value)
 
 
 def _is_complete_by_any_report(
@@ -116,51 +128,44 @@
     Wrong(
         "route on a stale completeness proof",
         _Number.COMPLETE_GROUP,
-        completeness,
-        "is_complete",
-        _is_complete_by_any_report,
+        (
+            Swap(completeness, "is_complete", _is_complete_by_any_report),
+            Swap(completeness, "PROOF_SECONDS", math.inf),
+        ),
     ),
     Wrong(
         "take instances that are in a group already",
         _Number.ONE_GROUP,
-        pool,
-        "make",
-        _pool_of_all,
+        (Swap(pool, "make", _pool_of_all),),
     ),
     Wrong(
         "begin the answer anew in the middle of a stream",
         _Number.OWN_ANSWER,
-        stream_state.StreamState,
-        "begin_try",
-        _begin_again,
+        (Swap(stream_state.StreamState, "begin_try", _begin_again),),
     ),
     Wrong(
         "tell not_run after bytes were sent",
         _Number.NOT_RUN_IS_TRUE,
-        classify,
-        "broken",
-        _broken_is_not_run,
+        (Swap(classify, "broken", _broken_is_not_run),),
     ),
     Wrong(
         "repeat a non-idempotent request after bytes were sent",
         _Number.AT_MOST_ONCE,
-        classify,
-        "may_retry",
-        _may_always_retry,
+        (Swap(classify, "may_retry", _may_always_retry),),
     ),
     Wrong(
         "ignore that a target is leaving",
         _Number.LEAVING_GETS_NOTHING,
-        client._Client,
-        "instances",
-        _instances_all_live,
+        (Swap(client._Client, "instances", _instances_all_live),),
+    ),
+    Wrong(
+        "stop without waiting",
+        _Number.PLANNED_STOP,
+        (Swap(process, "_wait_idle", _wait_for_nothing),),
     ),
-    Wrong("stop without waiting", _Number.PLANNED_STOP, process, "_wait_idle", _wait_for_nothing),
     Wrong(
         "write the head unconditionally",
         _Number.CONFIGURATION,
-        client._Client,
-        "put",
-        _put_head_always,
+        (Swap(client._Client, "put", _put_head_always),),
     ),
 )
--- /dev/null
+++ b/tests/steps/load_profile.py
@@ -0,0 +1,56 @@
+"""Steps for load profiles and plots."""
+
+from __future__ import annotations
+
+import collections
+import random
+import xml.etree.ElementTree
+
+from behave import then
+
+from galenavane.failure import failure
+from galenavane.load import plot, profile, report
+from galenavane.load import result as results
+
+HEAD = "[account a]\nkey = k\n[load]\n"
+
+
+@then("the example load profile draws {count:d} requests within its bounds")
+def draw(context, count):
+    found = profile.load(context.root / "examples" / "load" / "dodoma.ini")
+    rng = random.Random(1)
+    prefixes = collections.Counter()
+    accounts = collections.Counter()
+    for number in range(count):
+        prompt = found.draw_prompt(number, rng)
+        low, high = (one * profile.CHARACTERS_PER_TOKEN for one in found.prompt_tokens)
+        assert low <= len(prompt) <= high, len(prompt)
+        assert found.answer_tokens[0] <= found.draw_answer(rng) <= found.answer_tokens[1]
+        prefixes[prompt[:9]] += 1
+        accounts[found.draw_account(rng).name] += 1
+    assert len(prefixes) <= found.prefixes
+    assert accounts["ward-office"] > 3 * accounts["order-desk-clerk"]
+
+
+@then('a load profile with "{line}" is refused because of "{reason}"')
+def refuse(context, line, reason):
+    path = context.folder / "load.ini"
+    path.write_text(HEAD + line + "\n")
+    try:
+        profile.load(path)
+    except failure.UserError as exc:
+        assert reason in exc.failure.message and str(path) in exc.failure.message
+        return
+    raise AssertionError("not refused")
+
+
+@then("a load summary is drawn beside an earlier one as well-formed SVG")
+def draw_plot(context):
+    result = results.Result()
+    for value in range(1, 1000):
+        result.first_token.record_value(value * 100)
+        result.between_tokens.record_value(value * 10)
+    found = report.summarise(result)
+    picture = xml.etree.ElementTree.fromstring(plot.draw(found, found))
+    lines = [one for one in picture if one.tag.endswith("polyline")]
+    assert len(lines) == 4
