--- a/src/galenavane/load/generator.py
+++ b/src/galenavane/load/generator.py
@@ -23,6 +23,7 @@
 MAX_JOB_TRIES = 5
 JOB_RETRY_SECONDS = 0.5
 MAX_ANSWER_BYTES = 1_000_000
+ERROR_EVENT = b'{"error"'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -118,6 +119,8 @@
         text = await _read_tokens(conn, reading, result)
     finally:
         await conn.close()
+    if text is None:
+        return
     reading.is_whole = text == engine_text.answer(body.prompt, body.max_tokens)
     result.answered += reading.is_whole
     result.wrong += not reading.is_whole
@@ -125,7 +128,8 @@
 
 async def _read_tokens(
     conn: http_connection.HttpConnection, reading: _Reading, result: results.Result
-) -> str:
+) -> str | None:
+    """Return the whole text, ``None`` when the stream ended with an error that was told."""
     reader = sse.Reader(conn)
     texts: list[str] = []
     before = reading.due
@@ -137,6 +141,9 @@
         if data == sse.DONE:
             await _read_end(conn)
             return "".join(texts)
+        if data.startswith(ERROR_EVENT):
+            _count_refusal(data, result)
+            return None
         now = trio.current_time()
         if reading.first_seconds is None:
             reading.first_seconds = now - reading.due
--- a/src/galenavane/soak/observer.py
+++ b/src/galenavane/soak/observer.py
@@ -90,6 +90,7 @@
         if not group_name:
             self._check_leaving(event.process, str(event.fields.get("instance", "")))
             return
+        self._sample_engines()
         epoch = int(str(event.fields["epoch"]))
         group = self._find_group(event.process, group_name, epoch)
         if group is None:
--- a/src/galenavane/soak/traffic.py
+++ b/src/galenavane/soak/traffic.py
@@ -29,6 +29,8 @@
 MAX_JOB_TRIES = 4
 JOB_PAUSE_SECONDS = 0.7
 
+ERROR_EVENT = b'{"error"'
+
 Report = abc.Callable[[int, str], None]
 
 
@@ -167,6 +169,9 @@
             if data is None or data == sse.DONE:
                 self._compare(told, text, wanted, data is not None)
                 return data is not None
+            if data.startswith(ERROR_EVENT):
+                told.outcome = msgspec.json.decode(data, type=errors.ErrorBody).error.outcome
+                return False
             chunk = msgspec.json.decode(data, type=completion.Chunk)
             if chunk.id != told.request_id:
                 self.report(3, f"chunk of {chunk.id} in the answer to {told.request_id}")
