Let the load go on elsewhere when an entry dies, as behind a balancer

Cause: the demo's load kept calling the killed entry: 59 completions and 100 jobs were refused a connection, which no caller behind the platform's balancer sees. Change: a connection goes to the next entry; a broken stream is resumed there with its token.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -23,6 +23,7 @@
 ORDER_DESKS = 3
 LOAD_SECONDS = 20
 KEY = "ward-office-key"
+RESUME_KEY = "demo-resume-key-of-all-entries"
 READY_SECONDS = 20.0
 STOP_SECONDS = 10.0
 
@@ -111,6 +112,7 @@
         f"[entry]\nname = {name}\ndata_centre = {DATA_CENTRE}\n"
         f"callers = {where[0]}\noperators = {where[1]}\npeers = {where[2]}\n"
         f"[platform]\naddress = {platform}\n"
+        f"[requests]\nresume_key = {RESUME_KEY}\n"
     )
     demo.start(name, "entry", "--settings", str(path))
 
--- a/src/galenavane/cli/load.py
+++ b/src/galenavane/cli/load.py
@@ -10,10 +10,11 @@
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.load import destination, generator, report
+from galenavane.load import balancer, destination, generator, report
 from galenavane.load import plot as plots
 from galenavane.load import profile as profiles
 from galenavane.net import address as addresses
+from galenavane.net import tcp
 
 
 def load(
@@ -60,7 +61,8 @@
         wanted = profiles.load(profile)
     earlier = _read_earlier(compare)
     where = [destination.Destination(one) for one in entries]
-    plan = generator.Plan(where, wanted, seconds, seed)
+    net = balancer.make(tcp.make(), entries)
+    plan = generator.Plan(where, wanted, seconds, seed, net)
     result = trio.run(functools.partial(generator.run, plan))
     print(report.render(result))
     found = report.summarise(result)
--- /dev/null
+++ b/src/galenavane/load/balancer.py
@@ -0,0 +1,63 @@
+"""Stands in for the platform's balancer: passes over entries that take no connection."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import trio
+
+from galenavane.net import address as addresses
+from galenavane.net import http_connection, http_server, network, transport_error
+
+REVIEW_SECONDS = 2.0
+
+
+class _Balancer:
+    """A network that dials another entry when the wanted one takes no connection.
+
+    :ivar failed_at: monotonic time of the last failure by address.
+    """
+
+    __slots__ = ("_entries", "_net", "failed_at")
+
+    def __init__(self, net: network.Network, entries: list[addresses.Address]) -> None:
+        self._net = net
+        self._entries = entries
+        self.failed_at: dict[addresses.Address, float] = {}
+
+    async def dial(
+        self, where: addresses.Address, timeout_seconds: float
+    ) -> http_connection.HttpConnection:
+        if where not in self._entries:
+            return await self._net.dial(where, timeout_seconds)
+        last: transport_error.TransportError | None = None
+        for one in self._order(where):
+            try:
+                return await self._net.dial(one, timeout_seconds)
+            except transport_error.TransportError as exc:
+                self.failed_at[one] = trio.current_time()
+                last = exc
+        assert last is not None
+        raise last
+
+    def _order(self, where: addresses.Address) -> list[addresses.Address]:
+        """Return every entry from the wanted one on, those that failed lately last."""
+        first = self._entries.index(where)
+        order = self._entries[first:] + self._entries[:first]
+        since = trio.current_time() - REVIEW_SECONDS
+        return sorted(order, key=lambda one: self.failed_at.get(one, float("-inf")) > since)
+
+    async def listen(
+        self,
+        where: addresses.Address,
+        handler: http_server.Handler,
+        limits: http_server.Limits | None = None,
+        *,
+        task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self._net.listen(where, handler, limits, task_status=task_status)
+
+
+def make(net: network.Network, entries: abc.Iterable[addresses.Address]) -> network.Network:
+    """Return a network that balances connections to entries."""
+    return _Balancer(net, list(entries))
--- a/src/galenavane/load/generator.py
+++ b/src/galenavane/load/generator.py
@@ -13,7 +13,7 @@
 from galenavane.load import destination, profile, sample
 from galenavane.load import result as results
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, message, round_trip, tcp, transport_error
+from galenavane.net import http_connection, message, network, round_trip, tcp, transport_error
 from galenavane.serve import errors, sse
 from galenavane.standin import engine_text
 from galenavane.target import completion
@@ -23,17 +23,24 @@
 MAX_JOB_TRIES = 5
 JOB_RETRY_SECONDS = 0.5
 MAX_ANSWER_BYTES = 1_000_000
+MAX_STREAM_TRIES = 3
+RESUME_TOKEN = b"x-resume-token"
+RESUME_OFFSET = b"x-resume-offset"
 ERROR_EVENT = b'{"error"'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """What to send, where and for how long."""
+    """What to send, where and for how long.
+
+    :ivar net: connects to destinations.
+    """
 
     destinations: list[destination.Destination]
     profile: profile.Profile
     seconds: float
     seed: int
+    net: network.Network = dataclasses.field(default_factory=tcp.make)
 
 
 async def run(plan: Plan) -> results.Result:
@@ -83,7 +90,7 @@
     reading = _Reading(due)
     try:
         with trio.fail_after(ANSWER_SECONDS):
-            await _read_stream(where.address, req, body, reading, result)
+            await _read_stream(plan.net, where.address, req, body, reading, result)
     except transport_error.TransportError as exc:
         result.refused[f"completion connection {exc.kind.value}"] += 1
     except trio.TooSlowError:
@@ -94,28 +101,56 @@
 class _Reading:
     """What has been read of one answer."""
 
-    __slots__ = ("due", "first_seconds", "is_whole")
+    __slots__ = ("before", "due", "first_seconds", "is_whole", "texts", "token")
 
     def __init__(self, due: float) -> None:
         self.due = due
+        self.before = due
+        self.texts: list[str] = []
+        self.token = ""
         self.first_seconds: float | None = None
         self.is_whole = False
 
 
 async def _read_stream(
+    net: network.Network,
     where: addresses.Address,
     req: message.Request,
     body: completion.CompletionRequest,
     reading: _Reading,
     result: results.Result,
 ) -> None:
-    conn = await tcp.make().dial(where, CONNECT_SECONDS)
+    """Read an answer, going on at another entry when a connection breaks inside it."""
+    for tries_left in reversed(range(MAX_STREAM_TRIES)):
+        try:
+            await _read_part(net, where, req, body, reading, result)
+            return
+        except transport_error.TransportError:
+            if not (reading.token and tries_left):
+                raise
+        result.resumed += 1
+        fields = req.headers.without({RESUME_TOKEN, RESUME_OFFSET})
+        fields.add(RESUME_TOKEN.decode(), reading.token)
+        fields.add(RESUME_OFFSET.decode(), str(len(reading.texts)))
+        req = message.Request(req.method, req.target, fields, req.body)
+
+
+async def _read_part(
+    net: network.Network,
+    where: addresses.Address,
+    req: message.Request,
+    body: completion.CompletionRequest,
+    reading: _Reading,
+    result: results.Result,
+) -> None:
+    conn = await net.dial(where, CONNECT_SECONDS)
     try:
         await conn.send_request(req, str(where))
         head = await conn.read_response_head()
         if head.status != 200:
             _count_refusal(await conn.read_body(MAX_ANSWER_BYTES), result)
             return
+        reading.token = head.headers.get(RESUME_TOKEN.decode())
         text = await _read_tokens(conn, reading, result)
     finally:
         await conn.close()
@@ -131,8 +166,6 @@
 ) -> str | None:
     """Return the whole text, ``None`` when the stream ended with an error that was told."""
     reader = sse.Reader(conn)
-    texts: list[str] = []
-    before = reading.due
     while True:
         data = await reader.next_data()
         if data is None:
@@ -140,17 +173,17 @@
             raise transport_error.TransportError(kind, True, "stream cut off")
         if data == sse.DONE:
             await _read_end(conn)
-            return "".join(texts)
+            return "".join(reading.texts)
         if data.startswith(ERROR_EVENT):
             _count_refusal(data, result)
             return None
         now = trio.current_time()
         if reading.first_seconds is None:
             reading.first_seconds = now - reading.due
-        histogram = result.between_tokens if texts else result.first_token
-        histogram.record_value(max(1, round((now - before) * 1e6)))
-        before = now
-        texts.append(msgspec.json.decode(data, type=completion.Chunk).choices[0].text)
+        histogram = result.between_tokens if reading.texts else result.first_token
+        histogram.record_value(max(1, round((now - reading.before) * 1e6)))
+        reading.before = now
+        reading.texts.append(msgspec.json.decode(data, type=completion.Chunk).choices[0].text)
 
 
 async def _read_end(conn: http_connection.HttpConnection) -> None:
@@ -164,7 +197,7 @@
     where = plan.destinations[number % len(plan.destinations)]
     fields = where.fields(plan.profile.draw_account(rng).key, number)
     req = message.Request("GET", f"/services/{plan.profile.service}/jobs", fields)
-    await _call_plain(where.address, req, result)
+    await _call_plain(plan.net, where.address, req, result)
 
 
 async def _place(
@@ -181,27 +214,31 @@
             fields = where.fields(key, number).add("idempotency-key", job)
             target = f"/services/{plan.profile.service}/jobs"
             req = message.Request("POST", target, fields, job.encode())
-            nursery.start_soon(_place_once, where.address, req, answers, result)
+            nursery.start_soon(_place_once, plan.net, where.address, req, answers, result)
     if any(answers):
         result.placed.append(job)
 
 
 async def _place_once(
-    where: addresses.Address, req: message.Request, answers: list[bool], result: results.Result
+    net: network.Network,
+    where: addresses.Address,
+    req: message.Request,
+    answers: list[bool],
+    result: results.Result,
 ) -> None:
     for _ in range(MAX_JOB_TRIES):
-        if await _call_plain(where, req, result):
+        if await _call_plain(net, where, req, result):
             answers.append(True)
             return
         await trio.sleep(JOB_RETRY_SECONDS)
 
 
 async def _call_plain(
-    where: addresses.Address, req: message.Request, result: results.Result
+    net: network.Network, where: addresses.Address, req: message.Request, result: results.Result
 ) -> bool:
     """Call a plain service; return whether it answered with success."""
     try:
-        response = await round_trip.send(tcp.make(), where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES)
+        response = await round_trip.send(net, where, req, ANSWER_SECONDS, MAX_ANSWER_BYTES)
     except transport_error.TransportError as exc:
         result.refused[f"{req.method} connection {exc.kind.value}"] += 1
         return False
--- a/src/galenavane/load/report.py
+++ b/src/galenavane/load/report.py
@@ -27,6 +27,7 @@
     """A result as JSON."""
 
     answered: int
+    resumed: int
     wrong: int
     placed: int
     refused: dict[str, int]
@@ -38,6 +39,7 @@
     """Return the summary of a result."""
     return Summary(
         result.answered,
+        result.resumed,
         result.wrong,
         len(result.placed),
         dict(sorted(result.refused.items())),
@@ -50,7 +52,7 @@
     """Return the summary as text; its last line is the verdict."""
     found = summarise(result)
     lines = [
-        f"completions answered  {found.answered}",
+        f"completions answered  {found.answered}, of which {found.resumed} were resumed elsewhere",
         f"first token           {_render(found.first_token)}",
         f"between tokens        {_render(found.between_tokens)}",
         f"jobs placed           {found.placed} of {len(result.sent_jobs)}",
--- a/src/galenavane/load/result.py
+++ b/src/galenavane/load/result.py
@@ -23,6 +23,7 @@
 class Result:
     """Counts and latencies.
 
+    :ivar resumed: streams that went on at another entry after their connection broke.
     :ivar wrong: answers that were not whole or not their request's own.
     :ivar refused: failures by code name and outcome.
     :ivar placed: jobs that were answered with success.
@@ -30,6 +31,7 @@
     """
 
     answered: int = 0
+    resumed: int = 0
     wrong: int = 0
     placed: list[str] = dataclasses.field(default_factory=list)
     sent_jobs: list[str] = dataclasses.field(default_factory=list)
