--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 proof: $(VENV)/ready
 	$(PY) -m galenavane.proof
 
+bench: $(VENV)/ready
+	$(PY) -m galenavane.experiment.relay
+
 binary: $(VENV)/ready
 	mkdir -p build
 	$(PY) -m shiv --quiet --compressed --console-script galenavane --output-file build/galenavane --no-deps . --requirement requirements-run.lock
--- /dev/null
+++ b/src/galenavane/failure/error_body.py
@@ -0,0 +1,38 @@
+"""Body of an error response."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenavane.failure import failure
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """What a caller learns of a failure."""
+
+    code: int
+    name: str
+    outcome: str
+    message: str
+    request_id: str
+    retry_after_seconds: float | None
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of an error response."""
+
+    error: ErrorDetail
+
+
+def make(found: failure.Failure, request_id: str) -> ErrorBody:
+    """Return the body that tells a caller of a failure."""
+    return ErrorBody(
+        ErrorDetail(
+            found.code.value,
+            found.code.name.lower(),
+            found.outcome.value,
+            found.message,
+            request_id,
+            found.retry_after_seconds,
+        )
+    )
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -9,6 +9,7 @@
 import trio
 
 from galenavane.failure import code as codes
+from galenavane.failure import error_body, failure
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
@@ -174,11 +175,9 @@
 ) -> None:
     if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    status = conn.error_status
-    code = codes.Code.BAD_REQUEST
-    if exc.kind is transport_error.Kind.TOO_LARGE:
-        status, code = 413, codes.Code.BODY_TOO_LARGE
-    detail = {"code": code.value, "name": code.name.lower(), "outcome": "not_run"}
-    response = message.json_response(status, {"error": {**detail, "message": str(exc)}})
+    is_large = exc.kind is transport_error.Kind.TOO_LARGE
+    code = codes.Code.BODY_TOO_LARGE if is_large else codes.Code.BAD_REQUEST
+    body = error_body.make(failure.Failure(code, str(exc)), "")
+    response = message.json_response(413 if is_large else conn.error_status, body)
     response.headers.add("connection", "close")
     await Exchange(conn, message.Request("", "")).respond(response)
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -11,6 +11,7 @@
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
 from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
@@ -153,5 +154,9 @@
         return classify.broken(exc)
     attempts.end(True, classify.is_refusal(response))
     view.plain_health.succeeded(chosen.name)
+    echoed = response.headers.get(forwarded.REQUEST_ID)
+    if echoed and echoed != call.caller.request_id:
+        text = f"{chosen.name} answered request {echoed}"
+        return failure.Failure(codes.Code.WRONG_ANSWER, text, outcomes.Outcome.UNKNOWN)
     found = classify.refused(response)
     return forwarded.response(response) if found is None else found
--- a/tests/serve/plain_request.feature
+++ b/tests/serve/plain_request.feature
@@ -15,3 +15,7 @@
   Scenario: A leaving target gets nothing
     Given a small deployment whose targets are leaving
     Then an order is told not_run and no target ran it
+
+  Scenario: An answer that a target marks as another request's never reaches the caller
+    Given a small deployment
+    Then an answer that names another request is told as wrong_answer
--- a/tests/steps/serve_plain_request.py
+++ b/tests/steps/serve_plain_request.py
@@ -13,6 +13,7 @@
 from galenavane.platform import instance
 from galenavane.serve import forwarded, plain_health
 from galenavane.simulate import clock, faulty_net
+from galenavane.standin import plain
 
 
 @then("a plain target that failed twice goes last for 2 seconds and then not")
@@ -116,6 +117,24 @@
     assert sent.get("x-kept") == "1"
 
 
+@then("an answer that names another request is told as wrong_answer")
+def check_foreign(context):
+    honest = plain._answer
+
+    def answer_foreign(state, req):
+        req.headers.pairs = [(b"x-request-id", b"foreign")]
+        return honest(state, req)
+
+    context.add_cleanup(setattr, plain, "_answer", honest)
+    plain._answer = answer_foreign
+
+    async def scenario(made, faults):
+        answer = await call(made, "GET", "/jobs")
+        assert msgspec.json.decode(answer.body)["error"]["name"] == "wrong_answer"
+
+    simulate(context, scenario)
+
+
 @then("an order is told not_run and no target ran it")
 def check_leaving(context):
     async def scenario(made, faults):
