--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 bench: $(VENV)/ready
 	$(PY) -m galenavane.experiment.relay
+	$(PY) -m galenavane.experiment.bench
 
 binary: $(VENV)/ready
 	mkdir -p build
