--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(PY) -m galenavane.proof
 
 bench: $(VENV)/ready
+	$(PY) -m galenavane.experiment.relay
 	$(PY) -m galenavane.experiment.bench
 
 binary: $(VENV)/ready
