--- a/src/galenavane/route/candidate.py
+++ b/src/galenavane/route/candidate.py
@@ -22,6 +22,7 @@
     :ivar suspicion: factor by which it is slower than others, 1 for a healthy one.
     :ivar place_seconds: mean time until one of its places gets free when all are taken.
     :ivar prefill_wait_seconds: time until all prompts sent there are computed.
+    :ivar last_sent_at: monotonic time of this entry's last send there.
     """
 
     name: str
@@ -35,6 +36,7 @@
     suspicion: float = 1.0
     place_seconds: float = 0.0
     prefill_wait_seconds: float = 0.0
+    last_sent_at: float = 0.0
 
     def in_flight(self) -> float:
         """Return the requests that it probably has now."""
--- a/src/galenavane/route/fleet.py
+++ b/src/galenavane/route/fleet.py
@@ -68,6 +68,13 @@
                 one.deviation += gain * ((requests - expected) / entries - one.deviation)
                 one.others = max(0.0, expected + one.deviation)
 
+    def note_sent(self, group: str, now: float, prefill_seconds: float) -> None:
+        """Note that this entry sends a request to a group."""
+        one = self.groups.get(group)
+        if one is not None:
+            one.last_sent_at = now
+        self.add_prefill(group, now, prefill_seconds)
+
     def add_prefill(self, group: str, now: float, seconds: float) -> None:
         """Note prompt work that was sent to a group."""
         one = self.groups.get(group)
@@ -110,10 +117,12 @@
     if before is not None and is_same and before.facts.as_of == facts.as_of:
         before.facts = facts
         return before
-    deviation = before.deviation if before is not None and is_same else 0.0
+    deviation, last_sent_at = 0.0, float("-inf")
+    if before is not None and is_same:
+        deviation, last_sent_at = before.deviation, before.last_sent_at
     load = facts.load
     unknown = load.running + load.waiting - sent.known_at(facts.name, facts.as_of)
     until = facts.as_of + load.waiting_prefill_tokens / load.prefill_tokens_per_second
     for one in sent.prefills_after(facts.name, facts.as_of):
         until = max(until, one.at) + one.seconds
-    return tracked.Tracked(facts, unknown, deviation, 0.0, until)
+    return tracked.Tracked(facts, unknown, deviation, 0.0, until, last_sent_at)
--- a/src/galenavane/route/pick.py
+++ b/src/galenavane/route/pick.py
@@ -34,16 +34,16 @@
 ) -> candidates.Candidate | None:
     """Return one of the candidates with nearly the shortest predicted wait.
 
-    Entries learn the same facts at the same time, so each takes one of the near best by chance,
-    with its free places as weight.
+    Entries learn the same facts at the same time. So that they don't all turn to one group, each
+    takes among the near best the one it has not used for longest; equal ones go by chance.
     """
     if not found:
         return None
     scores = [predict_first_token(one, prompt_tokens) for one in found]
     bound = min(scores) * (1.0 + NEAR_SHARE) + NEAR_SECONDS
     near = [one for one, score in zip(found, scores, strict=True) if score <= bound]
-    weights = [max(1.0, one.load.capacity - one.in_flight()) for one in near]
-    return rng.choices(near, weights)[0]
+    oldest = min(one.last_sent_at for one in near)
+    return rng.choice([one for one in near if one.last_sent_at == oldest])
 
 
 def _expected_ahead(in_flight: float, capacity: int) -> float:
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -280,6 +280,7 @@
         router.suspicion.factor(known.pool.service, known.name, now),
         request_seconds / load.capacity,
         max(0.0, group.prefill_until - now),
+        group.last_sent_at,
     )
 
 
@@ -293,7 +294,7 @@
     left = max(0, item.ask.prompt_tokens - chosen.cached_tokens)
     seconds = left / chosen.load.prefill_tokens_per_second
     router.sends.begin(chosen.name, now, seconds)
-    router.fleet.add_prefill(chosen.name, now, seconds)
+    router.fleet.note_sent(chosen.name, now, seconds)
     router.index.expect(chosen.name, item.blocks)
     predicted = pick.predict_first_token(chosen, item.ask.prompt_tokens)
     router.sent[item.ask.request_id] = _Sent(chosen.name, pool, predicted)
--- a/src/galenavane/route/tracked.py
+++ b/src/galenavane/route/tracked.py
@@ -16,6 +16,7 @@
     :ivar deviation: moving mean of this entry's part of the group's deviation from its pool.
     :ivar others: estimate of the requests in flight that this entry did not send.
     :ivar prefill_until: monotonic time at which all known prompts are computed.
+    :ivar last_sent_at: monotonic time of this entry's last send, infinitely early without one.
     """
 
     facts: group_facts.GroupFacts
@@ -23,3 +24,4 @@
     deviation: float
     others: float
     prefill_until: float
+    last_sent_at: float
