--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -15,6 +15,7 @@
     diff,
     entry,
     errors,
+    keys,
     load,
     preset,
     rollback,
@@ -37,11 +38,13 @@
     "rollback": rollback.rollback,
     "status": status.status,
     "timeline": timeline.timeline,
+    "keys": keys.keys,
     "errors": errors.errors,
     "load": load.load,
     "standin": {
         "platform": standin.platform,
         "engine": standin.engine,
+        "fleet": standin.fleet,
         "plain": standin.plain,
     },
 }
