Share free places between entries, and tell few facts

Now an entry tells one count a pool, demand only when it changes by 40%, and takes its part of the free places once a second.

--- a/src/galenavane/entry/routing_task.py
+++ b/src/galenavane/entry/routing_task.py
@@ -42,7 +42,7 @@
 
 def _hear_peers(view: views.View) -> None:
     told = {name: one.facts for name, one in view.peer_facts.value.items()}
-    router.hear_peers(view.router, told, _count_silent(view), trio.current_time())
+    router.hear_peers(view.router, told, _count_silent(view))
 
 
 async def _tell(view: views.View) -> None:
--- a/src/galenavane/experiment/routing.py
+++ b/src/galenavane/experiment/routing.py
@@ -1,7 +1,9 @@
-"""Compares routing with three baselines; ``python -m galenavane.experiment.routing``."""
+"""Compares routing with three baselines: ``python -m galenavane.experiment.routing [LOAD ...]``."""
 
 from __future__ import annotations
 
+import sys
+
 from galenavane.experiment import baselines, serving_figures, serving_model
 from galenavane.route import pick, router
 
@@ -36,7 +38,7 @@
     """Print the table."""
     print(f"| {' | '.join(COLUMNS)} |")
     print("| --- " * len(COLUMNS) + "|")
-    for load in LOADS:
+    for load in [float(text) for text in sys.argv[1:]] or LOADS:
         _row(load, "galenavane", _own, True)
         for name, make in POLICIES.items():
             _row(load, name, make, True)
--- a/src/galenavane/experiment/serving_model.py
+++ b/src/galenavane/experiment/serving_model.py
@@ -8,7 +8,7 @@
 
 from galenavane.config import declaration
 from galenavane.experiment import engine_model, virtual_time, workload
-from galenavane.peer import facts
+from galenavane.peer import facts, facts_update
 from galenavane.route import candidate as candidates
 from galenavane.route import decision, group_facts, pool, router
 from galenavane.route import grant as grants
@@ -156,12 +156,15 @@
 
 
 def _teller(model: Model, number: int, entry: router.Router) -> virtual_time.Callback:
+    sender = facts_update.Sender()
+
     def tell() -> None:
-        told = router.own_facts(entry, model.time.now)
-        model.time.at(model.time.now + PEER_DELAY_SECONDS, lambda: hear(told))
+        update = sender.next_update(router.own_facts(entry, model.time.now))
+        model.time.at(model.time.now + PEER_DELAY_SECONDS, lambda: hear(update))
 
-    def hear(told: facts.Facts) -> None:
-        model._told[number] = told
+    def hear(update: facts_update.Update) -> None:
+        before = model._told.get(number, facts.Facts())
+        model._told[number] = facts_update.apply(before, update)
 
     return tell
 
@@ -171,7 +174,7 @@
         now = model.time.now
         live = [one for one in model._facts.values() if one.proved_until >= now]
         told = {str(key): one for key, one in model._told.items() if key != number}
-        router.hear_peers(entry, told, 0, now)
+        router.hear_peers(entry, told, 0)
         router.update_groups(entry, live, now)
         _carry_out(model, number, router.step(entry, now, model.rng))
 
--- a/src/galenavane/peer/facts.py
+++ b/src/galenavane/peer/facts.py
@@ -19,16 +19,18 @@
 class Facts(msgspec.Struct, frozen=True, array_like=True):
     """Facts of one entry, replaced as a whole by its next ones.
 
-    :ivar sends: requests in flight by group name.
+    :ivar sends: requests in flight by ``service/version``.
     :ivar demand: demand by account name.
     :ivar suspects: slowness factor of suspected instances by instance name.
     :ivar leaving: instances that have said that they are leaving.
+    :ivar reserved: share of places kept for the first class, by service name.
     """
 
     sends: dict[str, int] = {}
     demand: dict[str, Demand] = {}
     suspects: dict[str, float] = {}
     leaving: list[str] = []
+    reserved: dict[str, float] = {}
 
 
 class PeerFacts(msgspec.Struct, frozen=True):
--- a/src/galenavane/route/account_limits.py
+++ b/src/galenavane/route/account_limits.py
@@ -10,6 +10,9 @@
 
 BURST_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 30.0
+DEMAND_MEMORY_SECONDS = 10.0
+TOLD_CHANGE = 0.4
+MIN_REQUESTS_PER_SECOND = 0.1
 
 
 class _Bucket:
@@ -40,8 +43,8 @@
     __slots__ = ("request_bucket", "request_rate", "token_bucket", "token_rate", "told")
 
     def __init__(self, now: float) -> None:
-        self.request_rate = rate.Rate()
-        self.token_rate = rate.Rate()
+        self.request_rate = rate.Rate(DEMAND_MEMORY_SECONDS)
+        self.token_rate = rate.Rate(DEMAND_MEMORY_SECONDS)
         self.request_bucket = _Bucket(1.0, now)
         self.token_bucket = _Bucket(1.0, now)
         self.told = facts.Demand(0.0, 0.0)
@@ -99,10 +102,11 @@
         told: dict[str, facts.Demand] = {}
         for name, one in list(self._accounts.items()):
             requests, tokens = one.request_rate.value(now), one.token_rate.value(now)
-            if requests < 0.01:
+            if requests < MIN_REQUESTS_PER_SECOND:
                 del self._accounts[name]
                 continue
-            one.told = facts.Demand(round(requests, 2), round(tokens, 1))
+            if _differs(one.told.requests, requests) or _differs(one.told.tokens, tokens):
+                one.told = facts.Demand(round(requests, 1), float(round(tokens)))
             told[name] = one.told
         return told
 
@@ -111,3 +115,7 @@
         if one is None:
             one = self._accounts[name] = _Account(now)
         return one
+
+
+def _differs(told: float, now: float) -> bool:
+    return abs(told - now) > TOLD_CHANGE * told
--- a/src/galenavane/route/admission.py
+++ b/src/galenavane/route/admission.py
@@ -9,6 +9,7 @@
 FIRST_CLASS = 0
 MAX_WAITING = 1_000
 MAX_ACCOUNT_WAITING = 250
+SHARE_SECONDS = 1.0
 RESERVE_RAISE = 0.01
 RESERVE_LOWER = 0.0005
 MAX_RESERVED = 0.25
@@ -21,16 +22,23 @@
     """Waiting requests of one pool, and how fast they have lately got groups.
 
     :ivar granted: grants a second by priority class.
-    :ivar reserved: share of each group's places that only the first class may use; it grows
+    :ivar reserved: share of each group's places that only the first class should use; it grows
         while more than ``RESERVE_LOWER / RESERVE_RAISE`` of that class has to wait.
+    :ivar places: requests that this entry may have in flight in the pool; see ``share_places``.
+    :ivar shared_at: monotonic time at which ``places`` was set.
+    :ivar told_reserved: the same at each peer that is heard; entries use the mean, since one with
+        a larger reserve would leave its lower classes' places to the others.
     """
 
-    __slots__ = ("granted", "queue", "reserved")
+    __slots__ = ("granted", "places", "queue", "reserved", "shared_at", "told_reserved")
 
     def __init__(self) -> None:
         self.queue = fair_queue.FairQueue()
         self.granted: dict[int, rate.Rate] = {}
         self.reserved = 0.0
+        self.places = 0.0
+        self.shared_at = float("-inf")
+        self.told_reserved: list[float] = []
 
     def predict_wait(self, item: waiting.Waiting, now: float) -> float:
         """Return the predicted time in seconds until a new request gets a group."""
@@ -87,7 +95,31 @@
 
     def reserved_from(self, priority: int) -> float:
         """Return the share of each group's places that a class may not use."""
-        return 0.0 if priority == FIRST_CLASS else self.reserved
+        if priority == FIRST_CLASS:
+            return 0.0
+        return (self.reserved + sum(self.told_reserved)) / (1 + len(self.told_reserved))
+
+    def share_places(
+        self, own: int, others: float, capacity: int, entries: int, now: float
+    ) -> None:
+        """Set how many requests this entry may have in flight until the next call.
+
+        All entries see the same free places at the same time and would all fill them; so each
+        takes its part of them at a time, and keeps what it has got.
+
+        :param own: requests of this entry in flight in the pool.
+        :param others: the same of other entries.
+        :param capacity: requests that fit into the pool's batches.
+        """
+        if capacity == 0 or now - self.shared_at < SHARE_SECONDS:
+            return
+        self.shared_at = now
+        free = capacity - others - own
+        self.places = max(1.0, own + free / entries)
+
+    def has_place(self, own: int, priority: int, capacity: int, entries: int) -> bool:
+        """Whether a request of a class may be sent now."""
+        return own < max(1.0, self.places - self.reserved_from(priority) * capacity / entries)
 
     def expire(self, now: float) -> list[decision.Refused]:
         """Refuse what has waited until its deadline."""
--- a/src/galenavane/route/concurrency.py
+++ b/src/galenavane/route/concurrency.py
@@ -10,7 +10,7 @@
 DECREASE = 0.85
 INCREASE = 0.05
 MIN_SHARE = 0.25
-MAX_SHARE = 1.0
+MAX_SHARE = 1.05
 COOL_DOWN_SECONDS = 0.5
 
 
@@ -30,14 +30,10 @@
     def __init__(self) -> None:
         self._learned: dict[str, _Learned] = {}
 
-    def limit(self, group: str, capacity: int, reserved: float) -> float:
-        """Return below how many requests in flight a further one may be sent.
-
-        :param reserved: share of the capacity that is kept for a higher class.
-        """
+    def limit(self, group: str, capacity: int) -> float:
+        """Return below how many requests in flight a further one may be sent."""
         learned = self._learned.get(group)
-        share = learned.share if learned else MAX_SHARE
-        return max(1.0, capacity * (share - reserved))
+        return max(1.0, capacity * (learned.share if learned else MAX_SHARE))
 
     def observe(self, group: str, predicted: float, first_token: float | None, now: float) -> None:
         """Take in a first-token time in seconds, ``None`` for a failure."""
--- a/src/galenavane/route/fleet.py
+++ b/src/galenavane/route/fleet.py
@@ -13,7 +13,7 @@
 SAMPLED_NEAR = 48
 SAMPLED_FAR = 16
 NEAR_SECONDS = 0.001
-DEVIATION_MEMORY_SECONDS = 3.0
+DEVIATION_MEMORY_SECONDS = 6.0
 
 
 class _Groups:
@@ -58,15 +58,8 @@
         """
         gain = 1.0 - math.exp((self._refreshed_at - now) / DEVIATION_MEMORY_SECONDS)
         self._refreshed_at = now
-        entries = len(sent.peers) + 1
-        for groups in self._pools.values():
-            pool = groups.near + groups.far
-            told = [one.unknown_requests + sent.of_peers(one.facts.name) for one in pool]
-            usual = sum(told) / sum(one.facts.load.capacity for one in pool)
-            for one, requests in zip(pool, told, strict=True):
-                expected = usual * one.facts.load.capacity
-                one.deviation += gain * ((requests - expected) / entries - one.deviation)
-                one.others = max(0.0, expected + one.deviation)
+        for pool, groups in self._pools.items():
+            _refresh_pool(pool.key(), groups.near + groups.far, sent, gain)
 
     def note_sent(self, group: str, now: float, prefill_seconds: float) -> None:
         """Note that this entry sends a request to a group."""
@@ -81,10 +74,15 @@
         if one is not None:
             one.prefill_until = max(one.prefill_until, now) + seconds
 
-    def count(self, pool: pools.Pool) -> int:
-        """Return how many groups of a pool are known."""
+    def places(self, pool: pools.Pool) -> int:
+        """Return how many requests fit into the batches of a pool."""
         groups = self._pools.get(pool)
-        return len(groups.near) + len(groups.far) if groups else 0
+        return sum(one.facts.load.capacity for one in groups.near + groups.far) if groups else 0
+
+    def others(self, pool: pools.Pool) -> float:
+        """Return the requests in a pool that other entries have in flight."""
+        groups = self._pools.get(pool)
+        return sum(one.others for one in groups.near + groups.far) if groups else 0.0
 
     def sample(
         self, pool: pools.Pool, wanted: abc.Iterable[str], rng: random.Random
@@ -121,8 +119,23 @@
     if before is not None and is_same:
         deviation, last_sent_at = before.deviation, before.last_sent_at
     load = facts.load
-    unknown = load.running + load.waiting - sent.known_at(facts.name, facts.as_of)
+    others = max(0, load.running + load.waiting - sent.own_at(facts.name, facts.as_of))
     until = facts.as_of + load.waiting_prefill_tokens / load.prefill_tokens_per_second
     for one in sent.prefills_after(facts.name, facts.as_of):
         until = max(until, one.at) + one.seconds
-    return tracked.Tracked(facts, unknown, deviation, 0.0, until, last_sent_at)
+    return tracked.Tracked(facts, others, deviation, 0.0, until, last_sent_at)
+
+
+def _refresh_pool(key: str, groups: list[tracked.Tracked], sent: sends.Sends, gain: float) -> None:
+    capacity = sum(one.facts.load.capacity for one in groups)
+    reported = sum(one.reported_others for one in groups)
+    as_of = sum(one.facts.as_of for one in groups) / len(groups)
+    told = sent.peers.get(key, 0)
+    since = told - sent.peers_at(key, as_of)
+    # A peer that is heard for the first time is in the reports already.
+    total = min(reported + since, max(reported, told))
+    for one in groups:
+        share = one.facts.load.capacity / capacity
+        deviation = (one.reported_others - reported * share) / sent.entries
+        one.deviation += gain * (deviation - one.deviation)
+        one.others = max(0.0, total * share + one.deviation)
--- a/src/galenavane/route/pool.py
+++ b/src/galenavane/route/pool.py
@@ -12,3 +12,7 @@
     service: str
     model: str
     version: str
+
+    def key(self) -> str:
+        """Return the name of the pool in what entries tell each other."""
+        return f"{self.service}/{self.version}"
--- a/src/galenavane/route/rate.py
+++ b/src/galenavane/route/rate.py
@@ -10,9 +10,10 @@
 class Rate:
     """An exponentially decayed rate."""
 
-    __slots__ = ("_at", "_level", "_started_at")
+    __slots__ = ("_at", "_level", "_memory", "_started_at")
 
-    def __init__(self) -> None:
+    def __init__(self, memory_seconds: float = MEMORY_SECONDS) -> None:
+        self._memory = memory_seconds
         self._level = 0.0
         self._at = 0.0
         self._started_at: float | None = None
@@ -29,7 +30,7 @@
         if self._started_at is None:
             return 0.0
         seen = max(now - self._started_at, 0.1)
-        return self._decayed(now) / (MEMORY_SECONDS * (1.0 - math.exp(-seen / MEMORY_SECONDS)))
+        return self._decayed(now) / (self._memory * (1.0 - math.exp(-seen / self._memory)))
 
     def _decayed(self, now: float) -> float:
-        return self._level * math.exp(-max(0.0, now - self._at) / MEMORY_SECONDS)
+        return self._level * math.exp(-max(0.0, now - self._at) / self._memory)
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -32,6 +32,7 @@
 CHARACTERS_PER_TOKEN = 4
 LEARNING_RATE = 0.05
 FIRST_REQUEST_SECONDS = 1.0
+RESERVED_STEP = 0.03125
 
 Chooser = abc.Callable[
     [abc.Sequence[candidates.Candidate], int, random.Random], candidates.Candidate | None
@@ -50,18 +51,11 @@
     predicted_seconds: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Usual:
-    """Moving means over a pool's requests, in seconds."""
-
-    request_seconds: float = FIRST_REQUEST_SECONDS
-    prefill_seconds: float = 0.0
-
-
 class Router:
     """State of routing at one entry.
 
     :ivar sent: granted requests by id.
+    :ivar usual_seconds: moving mean of a request's time at its group, by pool.
     """
 
     __slots__ = (
@@ -75,7 +69,7 @@
         "sends",
         "sent",
         "suspicion",
-        "usual",
+        "usual_seconds",
     )
 
     def __init__(self, choose: Chooser = pick.pick) -> None:
@@ -89,7 +83,7 @@
         self.sends = sends.Sends()
         self.sent: dict[str, _Sent] = {}
         self.suspicion = suspicion.Suspicion()
-        self.usual: dict[pools.Pool, _Usual] = {}
+        self.usual_seconds: dict[pools.Pool, float] = {}
 
 
 def arrive(
@@ -107,6 +101,7 @@
         return [refused]
     pool = _pool(ask)
     state = router.admissions.setdefault(pool, admission.Admission())
+    _share_places(router, pool, state, now)
     decisions: list[decision.Decision] = []
     decisions += state.offer(item, 0.0, now)
     for one in decisions:
@@ -133,7 +128,7 @@
     sent = router.sent.pop(held.ask.request_id, None)
     if sent is None:
         return []
-    router.sends.end(sent.group)
+    router.sends.end(sent.group, sent.pool.key())
     _learn(router, sent, held, ended, now)
     unused = held.ask.max_tokens - ended.tokens
     router.limits.refund(held.ask.account, 0.0, float(max(0, unused)))
@@ -146,6 +141,7 @@
     decisions: list[decision.Decision] = []
     for pool, state in router.admissions.items():
         decisions += state.expire(now)
+        _share_places(router, pool, state, now)
         decisions += _grant_all(router, pool, now, rng)
     return decisions
 
@@ -161,18 +157,15 @@
     router.sends.forget(known)
 
 
-def hear_peers(
-    router: Router, told: abc.Mapping[str, facts.Facts], silent: int, now: float
-) -> None:
+def hear_peers(router: Router, told: abc.Mapping[str, facts.Facts], silent: int) -> None:
     """Replace what peers told.
 
     :param silent: entries that are listed as live and are not heard.
     """
-    usual = max((one.prefill_seconds for one in router.usual.values()), default=0.0)
-    fresh = router.sends.hear({name: one.sends for name, one in told.items()}, now, usual)
-    for group, count in fresh.items():
-        router.fleet.add_prefill(group, now, count * usual)
+    router.sends.hear([one.sends for one in told.values()])
     router.limits.hear([one.demand for one in told.values()], silent)
+    for pool, state in router.admissions.items():
+        state.told_reserved = [one.reserved.get(pool.service, 0.0) for one in told.values()]
     factors: dict[str, float] = {}
     for one in told.values():
         for leader, factor in one.suspects.items():
@@ -190,7 +183,13 @@
     service_of = {name: one.facts.pool.service for name, one in groups.items()}
     slow = router.suspicion.suspects(service_of, now)
     suspects = {groups[name].facts.leader: factor for name, factor in slow.items()}
-    return facts.Facts(dict(router.sends.own), router.limits.tell(now), suspects)
+    reserved = {
+        pool.service: round(state.reserved / RESERVED_STEP) * RESERVED_STEP
+        for pool, state in router.admissions.items()
+        if state.reserved > 0
+    }
+    sends_by_pool = dict(router.sends.own_pools)
+    return facts.Facts(sends_by_pool, router.limits.tell(now), suspects, reserved=reserved)
 
 
 def in_flight(router: Router, group: tracked.Tracked) -> float:
@@ -228,8 +227,10 @@
     decisions: list[decision.Decision] = []
     while state is not None:
         item = state.queue.head()
-        chosen = _choose(router, pool, item, now, rng) if item is not None else None
-        if item is None or chosen is None:
+        if item is None or not _has_place(router, pool, state, item):
+            break
+        chosen = _choose(router, pool, item, now, rng)
+        if chosen is None:
             break
         least = pick.least_first_token(chosen, item.ask.prompt_tokens)
         if now + least > item.ask.deadline:
@@ -244,6 +245,20 @@
     return decisions
 
 
+def _share_places(router: Router, pool: pools.Pool, state: admission.Admission, now: float) -> None:
+    own = router.sends.own_pools.get(pool.key(), 0)
+    known = router.fleet
+    state.share_places(own, known.others(pool), known.places(pool), router.sends.entries, now)
+
+
+def _has_place(
+    router: Router, pool: pools.Pool, state: admission.Admission, item: waiting.Waiting
+) -> bool:
+    own = router.sends.own_pools.get(pool.key(), 0)
+    capacity = router.fleet.places(pool)
+    return state.has_place(own, item.ask.priority, capacity, router.sends.entries)
+
+
 def _choose(
     router: Router, pool: pools.Pool, item: waiting.Waiting, now: float, rng: random.Random
 ) -> candidates.Candidate | None:
@@ -251,12 +266,11 @@
     groups = router.fleet.sample(pool, cached, rng)
     proved = [one for one in groups if now <= one.facts.proved_until]
     usable = [one for one in proved if one.facts.name not in item.tried] or proved
-    reserved = router.admissions[pool].reserved_from(item.ask.priority)
     limit = router.concurrency.limit
     open_groups = [
         _candidate(router, one, item, cached.get(one.facts.name, 0.0), now)
         for one in usable
-        if in_flight(router, one) < limit(one.facts.name, one.facts.load.capacity, reserved)
+        if in_flight(router, one) < limit(one.facts.name, one.facts.load.capacity)
     ]
     return router.choose(open_groups, item.ask.prompt_tokens, rng)
 
@@ -266,8 +280,7 @@
 ) -> candidates.Candidate:
     known = group.facts
     load = known.load
-    usual = router.usual.get(known.pool)
-    request_seconds = usual.request_seconds if usual else FIRST_REQUEST_SECONDS
+    request_seconds = router.usual_seconds.get(known.pool, FIRST_REQUEST_SECONDS)
     return candidates.Candidate(
         known.name,
         known.address,
@@ -293,13 +306,11 @@
 ) -> None:
     left = max(0, item.ask.prompt_tokens - chosen.cached_tokens)
     seconds = left / chosen.load.prefill_tokens_per_second
-    router.sends.begin(chosen.name, now, seconds)
+    router.sends.begin(chosen.name, pool.key(), now, seconds)
     router.fleet.note_sent(chosen.name, now, seconds)
     router.index.expect(chosen.name, item.blocks)
     predicted = pick.predict_first_token(chosen, item.ask.prompt_tokens)
     router.sent[item.ask.request_id] = _Sent(chosen.name, pool, predicted)
-    usual = router.usual.setdefault(pool, _Usual())
-    usual.prefill_seconds += LEARNING_RATE * (seconds - usual.prefill_seconds)
 
 
 def _learn(
@@ -315,8 +326,8 @@
     seconds = now - held.sent_at
     between = (seconds - first) / (ended.tokens - 1)
     router.suspicion.observe(held.ask.service, sent.group, between, now)
-    usual = router.usual.setdefault(sent.pool, _Usual())
-    usual.request_seconds += LEARNING_RATE * (seconds - usual.request_seconds)
+    usual = router.usual_seconds.setdefault(sent.pool, seconds)
+    router.usual_seconds[sent.pool] = usual + LEARNING_RATE * (seconds - usual)
 
 
 def _pool(ask: grants.Ask) -> pools.Pool:
--- a/src/galenavane/route/sends.py
+++ b/src/galenavane/route/sends.py
@@ -1,4 +1,4 @@
-"""Requests in flight, by group, as this entry and its peers know them."""
+"""Requests in flight, as this entry and its peers know them."""
 
 from __future__ import annotations
 
@@ -12,10 +12,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Snapshot:
-    """Known requests in flight at one time, by group name."""
+    """Requests in flight at one time: own by group name, and those of peers by pool key."""
 
     at: float
-    known: dict[str, int]
+    own: dict[str, int]
+    peers: dict[str, int]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,70 +34,62 @@
     """Counts of requests in flight, and their last seconds.
 
     :ivar own: requests of this entry in flight by group name.
-    :ivar peers: requests of each heard peer by group name.
+    :ivar own_pools: the same by pool key.
+    :ivar peers: requests of all heard peers in flight by pool key.
+    :ivar entries: this entry and the peers that it hears.
     """
 
-    __slots__ = ("_history", "_peer_total", "_prefills", "own", "peers")
+    __slots__ = ("_history", "_prefills", "entries", "own", "own_pools", "peers")
 
     def __init__(self) -> None:
         self.own: dict[str, int] = {}
-        self.peers: dict[str, abc.Mapping[str, int]] = {}
-        self._peer_total: dict[str, int] = {}
+        self.own_pools: dict[str, int] = {}
+        self.peers: dict[str, int] = {}
+        self.entries = 1
         self._history: collections.deque[Snapshot] = collections.deque()
         self._prefills: dict[str, collections.deque[Prefill]] = {}
 
-    def of_peers(self, group: str) -> int:
-        """Return the requests in flight that heard peers sent."""
-        return self._peer_total.get(group, 0)
+    def own_at(self, group: str, at: float) -> int:
+        """Return this entry's requests in flight at an earlier time."""
+        snapshot = self._snapshot(at)
+        return snapshot.own.get(group, 0) if snapshot else 0
 
-    def known_at(self, group: str, at: float) -> int:
-        """Return the requests in flight that were known at an earlier time."""
-        for snapshot in reversed(self._history):
-            if snapshot.at <= at:
-                return snapshot.known.get(group, 0)
-        return 0
+    def peers_at(self, pool_key: str, at: float) -> int:
+        """Return the peers' requests in flight that were known at an earlier time."""
+        snapshot = self._snapshot(at)
+        return snapshot.peers.get(pool_key, 0) if snapshot else 0
 
-    def begin(self, group: str, now: float, prefill_seconds: float) -> None:
+    def _snapshot(self, at: float) -> Snapshot | None:
+        return next((one for one in reversed(self._history) if one.at <= at), None)
+
+    def begin(self, group: str, pool_key: str, now: float, prefill_seconds: float) -> None:
         """Note that this entry sends a request."""
         self.own[group] = self.own.get(group, 0) + 1
-        self._note(group, Prefill(now, prefill_seconds))
+        self.own_pools[pool_key] = self.own_pools.get(pool_key, 0) + 1
+        kept = self._prefills.setdefault(group, collections.deque())
+        kept.append(Prefill(now, prefill_seconds))
+        while kept[0].at < now - HISTORY_SECONDS:
+            kept.popleft()
 
-    def end(self, group: str) -> None:
+    def end(self, group: str, pool_key: str) -> None:
         """Note that a request of this entry has ended."""
-        left = self.own.get(group, 0) - 1
-        if left > 0:
-            self.own[group] = left
-        else:
-            self.own.pop(group, None)
-
-    def hear(
-        self, told: abc.Mapping[str, abc.Mapping[str, int]], now: float, prefill_seconds: float
-    ) -> dict[str, int]:
-        """Replace what peers told; return the new sends by group name."""
-        before = self._peer_total
-        self.peers = dict(told)
+        _lower(self.own, group)
+        _lower(self.own_pools, pool_key)
+
+    def hear(self, told: abc.Collection[abc.Mapping[str, int]]) -> None:
+        """Replace what peers told of their requests in flight."""
+        self.entries = 1 + len(told)
         total: dict[str, int] = {}
-        for sends in told.values():
-            for group, count in sends.items():
-                total[group] = total.get(group, 0) + count
-        self._peer_total = total
-        fresh = {
-            group: count - before.get(group, 0)
-            for group, count in total.items()
-            if count > before.get(group, 0)
-        }
-        for group, count in fresh.items():
-            self._note(group, Prefill(now, count * prefill_seconds))
-        return fresh
+        for sends in told:
+            for pool_key, count in sends.items():
+                total[pool_key] = total.get(pool_key, 0) + count
+        self.peers = total
 
     def remember(self, now: float) -> None:
         """Keep the present counts, and forget those that no report can be as old as."""
         if self._history and now - self._history[-1].at < SNAPSHOT_SECONDS:
             return
-        known = dict(self._peer_total)
-        for group, count in self.own.items():
-            known[group] = known.get(group, 0) + count
-        self._history.append(Snapshot(now, known))
+        self._history.append(Snapshot(now, dict(self.own), dict(self.peers)))
         while self._history[0].at < now - HISTORY_SECONDS:
             self._history.popleft()
 
@@ -109,8 +102,10 @@
         for name in [name for name in self._prefills if name not in groups]:
             del self._prefills[name]
 
-    def _note(self, group: str, prefill: Prefill) -> None:
-        kept = self._prefills.setdefault(group, collections.deque())
-        kept.append(prefill)
-        while kept[0].at < prefill.at - HISTORY_SECONDS:
-            kept.popleft()
+
+def _lower(counts: dict[str, int], key: str) -> None:
+    left = counts.get(key, 0) - 1
+    if left > 0:
+        counts[key] = left
+    else:
+        counts.pop(key, None)
--- a/src/galenavane/route/tracked.py
+++ b/src/galenavane/route/tracked.py
@@ -11,8 +11,7 @@
 class Tracked:
     """A group with what was derived from its last report.
 
-    :ivar unknown_requests: reported requests less those known of at the time of the load; noise
-        makes it negative at times.
+    :ivar reported_others: reported requests less this entry's own at the time of the load.
     :ivar deviation: moving mean of this entry's part of the group's deviation from its pool.
     :ivar others: estimate of the requests in flight that this entry did not send.
     :ivar prefill_until: monotonic time at which all known prompts are computed.
@@ -20,7 +19,7 @@
     """
 
     facts: group_facts.GroupFacts
-    unknown_requests: int
+    reported_others: int
     deviation: float
     others: float
     prefill_until: float
