--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -13,7 +13,7 @@
 from galenavane.observe import meter, metrics
 from galenavane.peer import facts, members, registration, seen_message, transport
 from galenavane.platform import api, instance, lease
-from galenavane.route import router
+from galenavane.route import state as route_state
 from galenavane.serve import waiter
 from galenavane.target import api as target_api
 
@@ -109,7 +109,7 @@
         self.dropped_messages = latest.Latest[int](0)
         self.own_facts = latest.Latest[facts.Facts](facts.Facts())
         self.peer_facts = latest.Latest[dict[str, facts.PeerFacts]]({})
-        self.router = router.Router()
+        self.router = route_state.State()
         self.waiters: dict[str, waiter.Waiter] = {}
         self.leaving = latest.Latest[bool](False)
         self.active = latest.Latest[int](0)
--- a/src/galenavane/experiment/baselines.py
+++ b/src/galenavane/experiment/baselines.py
@@ -7,7 +7,7 @@
 from collections import abc
 
 from galenavane.route import candidate as candidates
-from galenavane.route import router
+from galenavane.route import state as states
 
 
 def choose_random(
@@ -17,7 +17,7 @@
     return rng.choice(found) if found else None
 
 
-def make_round_robin(start: int) -> router.Chooser:
+def make_round_robin(start: int) -> states.Chooser:
     """Return a chooser that takes candidates by turns."""
     turns = itertools.count(start)
 
--- a/src/galenavane/experiment/routing.py
+++ b/src/galenavane/experiment/routing.py
@@ -5,7 +5,8 @@
 import sys
 
 from galenavane.experiment import baselines, serving_figures, serving_model
-from galenavane.route import pick, router
+from galenavane.route import pick
+from galenavane.route import state as states
 
 LOADS = (0.7, 0.9, 1.0, 1.1, 1.5)
 SEED = 1
@@ -30,7 +31,7 @@
 }
 
 
-def _own(number: int) -> router.Chooser:
+def _own(number: int) -> states.Chooser:
     return pick.pick
 
 
--- a/src/galenavane/experiment/serving_model.py
+++ b/src/galenavane/experiment/serving_model.py
@@ -12,6 +12,7 @@
 from galenavane.route import candidate as candidates
 from galenavane.route import decision, group_facts, pool, router
 from galenavane.route import grant as grants
+from galenavane.route import state as states
 from galenavane.target import report
 
 POOL = pool.Pool("scribe-model", "scribe", "1")
@@ -27,7 +28,7 @@
 MAX_TRIES = 5
 NO_LIMIT = 1e12
 
-MakeChooser = abc.Callable[[int], router.Chooser]
+MakeChooser = abc.Callable[[int], states.Chooser]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,7 +76,7 @@
         self.plan = plan
         self.rng = random.Random(plan.seed)
         self.time = virtual_time.VirtualTime()
-        self.entries = [router.Router(plan.make_chooser(number)) for number in range(plan.entries)]
+        self.entries = [states.State(plan.make_chooser(number)) for number in range(plan.entries)]
         self.engines = {
             name: engine_model.Engine(name, plan.sizes, self.time)
             for name in (f"group-{number:02d}" for number in range(plan.groups))
@@ -155,7 +156,7 @@
     return look
 
 
-def _teller(model: Model, number: int, entry: router.Router) -> virtual_time.Callback:
+def _teller(model: Model, number: int, entry: states.State) -> virtual_time.Callback:
     sender = facts_update.Sender()
 
     def tell() -> None:
@@ -169,7 +170,7 @@
     return tell
 
 
-def _stepper(model: Model, number: int, entry: router.Router) -> virtual_time.Callback:
+def _stepper(model: Model, number: int, entry: states.State) -> virtual_time.Callback:
     def step() -> None:
         now = model.time.now
         live = [one for one in model._facts.values() if one.proved_until >= now]
@@ -216,7 +217,7 @@
 
 
 def _send_at_once(
-    model: Model, entry: router.Router, req: workload.Request, ask: grants.Ask, tried: set[str]
+    model: Model, entry: states.State, req: workload.Request, ask: grants.Ask, tried: set[str]
 ) -> None:
     now = model.time.now
     found = [
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections import abc
 
@@ -10,84 +9,26 @@
 from galenavane.failure import code as codes
 from galenavane.peer import facts
 from galenavane.route import (
-    account_limits,
     admission,
     blocks,
-    concurrency,
+    choice,
     decision,
-    fleet,
     group_facts,
     pick,
-    prefix_index,
     retry_budget,
-    sends,
-    suspicion,
-    tracked,
     waiting,
 )
 from galenavane.route import candidate as candidates
 from galenavane.route import grant as grants
 from galenavane.route import pool as pools
+from galenavane.route import state as states
 
-CHARACTERS_PER_TOKEN = 4
 LEARNING_RATE = 0.05
-FIRST_REQUEST_SECONDS = 1.0
 RESERVED_STEP = 0.03125
 
-Chooser = abc.Callable[
-    [abc.Sequence[candidates.Candidate], int, random.Random], candidates.Candidate | None
-]
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Sent:
-    """A granted request until it ends.
-
-    :ivar predicted_seconds: predicted time to first token.
-    """
-
-    group: str
-    pool: pools.Pool
-    predicted_seconds: float
-
-
-class Router:
-    """State of routing at one entry.
-
-    :ivar sent: granted requests by id.
-    :ivar usual_seconds: moving mean of a request's time at its group, by pool.
-    """
-
-    __slots__ = (
-        "admissions",
-        "choose",
-        "concurrency",
-        "fleet",
-        "index",
-        "limits",
-        "retries",
-        "sends",
-        "sent",
-        "suspicion",
-        "usual_seconds",
-    )
-
-    def __init__(self, choose: Chooser = pick.pick) -> None:
-        self.choose = choose
-        self.admissions: dict[pools.Pool, admission.Admission] = {}
-        self.concurrency = concurrency.Concurrency()
-        self.fleet = fleet.Fleet()
-        self.index = prefix_index.PrefixIndex()
-        self.limits = account_limits.AccountLimits()
-        self.retries: dict[str, retry_budget.RetryBudget] = {}
-        self.sends = sends.Sends()
-        self.sent: dict[str, _Sent] = {}
-        self.suspicion = suspicion.Suspicion()
-        self.usual_seconds: dict[pools.Pool, float] = {}
-
 
 def arrive(
-    router: Router,
+    router: states.State,
     ask: grants.Ask,
     account: declaration.Account,
     tried: abc.Set[str],
@@ -100,29 +41,29 @@
     if refused is not None:
         return [refused]
     pool = _pool(ask)
-    state = router.admissions.setdefault(pool, admission.Admission())
-    _share_places(router, pool, state, now)
+    gate = router.admissions.setdefault(pool, admission.Admission())
+    _share_places(router, pool, gate, now)
     decisions: list[decision.Decision] = []
-    decisions += state.offer(item, 0.0, now)
+    decisions += gate.offer(item, 0.0, now)
     for one in decisions:
         if isinstance(one, decision.Refused) and one.request_id == ask.request_id:
             _refund(router, item)
     return decisions + _grant_all(router, pool, now, rng)
 
 
-def give_up(router: Router, ask: grants.Ask) -> None:
+def give_up(router: states.State, ask: grants.Ask) -> None:
     """Forget a waiting request because its caller has gone away."""
-    state = router.admissions.get(_pool(ask))
-    if state is None:
+    gate = router.admissions.get(_pool(ask))
+    if gate is None:
         return
-    for item in list(state.queue.items()):
+    for item in list(gate.queue.items()):
         if item.ask.request_id == ask.request_id:
-            state.queue.remove(item)
+            gate.queue.remove(item)
             _refund(router, item)
 
 
 def release(
-    router: Router, held: grants.Grant, ended: grants.Ended, now: float, rng: random.Random
+    router: states.State, held: grants.Grant, ended: grants.Ended, now: float, rng: random.Random
 ) -> list[decision.Decision]:
     """Take in how a granted request went, and give its place to the next."""
     sent = router.sent.pop(held.ask.request_id, None)
@@ -135,18 +76,20 @@
     return _grant_all(router, sent.pool, now, rng)
 
 
-def step(router: Router, now: float, rng: random.Random) -> list[decision.Decision]:
+def step(router: states.State, now: float, rng: random.Random) -> list[decision.Decision]:
     """Refuse what is late and grant what has become possible; called several times a second."""
     router.sends.remember(now)
     decisions: list[decision.Decision] = []
-    for pool, state in router.admissions.items():
-        decisions += state.expire(now)
-        _share_places(router, pool, state, now)
+    for pool, gate in router.admissions.items():
+        decisions += gate.expire(now)
+        _share_places(router, pool, gate, now)
         decisions += _grant_all(router, pool, now, rng)
     return decisions
 
 
-def update_groups(router: Router, found: abc.Iterable[group_facts.GroupFacts], now: float) -> None:
+def update_groups(
+    router: states.State, found: abc.Iterable[group_facts.GroupFacts], now: float
+) -> None:
     """Replace the complete groups by those of new reports and tables."""
     router.fleet.update(found, router.sends)
     router.fleet.refresh(router.sends, now)
@@ -157,15 +100,15 @@
     router.sends.forget(known)
 
 
-def hear_peers(router: Router, told: abc.Mapping[str, facts.Facts], silent: int) -> None:
+def hear_peers(router: states.State, told: abc.Mapping[str, facts.Facts], silent: int) -> None:
     """Replace what peers told.
 
     :param silent: entries that are listed as live and are not heard.
     """
     router.sends.hear([one.sends for one in told.values()])
     router.limits.hear([one.demand for one in told.values()], silent)
-    for pool, state in router.admissions.items():
-        state.told_reserved = [one.reserved.get(pool.service, 0.0) for one in told.values()]
+    for pool, gate in router.admissions.items():
+        gate.told_reserved = [one.reserved.get(pool.service, 0.0) for one in told.values()]
     factors: dict[str, float] = {}
     for one in told.values():
         for leader, factor in one.suspects.items():
@@ -177,28 +120,23 @@
     }
 
 
-def own_facts(router: Router, now: float) -> facts.Facts:
+def own_facts(router: states.State, now: float) -> facts.Facts:
     """Return what peers are told."""
     groups = router.fleet.groups
     service_of = {name: one.facts.pool.service for name, one in groups.items()}
     slow = router.suspicion.suspects(service_of, now)
     suspects = {groups[name].facts.leader: factor for name, factor in slow.items()}
     reserved = {
-        pool.service: round(state.reserved / RESERVED_STEP) * RESERVED_STEP
-        for pool, state in router.admissions.items()
-        if state.reserved > 0
+        pool.service: round(gate.reserved / RESERVED_STEP) * RESERVED_STEP
+        for pool, gate in router.admissions.items()
+        if gate.reserved > 0
     }
     sends_by_pool = dict(router.sends.own_pools)
     return facts.Facts(sends_by_pool, router.limits.tell(now), suspects, reserved=reserved)
 
 
-def in_flight(router: Router, group: tracked.Tracked) -> float:
-    """Return the requests that a group probably has now, of all entries."""
-    return group.others + router.sends.own.get(group.facts.name, 0)
-
-
 def _refuse_by_limits(
-    router: Router, item: waiting.Waiting, account: declaration.Account, now: float
+    router: states.State, item: waiting.Waiting, account: declaration.Account, now: float
 ) -> decision.Refused | None:
     budget = router.retries.setdefault(item.ask.service, retry_budget.RetryBudget())
     if item.tried:
@@ -214,91 +152,55 @@
     return None
 
 
-def _refund(router: Router, item: waiting.Waiting) -> None:
+def _refund(router: states.State, item: waiting.Waiting) -> None:
     if not item.tried:
         router.limits.refund(item.ask.account, 1.0, item.cost())
 
 
 def _grant_all(
-    router: Router, pool: pools.Pool, now: float, rng: random.Random
+    router: states.State, pool: pools.Pool, now: float, rng: random.Random
 ) -> list[decision.Decision]:
     """Grant from the head of the queue while a group has a place."""
-    state = router.admissions.get(pool)
+    gate = router.admissions.get(pool)
     decisions: list[decision.Decision] = []
-    while state is not None:
-        item = state.queue.head()
-        if item is None or not _has_place(router, pool, state, item):
+    while gate is not None:
+        item = gate.queue.head()
+        if item is None or not _has_place(router, pool, gate, item):
             break
-        chosen = _choose(router, pool, item, now, rng)
+        chosen = choice.choose(router, pool, item, now, rng)
         if chosen is None:
             break
         least = pick.least_first_token(chosen, item.ask.prompt_tokens)
         if now + least > item.ask.deadline:
-            state.queue.remove(item)
+            gate.queue.remove(item)
             _refund(router, item)
             text = f"the first token would take {least:.1f} s, past the deadline"
             decisions.append(admission.refuse(item, codes.Code.DEADLINE, text, least))
             continue
-        state.grant(item, now)
+        gate.grant(item, now)
         decisions.append(decision.Granted(grants.Grant(item.ask, chosen, now)))
         _note_sent(router, pool, item, chosen, now)
     return decisions
 
 
-def _share_places(router: Router, pool: pools.Pool, state: admission.Admission, now: float) -> None:
+def _share_places(
+    router: states.State, pool: pools.Pool, gate: admission.Admission, now: float
+) -> None:
     own = router.sends.own_pools.get(pool.key(), 0)
     known = router.fleet
-    state.share_places(own, known.others(pool), known.places(pool), router.sends.entries, now)
+    gate.share_places(own, known.others(pool), known.places(pool), router.sends.entries, now)
 
 
 def _has_place(
-    router: Router, pool: pools.Pool, state: admission.Admission, item: waiting.Waiting
+    router: states.State, pool: pools.Pool, gate: admission.Admission, item: waiting.Waiting
 ) -> bool:
     own = router.sends.own_pools.get(pool.key(), 0)
     capacity = router.fleet.places(pool)
-    return state.has_place(own, item.ask.priority, capacity, router.sends.entries)
-
-
-def _choose(
-    router: Router, pool: pools.Pool, item: waiting.Waiting, now: float, rng: random.Random
-) -> candidates.Candidate | None:
-    cached = router.index.cached(item.blocks)
-    groups = router.fleet.sample(pool, cached, rng)
-    proved = [one for one in groups if now <= one.facts.proved_until]
-    usable = [one for one in proved if one.facts.name not in item.tried] or proved
-    limit = router.concurrency.limit
-    open_groups = [
-        _candidate(router, one, item, cached.get(one.facts.name, 0.0), now)
-        for one in usable
-        if in_flight(router, one) < limit(one.facts.name, one.facts.load.capacity)
-    ]
-    return router.choose(open_groups, item.ask.prompt_tokens, rng)
-
-
-def _candidate(
-    router: Router, group: tracked.Tracked, item: waiting.Waiting, cached: float, now: float
-) -> candidates.Candidate:
-    known = group.facts
-    load = known.load
-    request_seconds = router.usual_seconds.get(known.pool, FIRST_REQUEST_SECONDS)
-    return candidates.Candidate(
-        known.name,
-        known.address,
-        known.epoch,
-        load,
-        in_flight(router, group) - load.running - load.waiting,
-        int(cached * blocks.BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN),
-        known.distance_seconds,
-        not item.ask.adapter or item.ask.adapter in known.adapters,
-        router.suspicion.factor(known.pool.service, known.name, now),
-        request_seconds / load.capacity,
-        max(0.0, group.prefill_until - now),
-        group.last_sent_at,
-    )
+    return gate.has_place(own, item.ask.priority, capacity, router.sends.entries)
 
 
 def _note_sent(
-    router: Router,
+    router: states.State,
     pool: pools.Pool,
     item: waiting.Waiting,
     chosen: candidates.Candidate,
@@ -310,11 +212,11 @@
     router.fleet.note_sent(chosen.name, now, seconds)
     router.index.expect(chosen.name, item.blocks)
     predicted = pick.predict_first_token(chosen, item.ask.prompt_tokens)
-    router.sent[item.ask.request_id] = _Sent(chosen.name, pool, predicted)
+    router.sent[item.ask.request_id] = states.Sent(chosen.name, pool, predicted)
 
 
 def _learn(
-    router: Router, sent: _Sent, held: grants.Grant, ended: grants.Ended, now: float
+    router: states.State, sent: states.Sent, held: grants.Grant, ended: grants.Ended, now: float
 ) -> None:
     first = None if ended.failed else ended.first_token_seconds
     if ended.failed:
--- /dev/null
+++ b/tests/steps/route_fair_queue.py
@@ -0,0 +1,122 @@
+"""Steps of the fair queue, with a naive version that keeps only the history."""
+
+from __future__ import annotations
+
+import hypothesis
+from behave import given, then
+from hypothesis import strategies
+
+from galenavane.route import fair_queue, grant, waiting
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=150, print_blob=False
+)
+
+
+def make_item(number, account="a", priority=1, tokens=10, weight=1.0, deadline=100.0):
+    """Build a waiting request."""
+    ask = grant.Ask(f"{number:04d}", account, "s", "m", "1", "", priority, "", tokens, 0, deadline)
+    return waiting.Waiting(ask, [], set(), weight, float(number))
+
+
+def naive_tags(history):
+    """Replay a history of (operation, item); return the start tags of what waits, by class."""
+    tags, finish, virtual = {}, {}, {}
+    for operation, item in history:
+        priority, lane = item.ask.priority, (item.ask.priority, item.ask.account)
+        if operation == "push":
+            tags[item] = max(virtual.get(priority, 0.0), finish.get(lane, 0.0))
+            finish[lane] = tags[item] + item.cost() / item.weight
+            continue
+        tag = tags.pop(item)
+        if operation == "pop":
+            virtual[priority] = max(virtual.get(priority, 0.0), tag)
+        else:
+            refund = item.cost() / item.weight
+            finish[lane] -= refund
+            for other in tags:
+                is_later = other.ask.request_id > item.ask.request_id
+                if (other.ask.priority, other.ask.account) == lane and is_later:
+                    tags[other] -= refund
+        if not any(other.ask.priority == priority for other in tags):
+            virtual.pop(priority, None)
+            finish = {key: value for key, value in finish.items() if key[0] != priority}
+    return tags
+
+
+def naive_head(history):
+    """Return what the naive queue serves next."""
+    tags = naive_tags(history)
+    order = sorted(
+        tags, key=lambda one: (one.ask.priority, tags[one], one.arrived_at, one.ask.request_id)
+    )
+    return order[0] if order else None
+
+
+@then("random pushes, pops and removals leave the fair queue and the naive one in the same order")
+def compare_queues(context):
+    operation = strategies.tuples(
+        strategies.sampled_from(["push", "push", "pop", "remove"]),
+        strategies.sampled_from("abc"),
+        strategies.integers(0, 2),
+        strategies.sampled_from([1, 8, 64]),
+        strategies.integers(0, 50),
+    )
+
+    @SETTINGS
+    @hypothesis.given(strategies.lists(operation, max_size=40))
+    def check(operations):
+        queue, history, inside = fair_queue.FairQueue(), [], []
+        for number, (kind, account, priority, tokens, place) in enumerate(operations):
+            if kind == "push":
+                weight = 2.0 if account == "b" else 1.0
+                item = make_item(number, account, priority, tokens, weight)
+                queue.push(item)
+                inside.append(item)
+            elif not inside:
+                continue
+            elif kind == "pop":
+                item = queue.head()
+                queue.pop(item)
+                inside.remove(item)
+            else:
+                item = inside.pop(place % len(inside))
+                queue.remove(item)
+            history.append((kind, item))
+            assert queue.head() is naive_head(history)
+            assert queue.size == len(inside)
+
+    check()
+
+
+@given('a fair queue with {count:d} requests of account "{account}"')
+def fill_queue(context, count, account):
+    context.queue = fair_queue.FairQueue()
+    for number in range(count):
+        context.queue.push(make_item(number, account))
+
+
+@given('{count:d} requests of account "{account}" pushed to the fair queue later')
+def push_later(context, count, account):
+    for number in range(count):
+        context.queue.push(make_item(1000 + number, account))
+
+
+@given("a fair queue request of the first class")
+def push_first_class(context):
+    context.queue.push(make_item(2000, "other", priority=0))
+
+
+@then('the fair queue serves all {count:d} of account "{account}" within {pops:d} pops')
+def serve_soon(context, count, account, pops):
+    served = []
+    for _ in range(pops):
+        item = context.queue.head()
+        context.queue.pop(item)
+        served.append(item.ask.account)
+    assert served.count(account) == count, served
+
+
+@then("the fair queue's head is of the first class")
+def head_first_class(context):
+    assert context.queue.head().ask.priority == 0
--- /dev/null
+++ b/tests/steps/route_prefix_index.py
@@ -0,0 +1,93 @@
+"""Steps of the prefix index."""
+
+from __future__ import annotations
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+from steps import route_fair_queue
+
+from galenavane.route import prefix_index
+from galenavane.target import report
+
+BLOCKS = [number * prefix_index.SAMPLED_BLOCKS for number in range(1, 9)]
+
+
+def stored(first, blocks):
+    """Return cache events that store blocks."""
+    return [report.CacheEvent(first + at, block, True) for at, block in enumerate(blocks)]
+
+
+@then("random cache events leave the prefix index and a naive replay with the same blocks")
+def compare_index(context):
+    event = strategies.tuples(
+        strategies.sampled_from("gh"),
+        strategies.sampled_from(BLOCKS),
+        strategies.booleans(),
+        strategies.integers(1, 2),
+        strategies.sampled_from(["1", "1", "1", "2"]),
+    )
+
+    @route_fair_queue.SETTINGS
+    @hypothesis.given(strategies.lists(event, max_size=40))
+    def check(found):
+        index, history, numbers = prefix_index.PrefixIndex(), [], {}
+        for group, block, is_stored, step, incarnation in found:
+            numbers[group] = numbers.get(group, 0) + step
+            one = report.CacheEvent(numbers[group], block, is_stored)
+            index.take(group, report.CacheEvents(incarnation, [one]))
+            history.append((group, incarnation, one))
+            for name in "gh":
+                for wanted in BLOCKS:
+                    expected = naive_credit(history, name, wanted)
+                    assert index.cached([wanted]).get(name, 0.0) == expected
+
+    check()
+
+
+def naive_credit(history, group, block):
+    """Replay all events of a group; return the credit of one block."""
+    held, last, incarnation = {}, 0, ""
+    for name, new_incarnation, event in history:
+        if name != group:
+            continue
+        if incarnation and new_incarnation != incarnation:
+            held, last = {}, 0
+        incarnation = new_incarnation
+        if event.number != last + 1:
+            held = dict.fromkeys(held, prefix_index.DOUBTFUL_CREDIT)
+        last = event.number
+        held.pop(event.block, None)
+        if event.stored:
+            held[event.block] = 1.0
+    return held.get(block, 0.0)
+
+
+@given('a prefix index that holds 8 blocks of group "{group}"')
+def fill_index(context, group):
+    context.index = prefix_index.PrefixIndex()
+    context.index.take(group, report.CacheEvents("1", stored(1, BLOCKS)))
+    assert context.index.cached(BLOCKS) == {group: 8.0}
+
+
+@when('the prefix index misses an event of group "{group}"')
+def miss_event(context, group):
+    context.index.take(group, report.CacheEvents("1", stored(10, [1])))
+
+
+@when('group "{group}" sends the prefix index events of a new incarnation')
+def change_incarnation(context, group):
+    context.index.take(group, report.CacheEvents("2", []))
+
+
+@then('the prefix index credits group "{group}" with {count:d} blocks')
+def check_credit(context, group, count):
+    assert context.index.cached(BLOCKS).get(group, 0.0) == count
+
+
+@then("a prefix index bounded to 64 blocks holds at most 64 after 1000 over 5 groups")
+def check_bound(context):
+    index = prefix_index.PrefixIndex(64)
+    for number in range(1000):
+        index.expect(f"g{number % 5}", [number * prefix_index.SAMPLED_BLOCKS])
+    assert index.size() <= 64, index.size()
