--- /dev/null
+++ b/src/galenavane/experiment/control_baselines.py
@@ -0,0 +1,76 @@
+"""Two simple planners to compare the real one with."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenavane.control import condition, plan, pool, table, want
+
+
+def repair_from_spares(inputs: plan.Inputs) -> table.Table:
+    """Replace lost members by spares of the same fabric domain, or wait for one."""
+    groups = list(inputs.current.groups)
+    free = pool.make(groups, inputs.seen, (), 0, inputs.now)
+    next_epoch = inputs.current.next_epoch
+    for index, group in enumerate(groups):
+        found = condition.judge(group, inputs.seen, inputs.now)
+        is_quiet = group.epoch in inputs.quiet
+        if found is condition.Condition.LEAVING and not is_quiet:
+            groups[index] = msgspec.structs.replace(group, phase=table.Phase.DRAINING)
+        elif found is not condition.Condition.INTACT:
+            members = _replace(group, inputs, free)
+            if members:
+                groups[index] = msgspec.structs.replace(
+                    group, members=members, epoch=next_epoch, phase=table.Phase.ACTIVE
+                )
+                next_epoch += 1
+    return table.replace_groups(inputs.current, groups, next_epoch)
+
+
+def _replace(group: table.Group, inputs: plan.Inputs, free: pool.Pool) -> list[table.Member]:
+    """Return the members after repair, or none when there are too few spares."""
+    members = [_same(one, inputs) for one in group.members]
+    domain = inputs.seen[group.members[0].instance].instance.fabric_domain
+    if free.count(domain) < members.count(None):
+        return []
+    spares = iter(sorted(free.domains[domain].free) if free.count(domain) else [])
+    return [one if one is not None else _take(free, domain, next(spares)) for one in members]
+
+
+def _same(member: table.Member, inputs: plan.Inputs) -> table.Member | None:
+    """Return the member on its own instance, perhaps started anew, when that is free."""
+    found = inputs.seen[member.instance]
+    return pool.member_of(found) if condition.is_free(found, inputs.now) else None
+
+
+def _take(free: pool.Pool, domain: str, name: str) -> table.Member:
+    return pool.member_of(free.domains[domain].free.pop(name))
+
+
+def rebuild_group(inputs: plan.Inputs) -> table.Table:
+    """Dissolve a group that has lost a member and form it anew where it fits."""
+    current = inputs.current
+    kept = []
+    for group in current.groups:
+        found = condition.judge(group, inputs.seen, inputs.now)
+        if found is condition.Condition.LEAVING and group.epoch not in inputs.quiet:
+            kept.append(msgspec.structs.replace(group, phase=table.Phase.DRAINING))
+        elif found is condition.Condition.INTACT:
+            kept.append(group)
+    free = pool.make(kept, inputs.seen, (), 0, inputs.now)
+    next_epoch = current.next_epoch
+    names = {group.name for group in kept}
+    for wanted in want.wants_of(inputs.configuration, current.data_centre):
+        for number in range(wanted.count):
+            name = f"{wanted.service}.{current.data_centre}.{number}"
+            members = free.take(wanted) if name not in names else []
+            if members:
+                kept.append(_group(name, wanted, next_epoch, members))
+                next_epoch += 1
+    return table.replace_groups(current, kept, next_epoch)
+
+
+def _group(name: str, wanted: want.Want, epoch: int, members: list[table.Member]) -> table.Group:
+    return table.Group(
+        name, wanted.service, wanted.model, wanted.version, epoch, members, wanted.adapters
+    )
--- /dev/null
+++ b/src/galenavane/experiment/control_days.py
@@ -0,0 +1,68 @@
+"""Compares planners over 30 simulated days of failures."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from galenavane.control import plan
+from galenavane.experiment import control_baselines, control_run
+
+DAYS = 30.0
+HOUR_SECONDS = 3600.0
+SEED = 1
+
+POLICIES = (
+    control_run.Policy("repair from spares", control_baselines.repair_from_spares),
+    control_run.Policy("rebuild the group", control_baselines.rebuild_group, False, True),
+    control_run.Policy("planner, spares empty", plan.plan),
+    control_run.Policy("planner", plan.plan, True),
+)
+WEIGHTS = {"3:1": (3.0, 1.0), "1:3": (1.0, 3.0)}
+TODAY = [control_run.Site((24, 24), 2, groups) for groups in (22, 22, 21)]
+LETTER = (66, 66, 66, 66, 66, 65, 65)
+SITES = {
+    "today": TODAY,
+    "today-copies": [control_run.Site((24, 24), 2, one.groups, 2) for one in TODAY],
+    "letter-1": [control_run.Site(LETTER, 1, 446)],
+    "letter-2": [control_run.Site(LETTER, 2, 223)],
+    "letter-8": [control_run.Site(LETTER, 8, 56)],
+    "letter-32": [control_run.Site(LETTER, 32, 14)],
+}
+
+
+def measure(site: str, policy: control_run.Policy, weights: str, days: float) -> str:
+    """Return one line of the table."""
+    started = time.process_time()
+    found = [
+        control_run.run(one, policy, WEIGHTS[weights], days, SEED + number)
+        for number, one in enumerate(SITES[site])
+    ]
+    downtime = sum(one.downtime for one in found) / HOUR_SECONDS
+    stranded = sum(one.stranded for one in found) / HOUR_SECONDS
+    loads = sum(one.loads for one in found)
+    tables = sum(one.tables for one in found)
+    seconds = time.process_time() - started
+    return (
+        f"| {site} | {policy.name} | {weights} | {downtime:.1f} | {stranded:.1f} "
+        f"| {loads} | {tables} | {seconds:.0f} |"
+    )
+
+
+def main() -> None:
+    """Print the table, for the sites named on the command line or for all."""
+    names = sys.argv[1:] or list(SITES)
+    print(
+        "| site | policy | weights | group hours down | accelerator hours stranded "
+        "| loads | table writes | processor seconds |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for name in names:
+        for policy in POLICIES:
+            chosen = list(WEIGHTS) if policy.planner is plan.plan else ["3:1"]
+            for weights in chosen:
+                print(measure(name, policy, weights, DAYS), flush=True)
+
+
+if __name__ == "__main__":
+    main()
