--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: demo test lint format type behave bench soak proof binary clean
+.PHONY: demo test lint format type behave bench soak proof binary clean capacity
 
 $(VENV)/ready: requirements.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -33,9 +33,21 @@
 	$(PY) -m behave --no-summary --format json.pretty --outfile build/behave.json --format progress tests || true
 	$(PY) .ci/report.py build/behave.json KNOWN-RED.txt
 
+soak: $(VENV)/ready
+	$(PY) -m galenavane.soak --seed $(SEED) --minutes $(MINUTES)
+
+proof: $(VENV)/ready
+	$(PY) -m galenavane.proof
+
+bench: $(VENV)/ready
+	$(PY) -m galenavane.experiment.bench
+
 binary: $(VENV)/ready
 	mkdir -p build
 	$(PY) -m shiv --quiet --compressed --console-script galenavane --output-file build/galenavane --no-deps . --requirement requirements-run.lock
 
 clean:
 	rm -rf build
+
+capacity: $(VENV)/ready
+	$(PY) scripts/measure_control.py
--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -10,6 +10,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
+from galenavane.net import curve_key
 
 _S = setting.Setting
 
@@ -21,6 +22,22 @@
     "entry", "operators", addresses.parse, None, "IP:port", "Where operators are served."
 )
 PEERS = _S("entry", "peers", addresses.parse, None, "IP:port", "Where other entries are heard.")
+SEEDS = _S(
+    "peers",
+    "seeds",
+    addresses.check_list,
+    "",
+    "IP:port ...",
+    "Entries that are asked while the platform can't be reached.",
+)
+PEER_KEYS = _S(
+    "peers",
+    "keys",
+    curve_key.check_list,
+    "",
+    "",
+    "Secret keys between entries on one line: own first, then others still in use.",
+)
 PLATFORM = _S("platform", "address", addresses.parse, None, "IP:port", "The platform's object API.")
 PLATFORM_TIMEOUT = _S(
     "platform", "timeout", setting.parse_number, 2.0, "seconds", "Longest wait for a call."
@@ -41,10 +58,18 @@
     "requests",
     "drain",
     setting.parse_number,
-    60.0,
+    660.0,
     "seconds",
     "Longest wait for streams at a stop.",
 )
+RESUME_KEY = _S(
+    "requests",
+    "resume_key",
+    setting.parse_text,
+    "",
+    "",
+    "Secret that all entries share; signs resume tokens. Without it streams can't be resumed.",
+)
 
 ALL: tuple[_S[typing.Any], ...] = (
     NAME,
@@ -53,6 +78,8 @@
     CALLERS,
     OPERATORS,
     PEERS,
+    SEEDS,
+    PEER_KEYS,
     PLATFORM,
     PLATFORM_TIMEOUT,
     TARGET_TIMEOUT,
@@ -60,6 +87,7 @@
     FIRST_TOKEN_DEADLINE,
     PROGRESS_DEADLINE,
     DRAIN_DEADLINE,
+    RESUME_KEY,
 )
 
 _T = typing.TypeVar("_T", str, int, float, bool, addresses.Address)
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -17,12 +17,14 @@
     lease_task,
     meter_task,
     operators,
+    records_task,
+    registration_task,
     reports_task,
     routing_task,
     tables_task,
 )
 from galenavane.entry import view as views
-from galenavane.net import tcp
+from galenavane.net import curve_key, tcp
 from galenavane.observe import events
 from galenavane.peer import task as peer_task
 from galenavane.peer import zmq_transport
@@ -45,7 +47,7 @@
         targets=target_client.make(net, cfg.get(settings.TARGET_TIMEOUT)),
         rng=random.SystemRandom(),
         net=net,
-        transport=zmq_transport.make(cfg.get(settings.PEERS)),
+        transport=zmq_transport.make(cfg.get(settings.PEERS), _peer_keys(cfg)),
     )
     await serve(view, _wait_signal)
 
@@ -61,8 +63,9 @@
             view.net.listen, cfg.get(settings.OPERATORS), operators.make_handler(view)
         )
         await nursery.start(view.net.listen, cfg.get(settings.CALLERS), front.make_handler(view))
-        async with trio.open_nursery() as lease:
-            lease.start_soon(lease_task.run, view)
+        async with trio.open_nursery() as announced:
+            announced.start_soon(lease_task.run, view)
+            announced.start_soon(registration_task.run, view)
             await wait_stop()
             events.log("entry.leaving")
             view.leaving.publish(True)
@@ -71,6 +74,8 @@
         nursery.cancel_scope.cancel()
 
 
+REFUSE_SECONDS = 2.0
+
 _TASKS = (
     configuration_task.run,
     instances_task.run,
@@ -78,11 +83,16 @@
     reports_task.run,
     routing_task.run,
     control_task.run,
+    records_task.run,
     meter_task.run,
     peer_task.run,
 )
 
 
+def _peer_keys(cfg: settings.Settings) -> list[curve_key.CurveKey]:
+    return [curve_key.parse(word) for word in cfg.get(settings.PEER_KEYS).split()]
+
+
 async def _wait_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
@@ -91,5 +101,9 @@
 
 async def _wait_idle(view: views.View) -> None:
     with trio.move_on_after(view.cfg.get(settings.DRAIN_DEADLINE)):
+        # Requests that are still on their way here get a refusal, not a broken connection.
+        await trio.sleep(REFUSE_SECONDS)
         while view.active.value > 0:
             await view.active.wait_change()
+    if view.active.value > 0:
+        events.log("entry.cut", active=view.active.value)
--- /dev/null
+++ b/src/galenavane/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the eight invariants with real processes."""
