--- /dev/null
+++ b/tests/steps/entry_process.py
@@ -0,0 +1,54 @@
+"""Steps for the planned stop of an entry, in a simulated deployment."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+from behave import then
+from simulate_deployment import request, simulate
+
+from galenavane.net import message
+from galenavane.standin import engine_text
+
+STOP_SECONDS = 3.0
+TOKENS = 120
+
+
+@then("an entry that stops ends its stream, refuses new requests and leaves in order")
+def stop_entry(context):
+    async def scenario(made):
+        name = next(name for name, view in made.views.items() if view.token.value is not None)
+        where, view, answers = made.entries[name], made.views[name], []
+        body = {"model": "scribe", "prompt": "a long one", "max_tokens": TOKENS}
+        long_request = request("POST", "/v1/completions", msgspec.json.encode(body))
+
+        async def ask():
+            answers.append(await made.call(where, long_request))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.3)
+            made.stops[name].set()
+            await trio.sleep(0.1)
+            assert (await made.call(where, message.Request("GET", "/readyz"))).status == 503
+            refused = await made.call(where, long_request)
+            assert refused.status == 503 and b"not_run" in refused.body, refused
+            assert not answers and view.active.value == 1, "the stream is still in flight"
+            others = [one for other, one in made.views.items() if other != name]
+            with trio.fail_after(STOP_SECONDS):
+                while not all(knows_leaving(one, name) for one in others):
+                    await trio.sleep(0.05)
+                while all(one.token.value is None for one in others):
+                    await trio.sleep(0.05)
+            assert view.token.value is None
+        text = msgspec.json.decode(answers[0].body)["choices"][0]["text"]
+        assert text == engine_text.answer("a long one", TOKENS)
+        await trio.sleep(1)
+        assert all(where != listening for listening in made.net.listeners)
+
+    simulate(4, scenario)
+
+
+def knows_leaving(view, name):
+    """Whether an entry knows that a peer is leaving."""
+    return any(one.name == name and one.leaving for one in view.peers.value)
