--- a/src/galenavane/cli/standin.py
+++ b/src/galenavane/cli/standin.py
@@ -16,6 +16,7 @@
 from galenavane.platform import instance
 from galenavane.standin import engine as engines
 from galenavane.standin import engine_faults
+from galenavane.standin import link as links
 from galenavane.standin import plain as plains
 from galenavane.standin import platform as platforms
 
@@ -68,6 +69,57 @@
     return 0
 
 
+def fleet(
+    listen: addresses.Address,
+    /,
+    *,
+    platform: addresses.Address,
+    data_centre: str,
+    count: int,
+    first: int = 0,
+    domain_size: int = 32,
+) -> int:
+    """Run many members in one process, to measure what they cost the entries.
+
+    :param listen: IP:port of the first member; the others take the ports after it
+    :param platform: IP:port of the platform, which lists the instances
+    :param data_centre: data centre of the instances
+    :param count: number of instances
+    :param first: number of the first instance
+    :param domain_size: instances in one fabric domain
+    """
+    events.start(f"fleet-{first}", data_centre, uuid.uuid4().hex, None)
+    listed = [
+        instance.Instance(
+            f"engine-{number}",
+            f"{listen.host}:{listen.port + number - first}",
+            data_centre,
+            instance.Kind.ENGINE,
+            fabric_domain=f"domain-{number // domain_size}",
+        )
+        for number in range(first, first + count)
+    ]
+    trio.run(_serve_fleet, platform, listed)
+    return 0
+
+
+async def _serve_fleet(platform_address: addresses.Address, fleet: list[instance.Instance]) -> None:
+    sizes = engine_faults.Sizes()
+    async with trio.open_nursery() as nursery:
+        for one in fleet:
+            serve = functools.partial(
+                engines.run,
+                tcp.make(),
+                one.name,
+                addresses.parse(one.address),
+                sizes,
+                engine_faults.Faults(),
+                uuid.uuid4().hex,
+            )
+            await nursery.start(serve)
+            await register(platform_address, one)
+
+
 def plain(
     name: str,
     listen: addresses.Address,
@@ -94,6 +146,20 @@
     return 0
 
 
+def link(
+    listen: addresses.Address, target: addresses.Address, control: addresses.Address, /
+) -> int:
+    """Relay TCP connections and cut, delay or silence them on demand.
+
+    :param listen: IP:port to listen on
+    :param target: IP:port to relay to
+    :param control: IP:port that takes ``POST /faults``
+    """
+    events.start("link", "", uuid.uuid4().hex, None)
+    trio.run(links.run, tcp.make(), listen, target, control)
+    return 0
+
+
 async def _serve_listed(
     platform_address: addresses.Address,
     listed: instance.Instance,
--- /dev/null
+++ b/src/galenavane/proof/stage.py
@@ -0,0 +1,257 @@
+"""Real processes of one proof on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import typing
+from collections import abc
+
+import msgspec
+import trio
+
+from galenavane.control import table
+from galenavane.entry import status
+from galenavane.net import address as addresses
+from galenavane.net import message, round_trip, tcp, transport_error
+from galenavane.platform import instance, stored
+from galenavane.soak import topology
+from galenavane.standin import plain, platform_faults
+
+DATA_CENTRE = "makole"
+CALL_SECONDS = 2.0
+LISTEN_SECONDS = 15.0
+READY_SECONDS = 30.0
+POLL_SECONDS = 0.1
+MAX_ANSWER_BYTES = 10_000_000
+_PLAIN_DECLARATIONS = """[service {service}]
+kind = plain
+idempotent = GET /jobs*
+[service {model_service}]
+kind = model
+members = {members}
+fencing = {fencing}
+[model {model}]
+versions = v1, v2
+[account clerks]
+key_sha256 = {digest}
+[deployment proof]
+"""
+
+
+class Stage:
+    """The processes of one proof.
+
+    :ivar wrong: name of the wrong version that entries run, or ``-``.
+    :ivar entries: callers' address by entry name.
+    :ivar operators: operators' address by entry name.
+    """
+
+    __slots__ = (
+        "_free",
+        "_links",
+        "entries",
+        "folder",
+        "operators",
+        "platform",
+        "processes",
+        "targets",
+        "wrong",
+    )
+
+    def __init__(self, folder: pathlib.Path, wrong: str) -> None:
+        self.folder = folder
+        self.wrong = wrong
+        self._free = _free_addresses(60)
+        self.platform = self._free.pop()
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.entries: dict[str, addresses.Address] = {}
+        self.operators: dict[str, addresses.Address] = {}
+        self.targets: dict[str, addresses.Address] = {}
+        self._links: dict[str, addresses.Address] = {}
+
+    def command(self, *args: str) -> list[str]:
+        """Return the command line of one galenavane process."""
+        return [sys.executable, "-m", "galenavane.proof.wrapped", self.wrong, *args]
+
+    def start(self, name: str, *args: str) -> None:
+        """Start one process that logs to a file of its own."""
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(self.command(*args), stderr=log, stdout=log)
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this proof."""
+        os.kill(self.processes[name].pid, number)
+
+    def stop_all(self) -> None:
+        """Kill every process that this proof started."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def start_platform(self) -> None:
+        """Start the stand-in platform."""
+        self.start("platform", "standin", "platform", str(self.platform))
+
+    def start_engine(self, name: str, domain: str, ignores_tokens: bool) -> None:
+        """Start one engine."""
+        where = self.targets.setdefault(name, self._free.pop())
+        place = ["--platform", str(self.platform), "--data-centre", DATA_CENTRE]
+        more = ["--ignore-tokens"] if ignores_tokens else []
+        self.start(
+            name, "standin", "engine", name, str(where), *place, "--fabric-domain", domain, *more
+        )
+
+    def start_plain(self, name: str) -> None:
+        """Start one process of the plain service."""
+        where = self.targets.setdefault(name, self._free.pop())
+        place = ["--platform", str(self.platform), "--data-centre", DATA_CENTRE]
+        service = ["--service", topology.PLAIN_SERVICE]
+        self.start(name, "standin", "plain", name, str(where), *place, *service)
+
+    def start_entry(self, name: str) -> None:
+        """Start one entry, at the addresses that it had before."""
+        callers = self.entries.setdefault(name, self._free.pop())
+        ops = self.operators.setdefault(name, self._free.pop())
+        peers = self.targets.setdefault(name, self._free.pop())
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[entry]\nname = {name}\ndata_centre = {DATA_CENTRE}\ncallers = {callers}\n"
+            f"operators = {ops}\npeers = {peers}\n[platform]\naddress = {self.platform}\n"
+        )
+        self.start(name, "entry", "--settings", str(path))
+
+    async def list_entries(self) -> None:
+        """Have the stand-in platform list the entries."""
+        for name in self.entries:
+            where = str(self.targets[name])
+            listed = instance.Instance(name, where, DATA_CENTRE, instance.Kind.ENTRY)
+            await self.list_instance(listed)
+
+    async def list_instance(self, listed: instance.Instance) -> None:
+        """Have the stand-in platform list an instance."""
+        await call(self.platform, message.json_request("POST", "/v1/instances", listed))
+
+    async def start_link(self, name: str) -> None:
+        """Put a relay before a plain target, which the platform then lists instead."""
+        listen, control = self._free.pop(), self._free.pop()
+        self._links[name] = control
+        target = str(self.targets[name])
+        self.start(f"link-{name}", "standin", "link", str(listen), target, str(control))
+        await self.list_instance(
+            instance.Instance(
+                name,
+                str(listen),
+                DATA_CENTRE,
+                instance.Kind.PLAIN,
+                service=topology.PLAIN_SERVICE,
+            )
+        )
+
+    async def disturb_link(self, name: str, faults: msgspec.Struct) -> None:
+        """Set the switches of a target's relay."""
+        await call(self._links[name], message.json_request("POST", "/faults", faults))
+
+    async def disturb_platform(self, faults: platform_faults.Faults) -> None:
+        """Set the switches of the platform."""
+        await call(self.platform, message.json_request("POST", "/faults", faults))
+
+    async def disturb_target(self, name: str, faults: msgspec.Struct) -> None:
+        """Set the switches of a target."""
+        await call(self.targets[name], message.json_request("POST", "/faults", faults))
+
+    async def run_command(self, *args: str) -> subprocess.CompletedProcess[bytes]:
+        """Run one operator's command to its end."""
+        command = self.command(*args)
+        return await trio.run_process(
+            command, check=False, capture_stdout=True, capture_stderr=True
+        )
+
+    def write_declarations(self, ignores_tokens: bool, groups: int) -> pathlib.Path:
+        """Write the declarations of the proof and return their folder."""
+        folder = self.folder / "declarations"
+        folder.mkdir(exist_ok=True)
+        text = _PLAIN_DECLARATIONS.format(
+            service=topology.PLAIN_SERVICE,
+            model_service=topology.MODEL_SERVICE,
+            model=topology.MODEL,
+            members=topology.MEMBERS,
+            fencing="ignored" if ignores_tokens else "checked",
+            digest=hashlib.sha256(topology.KEY.encode()).hexdigest(),
+        )
+        for preset, version in sorted(topology.PRESETS.items()):
+            count = groups - 1 if preset == "maintenance" else groups
+            text += f"[preset {preset}]\n[run {preset}/{topology.MODEL_SERVICE}]\n"
+            text += f"model = {topology.MODEL}\nversion = {version}\n"
+            text += f"replicas = {DATA_CENTRE}:{count}\n"
+        (folder / "all.ini").write_text(text)
+        return folder
+
+    async def status(self, name: str) -> status.EntryStatus | None:
+        """Return what an entry says of itself, ``None`` when it does not answer."""
+        try:
+            answer = await call(self.operators[name], message.Request("GET", "/status"))
+        except transport_error.TransportError:
+            return None
+        return msgspec.json.decode(answer.body, type=status.EntryStatus)
+
+    async def read_table(self) -> table.Table:
+        """Return the assignment table that the platform holds."""
+        req = message.Request("GET", f"/v1/objects/{table.key(DATA_CENTRE)}")
+        answer = await call(self.platform, req)
+        value = msgspec.json.decode(answer.body, type=stored.Stored).value
+        return table.decode(value) if value else table.Table(DATA_CENTRE)
+
+    async def ledgers(self) -> dict[str, list[plain.Run]]:
+        """Return the ledger of every plain target."""
+        found = {}
+        for name in self.targets:
+            if name.startswith("desk"):
+                req = message.Request("GET", "/ledger")
+                answer = await call(self.targets[name], req)
+                found[name] = msgspec.json.decode(answer.body, type=list[plain.Run])
+        return found
+
+    async def wait_complete(self, count: int, names: abc.Iterable[str]) -> None:
+        """Wait until entries see so many complete groups; raises when it takes too long."""
+        with trio.fail_after(READY_SECONDS):
+            for name in names:
+                while True:
+                    found = await self.status(name)
+                    if found and sum(one.complete for one in found.groups) == count:
+                        break
+                    await trio.sleep(POLL_SECONDS)
+
+    def read_events(self, name: str) -> list[dict[str, typing.Any]]:
+        """Return the events that a process has logged."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+async def call(where: addresses.Address, req: message.Request) -> message.Response:
+    """Call a process, waiting until it listens."""
+    with trio.move_on_after(LISTEN_SECONDS):
+        while True:
+            try:
+                return await round_trip.send(tcp.make(), where, req, CALL_SECONDS, MAX_ANSWER_BYTES)
+            except transport_error.TransportError as exc:
+                if exc.bytes_sent:
+                    raise
+                await trio.sleep(POLL_SECONDS)
+    kind = transport_error.Kind.NOT_CONNECTED
+    raise transport_error.TransportError(kind, False, f"{where} does not listen")
+
+
+def _free_addresses(count: int) -> list[addresses.Address]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [addresses.Address("127.0.0.1", one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return found
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -44,7 +44,9 @@
     "standin": {
         "platform": standin.platform,
         "engine": standin.engine,
+        "fleet": standin.fleet,
         "plain": standin.plain,
+        "link": standin.link,
     },
 }
 COMMANDS["completion"] = completion.make(COMMANDS)
