Count shared reports apart from membership's messages

Cause: at 48 entries an idle entry received about 34 messages a second that membership does not send: they are the shared reports, which were counted with membership's.

--- a/src/galenavane/experiment/configuration.py
+++ b/src/galenavane/experiment/configuration.py
@@ -41,8 +41,10 @@
 
 
 async def _measure(name: str, faults: platform_faults.Faults, dead: set[str], changes: int) -> str:
-    made = await _start(dead)
+    made = entry_processes.Processes()
+    made.dead = dead
     try:
+        await _start(made)
         await made.set_faults(faults)
         accepted = await _accept_all(made, changes)
         await trio.sleep(LAST_SECONDS)
@@ -51,9 +53,7 @@
     return _summarise(name, made, accepted)
 
 
-async def _start(dead: set[str]) -> entry_processes.Processes:
-    made = entry_processes.Processes()
-    made.dead = dead
+async def _start(made: entry_processes.Processes) -> None:
     await made.start_platform()
     await accept_preset(made, "ordinary")
     for number in range(6):
@@ -63,7 +63,6 @@
     for entry in made.entries:
         await entry_processes.wait_answer(entry.callers, "/readyz")
     await trio.sleep(SETTLE_SECONDS)
-    return made
 
 
 async def accept_preset(made: entry_processes.Processes, preset: str) -> int:
@@ -107,8 +106,9 @@
 
 async def _measure_start() -> str:
     """Replace an entry, with the platform and without it; return how soon it is ready."""
-    made = await _start(set())
+    made = entry_processes.Processes()
     try:
+        await _start(made)
         rows = []
         for is_down in (False, True):
             await made.set_faults(platform_faults.Faults(down=is_down))
--- a/src/galenavane/experiment/membership.py
+++ b/src/galenavane/experiment/membership.py
@@ -27,8 +27,9 @@
 class Cost:
     """What one entry spends in a second.
 
-    :ivar messages: sent and received.
+    :ivar messages: of membership, sent and received.
     :ivar message_bytes: of them, before encryption and framing.
+    :ivar reports: messages of shared reports that are received, which are not membership's.
     :ivar core: share of a core of the whole idle process.
     :ivar calls: calls of the platform.
     """
@@ -36,6 +37,7 @@
     entries: int
     messages: float
     message_bytes: float
+    reports: float
     core: float
     calls: float
     resident_bytes: float
@@ -50,16 +52,17 @@
     counts = [int(word) for word in sys.argv[1:]] or list(COUNTS)
     costs = []
     print(
-        "| entries | messages/s | message B/s | with CURVE, TCP, IP B/s | core % "
+        "| entries | messages/s | message B/s | with CURVE, TCP, IP B/s | reports/s | core % "
         "| platform calls/s | resident MB |"
     )
-    print("| --- | --- | --- | --- | --- | --- | --- |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for count in counts:
         one = trio.run(_measure, count)
         costs.append(one)
         print(
             f"| {one.entries} | {one.messages:.1f} | {one.message_bytes:.0f} "
-            f"| {one.wire_bytes():.0f} | {one.core * 100:.2f} | {one.calls:.2f} "
+            f"| {one.wire_bytes():.0f} | {one.reports:.1f} | {one.core * 100:.2f} "
+            f"| {one.calls:.2f} "
             f"| {one.resident_bytes / 1e6:.0f} |",
             flush=True,
         )
@@ -68,20 +71,21 @@
 
 
 def _print_line(costs: list[Cost]) -> None:
-    messages = [one.messages for one in costs]
+    messages = [one.messages + 2 * one.reports for one in costs]
     core = [one.core * 100 for one in costs]
     slope, start = statistics.linear_regression(messages, core)
     residual = max(abs(y - start - slope * x) for x, y in zip(messages, core, strict=True))
-    print(f"core % = {start:.3f} + {slope:.4f} * messages/s, largest residual {residual:.3f}")
+    print(f"core % = {start:.3f} + {slope:.4f} * (messages + 2 * reports)/s")
+    print(f"largest residual {residual:.3f}")
 
 
 async def _measure(count: int) -> Cost:
     made = entry_processes.Processes()
-    await made.start_platform()
-    await configuration.accept_preset(made, "ordinary")
     for number in range(count):
         made.add(f"entry-{number:02d}", configuration.DATA_CENTRES[number % 3])
     try:
+        await made.start_platform()
+        await configuration.accept_preset(made, "ordinary")
         for entry in made.entries:
             made.start(entry)
         for entry in made.entries:
@@ -96,11 +100,12 @@
     finally:
         made.stop()
     seconds = after.at - before.at
-    messages, message_bytes = _totals(made)
+    messages, message_bytes, reports = _totals(made)
     return Cost(
         entries=count,
         messages=messages,
         message_bytes=message_bytes,
+        reports=reports,
         core=(after.core - before.core) / seconds / count,
         calls=(after.calls - before.calls) / seconds / count,
         resident_bytes=resident,
@@ -128,15 +133,16 @@
     return _Snapshot(time.monotonic(), core, sum(calls.values()))
 
 
-def _totals(made: entry_processes.Processes) -> tuple[float, float]:
-    """Return the mean messages and bytes a second of an entry over its life, both ways."""
-    messages, message_bytes = [], []
+def _totals(made: entry_processes.Processes) -> tuple[float, float, float]:
+    """Return the mean messages, bytes and reports a second of an entry over its life."""
+    messages, message_bytes, reports = [], [], []
     for entry in made.entries:
         total = entry_processes.events(entry, "peer.totals")[-1]
         seconds = total["seconds"]
         messages.append((total["sent"] + total["received"]) / seconds)
         message_bytes.append((total["sent_bytes"] + total["received_bytes"]) / seconds)
-    return statistics.mean(messages), statistics.mean(message_bytes)
+        reports.append(total["reports_received"] / seconds)
+    return statistics.mean(messages), statistics.mean(message_bytes), statistics.mean(reports)
 
 
 if __name__ == "__main__":
--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -31,6 +31,7 @@
         "logged_at",
         "members",
         "received",
+        "reports",
         "sender",
         "sent",
         "started_ms",
@@ -51,6 +52,7 @@
         self.logged_at = float("-inf")
         self.sent = traffic.Traffic()
         self.received = traffic.Traffic()
+        self.reports = traffic.Traffic()
 
 
 async def run(view: views.View) -> None:
@@ -74,14 +76,17 @@
         sent_bytes=state.sent.message_bytes,
         received=state.received.messages,
         received_bytes=state.received.message_bytes,
+        reports_received=state.reports.messages,
+        reports_received_bytes=state.reports.message_bytes,
     )
 
 
 async def _receive(state: _State) -> None:
     while True:
         data = await state.view.transport.receive()
-        state.received.count(data)
         message = messages.decode(data)
+        is_report = isinstance(message, seen_message.Seen)
+        (state.reports if is_report else state.received).count(data)
         if message is None or not _take(state, message):
             _count_dropped(state, len(data))
 
