Let a defect end one relayed stream only, and read declared paths strictly

An exception of a pump would have ended the task that serves every stream. A path such as /search/../orders matched a declared prefix and would have been repeated; paths with more than one reading count as non-idempotent. Told errors carried x-request-id twice.

--- a/src/galenavane/net/relayed.py
+++ b/src/galenavane/net/relayed.py
@@ -60,7 +60,12 @@
 
     def start(self, now: float) -> None:
         """Pass on what came along with the head."""
-        self._pass_on(self._pump.start(now), now)
+        try:
+            out = self._pump.start(now)
+        except Exception as exc:
+            self.end(exc)
+            return
+        self._pass_on(out, now)
 
     def read_source(self, now: float) -> None:
         """Read once and pass on what the pump returns."""
@@ -72,7 +77,12 @@
             kind = transport_error.Kind.RESET
             self.end(transport_error.TransportError(kind, True, str(exc)))
             return
-        out = self._pump.feed(data, now)
+        try:
+            out = self._pump.feed(data, now)
+        except Exception as exc:
+            # A defect ends this stream, not the task that serves all of them.
+            self.end(exc)
+            return
         self._wait_seconds = self._deadlines.progress_seconds
         self.deadline = now + self._wait_seconds
         self._pass_on(out, now)
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -56,7 +56,8 @@
         if isinstance(answer, failure.Failure):
             told.append(answer)
             answer = errors.response(answer, caller.request_id)
-        answer.headers.add(forwarded.REQUEST_ID, caller.request_id)
+        else:
+            answer.headers.add(forwarded.REQUEST_ID, caller.request_id)
         await caller.exchange.respond(answer)
 
     async def run() -> Answer:
@@ -70,7 +71,12 @@
 
 
 def is_idempotent(service: declaration.Service, method: str, path: str) -> bool:
-    """Whether a call is declared as one that may be repeated."""
+    """Whether a call is declared as one that may be repeated.
+
+    A path that its target may read as another one, such as ``/search/../orders``, is not.
+    """
+    if ".." in path or "%" in path or "\\" in path or "//" in path:
+        return False
     call = f"{method} {path}"
     return any(
         call.startswith(pattern[:-1]) if pattern.endswith("*") else call == pattern
--- a/tests/net/relay_hub.feature
+++ b/tests/net/relay_hub.feature
@@ -22,3 +22,6 @@
 
   Scenario: Bytes of the client's next request are kept
     Then a next request that comes during a relayed stream is read after it
+
+  Scenario: A defect in one stream does not end the others
+    Then a relayed stream whose pump raises ends with that error while another comes whole
--- a/tests/serve/plain_request.feature
+++ b/tests/serve/plain_request.feature
@@ -19,3 +19,15 @@
   Scenario: An answer that a target marks as another request's never reaches the caller
     Given a small deployment
     Then an answer that names another request is told as wrong_answer
+
+  Scenario Outline: Only a declared call may be repeated, by a path that has one reading
+    Then with "POST /search*" declared a call "<call>" is idempotent <expected>
+
+    Examples:
+      | call                     | expected |
+      | POST /search/kits        | True     |
+      | POST /orders             | False    |
+      | GET /search              | False    |
+      | POST /search/../orders   | False    |
+      | POST /search/%2e%2e/x    | False    |
+      | POST /search//orders     | False    |
--- a/tests/steps/net_relay_hub.py
+++ b/tests/steps/net_relay_hub.py
@@ -214,3 +214,33 @@
         assert (await stream.sink.next_event()).target == b"/next"
 
     clock.run(main, 1)
+
+
+@then("a relayed stream whose pump raises ends with that error while another comes whole")
+def check_defect(context):
+    class Defect:
+        done = False
+        error = None
+
+        def start(self, now):
+            return b""
+
+        def feed(self, data, now):
+            raise ZeroDivisionError
+
+    async def run_defect(stream):
+        await stream.engine.send_all(b"x")
+        try:
+            await relay.run(stream.source, stream.sink, Defect(), DEADLINES)
+        except ZeroDivisionError:
+            return
+        raise AssertionError("the defect was not told")
+
+    async def run_both():
+        done = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(relay_whole, Stream("whole"), 50, 0.01, done)
+            await run_defect(Stream("broken"))
+        assert done == ["whole"]
+
+    clock.run(run_both, 1)
--- a/tests/steps/serve_plain_request.py
+++ b/tests/steps/serve_plain_request.py
@@ -8,10 +8,11 @@
 import trio
 from behave import given, then
 
+from galenavane.config import declaration
 from galenavane.experiment import small_deployment
 from galenavane.net import headers, message
 from galenavane.platform import instance
-from galenavane.serve import forwarded, plain_health
+from galenavane.serve import forwarded, plain_health, plain_request
 from galenavane.simulate import clock, faulty_net
 from galenavane.standin import plain
 
@@ -29,6 +30,14 @@
     assert health.prefer(["a", "b"], 20.0) == {"a", "b"}
 
 
+@then('with "POST /search*" declared a call "{call}" is idempotent {expected}')
+def check_idempotent(context, call, expected):
+    kind = declaration.ServiceKind.PLAIN
+    service = declaration.Service("desk", kind, idempotent=["POST /search*"])
+    method, path = call.split(" ")
+    assert plain_request.is_idempotent(service, method, path) is (expected == "True")
+
+
 @given("a small deployment")
 def make_plain(context):
     context.first_fault = faulty_net.Kind.NONE
