--- a/src/galenavane/entry/configuration_task.py
+++ b/src/galenavane/entry/configuration_task.py
@@ -16,7 +16,8 @@
 
 WATCH_SECONDS = 10.0
 WATCHER_POLL_SECONDS = 2.0
-OTHER_POLL_SECONDS = 30.0
+OTHER_POLL_SECONDS = 4.0
+SILENT_WATCH_SECONDS = 1.0
 STEP_SECONDS = 0.25
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 2.0
@@ -28,7 +29,8 @@
 
     :ivar best: highest configuration offered, in force once the entry may start.
     :ivar answered_at: when the platform or a peer first answered.
-    :ivar silent_watch: cancels a watch that a poll has overtaken.
+    :ivar watches: watches that have returned.
+    :ivar watch_scope: cancels the watch under way.
     """
 
     view: views.View
@@ -36,7 +38,8 @@
     is_started: bool = False
     is_head_read: bool = False
     answered_at: float = float("inf")
-    silent_watch: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
+    watches: int = 0
+    watch_scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
 
 
 async def run(view: views.View) -> None:
@@ -54,9 +57,10 @@
         if not is_watcher(state.view):
             await trio.sleep(STEP_SECONDS)
             continue
-        with trio.CancelScope() as state.silent_watch:
+        with trio.CancelScope() as state.watch_scope:
             found = await state.view.platform.watch(heads.HEAD_KEY, revision, WATCH_SECONDS)
-        if state.silent_watch.cancelled_caught:
+        state.watches += 1
+        if state.watch_scope.cancelled_caught:
             continue
         if found.is_ok():
             texts = [one.value for one in found.ok.objects if one.value]
@@ -96,11 +100,14 @@
 
 
 async def _take_polled(state: _State, text: str) -> bool:
-    before = _generation(state)
+    """Take in a head that was polled; a watch that does not show it soon is given up."""
+    before, watches = _generation(state), state.watches
     taken = await _take(state, text)
     if before and _generation(state) > before and is_watcher(state.view):
-        events.log("config.watch_silent", generation=_generation(state))
-        state.silent_watch.cancel()
+        await trio.sleep(SILENT_WATCH_SECONDS)
+        if state.watches == watches:
+            events.log("config.watch_silent", generation=_generation(state))
+            state.watch_scope.cancel()
     return taken
 
 
--- a/tests/entry/configuration_task.feature
+++ b/tests/entry/configuration_task.feature
@@ -11,6 +11,9 @@
       | a data centre is cut from the platform  |
       | only one entry reaches the platform     |
 
+  Scenario: The three watchers of a data centre are cut from the platform
+    Then configurations reach a data centre whose 3 watchers alone are cut from the platform
+
   Scenario: An entry that starts during an outage takes the configuration from its peers
     Then configurations reach an entry that is replaced during an outage of the platform
 
--- a/tests/steps/entry_configuration_task.py
+++ b/tests/steps/entry_configuration_task.py
@@ -10,6 +10,7 @@
 
 from galenavane.cli import acceptance, wanted
 from galenavane.config import accept, read
+from galenavane.entry import configuration_task
 from galenavane.net import message
 from galenavane.platform import client
 from galenavane.simulate import clock, deployment
@@ -102,6 +103,25 @@
     in_world(context, scenario)
 
 
+@then("configurations reach a data centre whose {count:d} watchers alone are cut from the platform")
+def cut_watchers(context, count):
+    async def scenario(world):
+        local = [*PLACES["makole"], "f1", "f2", "f3"]
+        for name in local[2:]:
+            await world.made.start_entry(name, "makole")
+        await world.wait_generation(1, START_SECONDS, local)
+        await trio.sleep(START_SECONDS)
+        watchers = [name for name in local if configuration_task.is_watcher(world.made.views[name])]
+        assert len(watchers) == count, watchers
+        world.cut([*watchers, *PLACES["kikuyu"], *PLACES["chamwino"]])
+        for number in range(2, 6):
+            await trio.sleep(world.made.rng.uniform(0, 10))
+            assert (await world.apply(["ordinary", "maintenance"][number % 2])).is_ok()
+            await world.wait_generation(number, IN_FORCE_SECONDS, local)
+
+    in_world(context, scenario)
+
+
 @then("configurations reach an entry that is replaced during an outage of the platform")
 def replace_in_outage(context):
     async def scenario(world):
