--- a/src/galenavane/load/balancer.py
+++ b/src/galenavane/load/balancer.py
@@ -7,20 +7,20 @@
 import trio
 
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, http_server, network, transport_error
+from galenavane.net import http_connection, network, transport_error
 
 REVIEW_SECONDS = 2.0
 
 
 class _Balancer:
-    """A network that dials another entry when the wanted one takes no connection.
+    """Dials another entry when the wanted one takes no connection.
 
     :ivar failed_at: monotonic time of the last failure by address.
     """
 
     __slots__ = ("_entries", "_net", "failed_at")
 
-    def __init__(self, net: network.Network, entries: list[addresses.Address]) -> None:
+    def __init__(self, net: network.Dialer, entries: list[addresses.Address]) -> None:
         self._net = net
         self._entries = entries
         self.failed_at: dict[addresses.Address, float] = {}
@@ -47,17 +47,7 @@
         since = trio.current_time() - REVIEW_SECONDS
         return sorted(order, key=lambda one: self.failed_at.get(one, float("-inf")) > since)
 
-    async def listen(
-        self,
-        where: addresses.Address,
-        handler: http_server.Handler,
-        limits: http_server.Limits | None = None,
-        *,
-        task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        await self._net.listen(where, handler, limits, task_status=task_status)
 
-
-def make(net: network.Network, entries: abc.Iterable[addresses.Address]) -> network.Network:
-    """Return a network that balances connections to entries."""
+def make(net: network.Dialer, entries: abc.Iterable[addresses.Address]) -> network.Dialer:
+    """Return a dialer that balances connections to entries."""
     return _Balancer(net, list(entries))
--- a/src/galenavane/load/generator.py
+++ b/src/galenavane/load/generator.py
@@ -40,7 +40,7 @@
     profile: profile.Profile
     seconds: float
     seed: int
-    net: network.Network = dataclasses.field(default_factory=tcp.make)
+    net: network.Dialer = dataclasses.field(default_factory=tcp.make)
 
 
 async def run(plan: Plan) -> results.Result:
@@ -113,7 +113,7 @@
 
 
 async def _read_stream(
-    net: network.Network,
+    net: network.Dialer,
     where: addresses.Address,
     req: message.Request,
     body: completion.CompletionRequest,
@@ -136,7 +136,7 @@
 
 
 async def _read_part(
-    net: network.Network,
+    net: network.Dialer,
     where: addresses.Address,
     req: message.Request,
     body: completion.CompletionRequest,
@@ -220,7 +220,7 @@
 
 
 async def _place_once(
-    net: network.Network,
+    net: network.Dialer,
     where: addresses.Address,
     req: message.Request,
     answers: list[bool],
@@ -234,7 +234,7 @@
 
 
 async def _call_plain(
-    net: network.Network, where: addresses.Address, req: message.Request, result: results.Result
+    net: network.Dialer, where: addresses.Address, req: message.Request, result: results.Result
 ) -> bool:
     """Call a plain service; return whether it answered with success."""
     try:
--- a/src/galenavane/net/keep_alive.py
+++ b/src/galenavane/net/keep_alive.py
@@ -20,7 +20,7 @@
 
     __slots__ = ("_idle", "_net")
 
-    def __init__(self, net: network.Network) -> None:
+    def __init__(self, net: network.Dialer) -> None:
         self._net = net
         self._idle: dict[addresses.Address, http_connection.HttpConnection] = {}
 
@@ -83,6 +83,6 @@
         return True
 
 
-def make(net: network.Network) -> KeepAlive:
+def make(net: network.Dialer) -> KeepAlive:
     """Return calls over a network, with no connection yet."""
     return KeepAlive(net)
--- a/src/galenavane/net/network.py
+++ b/src/galenavane/net/network.py
@@ -10,8 +10,8 @@
 from galenavane.net import http_connection, http_server
 
 
-class Network(typing.Protocol):
-    """Opens and accepts HTTP connections."""
+class Dialer(typing.Protocol):
+    """Opens HTTP connections."""
 
     async def dial(
         self, where: addresses.Address, timeout_seconds: float
@@ -21,6 +21,10 @@
         :raises TransportError: ``NOT_CONNECTED``.
         """
 
+
+class Network(Dialer, typing.Protocol):
+    """Opens and accepts HTTP connections."""
+
     async def listen(
         self,
         where: addresses.Address,
--- a/src/galenavane/net/round_trip.py
+++ b/src/galenavane/net/round_trip.py
@@ -12,7 +12,7 @@
 
 
 async def send(
-    net: network.Network,
+    net: network.Dialer,
     where: addresses.Address,
     req: message.Request,
     timeout_seconds: float,
