--- a/src/galenavane/experiment/serving_model.py
+++ b/src/galenavane/experiment/serving_model.py
@@ -8,10 +8,11 @@
 
 from galenavane.config import declaration
 from galenavane.experiment import engine_model, virtual_time, workload
-from galenavane.peer import facts
+from galenavane.peer import facts, facts_update
 from galenavane.route import candidate as candidates
 from galenavane.route import decision, group_facts, pool, router
 from galenavane.route import grant as grants
+from galenavane.route import state as states
 from galenavane.target import report
 
 POOL = pool.Pool("scribe-model", "scribe", "1")
@@ -27,7 +28,7 @@
 MAX_TRIES = 5
 NO_LIMIT = 1e12
 
-MakeChooser = abc.Callable[[int], router.Chooser]
+MakeChooser = abc.Callable[[int], states.Chooser]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,7 +76,7 @@
         self.plan = plan
         self.rng = random.Random(plan.seed)
         self.time = virtual_time.VirtualTime()
-        self.entries = [router.Router(plan.make_chooser(number)) for number in range(plan.entries)]
+        self.entries = [states.State(plan.make_chooser(number)) for number in range(plan.entries)]
         self.engines = {
             name: engine_model.Engine(name, plan.sizes, self.time)
             for name in (f"group-{number:02d}" for number in range(plan.groups))
@@ -155,23 +156,26 @@
     return look
 
 
-def _teller(model: Model, number: int, entry: router.Router) -> virtual_time.Callback:
+def _teller(model: Model, number: int, entry: states.State) -> virtual_time.Callback:
+    sender = facts_update.Sender()
+
     def tell() -> None:
-        told = router.own_facts(entry, model.time.now)
-        model.time.at(model.time.now + PEER_DELAY_SECONDS, lambda: hear(told))
+        update = sender.next_update(router.own_facts(entry, model.time.now))
+        model.time.at(model.time.now + PEER_DELAY_SECONDS, lambda: hear(update))
 
-    def hear(told: facts.Facts) -> None:
-        model._told[number] = told
+    def hear(update: facts_update.Update) -> None:
+        before = model._told.get(number, facts.Facts())
+        model._told[number] = facts_update.apply(before, update)
 
     return tell
 
 
-def _stepper(model: Model, number: int, entry: router.Router) -> virtual_time.Callback:
+def _stepper(model: Model, number: int, entry: states.State) -> virtual_time.Callback:
     def step() -> None:
         now = model.time.now
         live = [one for one in model._facts.values() if one.proved_until >= now]
         told = {str(key): one for key, one in model._told.items() if key != number}
-        router.hear_peers(entry, told, 0, now)
+        router.hear_peers(entry, told, 0)
         router.update_groups(entry, live, now)
         _carry_out(model, number, router.step(entry, now, model.rng))
 
@@ -213,7 +217,7 @@
 
 
 def _send_at_once(
-    model: Model, entry: router.Router, req: workload.Request, ask: grants.Ask, tried: set[str]
+    model: Model, entry: states.State, req: workload.Request, ask: grants.Ask, tried: set[str]
 ) -> None:
     now = model.time.now
     found = [
