--- a/src/galenavane/peer/membership.py
+++ b/src/galenavane/peer/membership.py
@@ -70,7 +70,7 @@
 def hear_hello(state: State, hello: messages.Hello, now: float) -> list[command.Command]:
     """Take in who an entry is."""
     known = state.members.get(hello.name)
-    if hello.name == state.name or (known is not None and hello.started_ms < known.started_ms):
+    if hello.name == state.name or (known is not None and _is_outdated(state, hello, known, now)):
         return []
     state.members[hello.name] = members.Member(
         name=hello.name,
@@ -93,6 +93,11 @@
     return commands + _compare(state, state.members[hello.name], now)
 
 
+def _is_outdated(state: State, hello: messages.Hello, known: members.Member, now: float) -> bool:
+    """Whether a hello is of an earlier start; a silent member's clock may have been set back."""
+    return hello.started_ms < known.started_ms and not is_silent(state, known, now)
+
+
 def hear_beat(state: State, beat: messages.Beat, now: float) -> list[command.Command]:
     """Take in a sign of life; an unknown incarnation is asked who it is."""
     known = state.members.get(beat.name)
--- a/tests/peer/membership.feature
+++ b/tests/peer/membership.feature
@@ -6,6 +6,9 @@
   Scenario: An earlier incarnation changes nothing
     Then membership ignores messages of an earlier incarnation
 
+  Scenario: An entry that comes back with its clock set back is heard once it was silent
+    Then membership hears an entry again whose clock was set back
+
   Scenario: A leaving entry is known to leave at once
     Then membership learns of a leaving entry from its first hello
 
--- a/tests/steps/peer_membership.py
+++ b/tests/steps/peer_membership.py
@@ -76,6 +76,16 @@
     assert kinds(membership.hear_beat(state, beat("b", started_ms=6), 1.0)) == [command.SayHello]
 
 
+@then("membership hears an entry again whose clock was set back")
+def hear_set_back(context):
+    state = make_state()
+    membership.hear_hello(state, hello("b", started_ms=5), 0.0)
+    later = membership.SILENT_PERIODS * membership.local_period(state)
+    membership.hear_hello(state, hello("b", started_ms=4), later)
+    assert state.members["b"].started_ms == 4
+    assert [one.name for one in membership.live(state, later)] == ["b"]
+
+
 @then("membership learns of a leaving entry from its first hello")
 def hear_leaving(context):
     state = make_state()
