--- /dev/null
+++ b/tests/steps/fuzz_parsers.py
@@ -0,0 +1,103 @@
+"""Steps that feed mutated corpus files to each parser that is ours."""
+
+from __future__ import annotations
+
+import configparser
+import pathlib
+import random
+
+import h11
+import msgspec
+from behave import then
+
+from galenavane import invariant
+from galenavane.config import read, settle
+from galenavane.control import table
+from galenavane.failure import failure
+from galenavane.load import profile
+from galenavane.net import address
+from galenavane.observe import clock, entries
+from galenavane.peer import messages, registration
+from galenavane.serve import completion_body, record, resume_token, stream_pump, stream_state
+
+CORPUS = pathlib.Path(__file__).resolve().parent.parent / "corpus"
+TOKENS = (b"\x00", b"\xff", b"{", b"}", b'"', b"=", b"\n", b"\r\n", b"-1", b"9" * 40, b"nan", b"[[")
+KEY = "fuzz-key"
+
+
+def parse_declarations(data):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text(data))
+    read.read_parsers([("fuzz.ini", parser)])
+
+
+def parse_profile(data):
+    path = pathlib.Path(parse_profile.folder) / "load.ini"
+    path.write_text(text(data), newline="")
+    profile.load(path)
+
+
+def parse_stream(data):
+    source = h11.Connection(h11.CLIENT)
+    head = h11.Request(method="POST", target="/", headers=[("host", "x")])
+    source.send(head)
+    source.send(h11.EndOfMessage())
+    state = stream_state.StreamState("0" * 32)
+    pump = stream_pump.StreamPump(source, state, None)
+    pump.start(0.0)
+    pump.feed(data, 0.0)
+
+
+def text(data):
+    return data.decode("utf-8", "replace")
+
+
+PARSERS = {
+    "peer_message": (messages.decode, ()),
+    "clock": (lambda data: clock.parse(text(data)), ()),
+    "address": (lambda data: address.parse(text(data)), (ValueError,)),
+    "completion_body": (completion_body.parse, ()),
+    "resume_token": (lambda data: resume_token.verify(KEY, text(data), 0.0), ()),
+    "head": (lambda data: settle.decode(text(data)), ()),
+    "registration": (lambda data: registration.decode(text(data)), ()),
+    "record": (lambda data: record.decode(text(data)), (msgspec.DecodeError,)),
+    "table": (lambda data: table.decode(text(data)), (msgspec.DecodeError,)),
+    "log_line": (lambda data: entries.parse_line(text(data)), ()),
+    "declarations": (parse_declarations, (failure.UserError, configparser.Error)),
+    "load_profile": (parse_profile, (failure.UserError,)),
+    "target_stream": (parse_stream, (invariant.ViolationError,)),
+}
+
+
+@then('{count:d} mutations of the corpus of "{name}" are parsed or refused as declared')
+def fuzz(context, count, name):
+    parse_profile.folder = context.folder
+    parse, refusals = PARSERS[name]
+    corpus = [path.read_bytes() for path in sorted((CORPUS / name).iterdir())]
+    assert corpus
+    rng = random.Random(name)
+    for data in corpus + [mutate(rng, rng.choice(corpus)) for _ in range(count)]:
+        try:
+            parse(data)
+        except refusals:
+            continue
+        except Exception as exc:
+            raise AssertionError(f"{data!r}: {type(exc).__name__}: {exc}") from exc
+
+
+def mutate(rng, data):
+    """Return the data with a few bytes changed, removed, doubled or put in."""
+    for _ in range(rng.randint(1, 4)):
+        at = rng.randint(0, len(data))
+        end = min(len(data), at + rng.randint(0, 12))
+        what = rng.randrange(4)
+        if what == 0 and data:
+            at = min(at, len(data) - 1)
+            data = data[:at] + bytes([data[at] ^ (1 << rng.randrange(8))]) + data[at + 1 :]
+        elif what == 1:
+            data = data[:at] + data[end:]
+        elif what == 2:
+            data = data[:end] + data[at:]
+        else:
+            data = data[:at] + rng.choice(TOKENS) + data[at:]
+    return data
