--- a/tests/config/check.feature
+++ b/tests/config/check.feature
@@ -41,3 +41,6 @@
   Scenario: A settings file that does not exist
     When galenavane runs "entry --settings {folder}/none.ini"
     Then it exits with 2 and one line that contains "does not exist"
+
+  Scenario: Any text in a file gives declarations or one line of error
+    Then reading any INI text gives declarations or one user error
--- /dev/null
+++ b/tests/steps/config_read.py
@@ -0,0 +1,38 @@
+"""Steps that read arbitrary INI text."""
+
+from __future__ import annotations
+
+import hypothesis
+from behave import then
+from hypothesis import strategies
+
+from galenavane.config import canonical, ini, read
+from galenavane.failure import failure
+
+SETTINGS = hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=300)
+WORDS = ["[", "]", "=", ":", "\n", " ", "#", "%", "\0", "run", "a/b", "service x", "kind", "model"]
+WORDS += ["members", "-1", "1e999", "nan", "replicas", "d:1", "é", "DEFAULT", "preset p", ",", "x"]
+
+
+@then("reading any INI text gives declarations or one user error")
+def read_any(context):
+    examples = context.root / "examples" / "dodoma"
+    good = "\n".join(path.read_text() for path in sorted(examples.glob("*.ini")))
+    assert read.read_parsers([("good", ini.read_text(good, "good"))]).services
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(WORDS), max_size=30).map("".join),
+        strategies.integers(0, len(good)),
+        strategies.booleans(),
+    )
+    def check(noise, place, is_alone):
+        text = noise if is_alone else good[:place] + noise + good[place:]
+        try:
+            declared = read.read_parsers([("noise", ini.read_text(text, "noise"))])
+        except failure.UserError as exc:
+            assert "\n" not in str(exc), exc
+        else:
+            assert canonical.join(canonical.split(declared)) == declared
+
+    check()
