Keep what an entry reported when it stops

Cause: the entry's colleagues drop its box and with it every report that it told, so the lease holder took healthy members for never heard.

--- a/src/galenavane/entry/reports_task.py
+++ b/src/galenavane/entry/reports_task.py
@@ -115,10 +115,16 @@
 
 
 def _merge(state: _State, one: instance.Instance) -> sighting.Sighting:
-    """Return the newest report of an instance, asked or told."""
+    """Return the newest report of an instance, asked or told.
+
+    What an entry told stays known when it stops, since the next one to ask needs a while.
+    """
     newest = sighting.Sighting(one, None, -math.inf)
+    before = state.view.seen.value.get(one.name)
+    if before is not None:
+        newest = sighting.Sighting(one, before.report, before.reported_at)
     own = state.polled.get(one.name)
-    if own is not None:
+    if own is not None and own.reported_at > newest.reported_at:
         newest = sighting.Sighting(one, own.report, own.reported_at)
     for box in state.boxes.values():
         told = box.rows.get(one.name)
--- a/src/galenavane/experiment/wrong_versions.py
+++ b/src/galenavane/experiment/wrong_versions.py
@@ -38,11 +38,10 @@
     schedule = DIRECTED.get(one.number)
     for seed in range(1, MAX_SEEDS + 1):
         with wrong.swapped_in(one):
-            found = run.run(seed, None, topology.SMALL)
-        if (
-            one.number in found.numbers
-            and one.number not in run.run(seed, None, topology.SMALL).numbers
-        ):
+            found = run.run(seed, schedule, topology.SMALL)
+        if one.number not in found.numbers:
+            continue
+        if one.number not in run.run(seed, schedule, topology.SMALL).numbers:
             return found
     return None
 
