--- a/src/galenavane/route/account_limits.py
+++ b/src/galenavane/route/account_limits.py
@@ -16,12 +16,12 @@
 
 
 class _Bucket:
-    """A token bucket that may go into debt by one request."""
+    """A token bucket, full at first, that may go into debt by one request."""
 
     __slots__ = ("at", "level")
 
-    def __init__(self, level: float, now: float) -> None:
-        self.level = level
+    def __init__(self, now: float) -> None:
+        self.level = float("inf")
         self.at = now
 
     def fill(self, per_second: float, now: float) -> None:
@@ -45,8 +45,8 @@
     def __init__(self, now: float) -> None:
         self.request_rate = rate.Rate(DEMAND_MEMORY_SECONDS)
         self.token_rate = rate.Rate(DEMAND_MEMORY_SECONDS)
-        self.request_bucket = _Bucket(1.0, now)
-        self.token_bucket = _Bucket(1.0, now)
+        self.request_bucket = _Bucket(now)
+        self.token_bucket = _Bucket(now)
         self.told = facts.Demand(0.0, 0.0)
 
 
