--- a/src/galenavane/experiment/routing_cost.py
+++ b/src/galenavane/experiment/routing_cost.py
@@ -27,7 +27,7 @@
     print("| groups near | far | µs a request | µs a round of reports | state MB |")
     print("| --- | --- | --- | --- | --- |")
     for near, far in NEAR_AND_FAR:
-        router_state, seconds, update_seconds = _measure(near, far)
+        _, seconds, update_seconds = _measure(near, far)
         memory = _measure_memory(near, far)
         print(
             f"| {near} | {far} | {1e6 * seconds:.0f} | {1e6 * update_seconds:.0f} | "
