--- a/src/galenavane/load/report.py
+++ b/src/galenavane/load/report.py
@@ -7,20 +7,27 @@
 
 from galenavane.load import result as results
 
+CURVE_PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.9, 100)
+
 
 class Latency(msgspec.Struct, frozen=True):
-    """Percentiles in milliseconds."""
+    """Percentiles in milliseconds.
+
+    :ivar curve: percentile and milliseconds, for a plot.
+    """
 
     p50_ms: float
     p95_ms: float
     p99_ms: float
     count: int
+    curve: list[tuple[float, float]] = []
 
 
 class Summary(msgspec.Struct, frozen=True):
     """A result as JSON."""
 
     answered: int
+    resumed: int
     wrong: int
     placed: int
     refused: dict[str, int]
@@ -32,6 +39,7 @@
     """Return the summary of a result."""
     return Summary(
         result.answered,
+        result.resumed,
         result.wrong,
         len(result.placed),
         dict(sorted(result.refused.items())),
@@ -44,7 +52,7 @@
     """Return the summary as text; its last line is the verdict."""
     found = summarise(result)
     lines = [
-        f"completions answered  {found.answered}",
+        f"completions answered  {found.answered}, of which {found.resumed} were resumed elsewhere",
         f"first token           {_render(found.first_token)}",
         f"between tokens        {_render(found.between_tokens)}",
         f"jobs placed           {found.placed} of {len(result.sent_jobs)}",
@@ -56,7 +64,8 @@
 
 def _latency(found: histogram.HdrHistogram) -> Latency:
     p50, p95, p99 = (found.get_value_at_percentile(one) / 1000 for one in (50, 95, 99))
-    return Latency(p50, p95, p99, found.get_total_count())
+    curve = [(one, found.get_value_at_percentile(one) / 1000) for one in CURVE_PERCENTILES]
+    return Latency(p50, p95, p99, found.get_total_count(), curve)
 
 
 def _render(one: Latency) -> str:
--- a/src/galenavane/peer/task.py
+++ b/src/galenavane/peer/task.py
@@ -9,16 +9,39 @@
 from galenavane.config import in_force, sections, settings, settle
 from galenavane.entry import view as views
 from galenavane.observe import clock, events
-from galenavane.peer import command, facts, facts_update, membership, messages, seen_message
+from galenavane.peer import (
+    command,
+    facts,
+    facts_senders,
+    facts_update,
+    membership,
+    messages,
+    seen_message,
+    traffic,
+)
 
 TICK_SECONDS = 0.25
 LOG_DROPPED_SECONDS = 10.0
 
 
 class _State:
-    """Membership, and what was told and heard of facts."""
-
-    __slots__ = ("facts", "logged_at", "members", "sender", "started_ms", "view")
+    """Membership, and what was told and heard of facts.
+
+    :ivar told_by: start of the incarnation that told each peer's facts.
+    """
+
+    __slots__ = (
+        "facts",
+        "logged_at",
+        "members",
+        "received",
+        "reports",
+        "senders",
+        "sent",
+        "started_ms",
+        "told_by",
+        "view",
+    )
 
     def __init__(self, view: views.View) -> None:
         self.view = view
@@ -28,27 +51,48 @@
             str(view.cfg.get(settings.PEERS)),
             view.cfg.get(settings.SEEDS).split(),
         )
-        self.sender = facts_update.Sender()
+        self.senders = facts_senders.Senders()
         self.facts: dict[str, facts.PeerFacts] = {}
+        self.told_by: dict[str, int] = {}
         self.started_ms = int(events.wall_seconds() * 1000)
         self.logged_at = float("-inf")
+        self.sent = traffic.Traffic()
+        self.received = traffic.Traffic()
+        self.reports = traffic.Traffic()
 
 
 async def run(view: views.View) -> None:
     """Exchange messages until cancelled."""
     state = _State(view)
+    began = trio.current_time()
     try:
         async with trio.open_nursery() as nursery:
             for task in (_receive, _tick, _follow_registrations, _follow_configuration, _leave):
                 nursery.start_soon(task, state)
     finally:
         view.transport.close()
+        _log_totals(state, trio.current_time() - began)
+
+
+def _log_totals(state: _State, seconds: float) -> None:
+    events.log(
+        "peer.totals",
+        seconds=seconds,
+        sent=state.sent.messages,
+        sent_bytes=state.sent.message_bytes,
+        received=state.received.messages,
+        received_bytes=state.received.message_bytes,
+        reports_received=state.reports.messages,
+        reports_received_bytes=state.reports.message_bytes,
+    )
 
 
 async def _receive(state: _State) -> None:
     while True:
         data = await state.view.transport.receive()
         message = messages.decode(data)
+        is_report = isinstance(message, seen_message.Seen)
+        (state.reports if is_report else state.received).count(data)
         if message is None or not _take(state, message):
             _count_dropped(state, len(data))
 
@@ -78,11 +122,13 @@
     known = state.members.members.get(beat.name)
     if known is None or known.started_ms != beat.started_ms:
         return True
-    before = state.facts.get(beat.name)
+    is_restarted = state.told_by.get(beat.name) != beat.started_ms
+    before = None if is_restarted else state.facts.get(beat.name)
     try:
         found = facts_update.apply(before.facts if before else facts.Facts(), beat.facts)
     except (msgspec.ValidationError, TypeError):
         return False
+    state.told_by[beat.name] = beat.started_ms
     state.facts[beat.name] = facts.PeerFacts(beat.name, known.data_centre, now, found)
     state.view.peer_facts.publish(dict(state.facts))
     return True
@@ -137,7 +183,7 @@
     message = messages.Configuration(
         messages.PROTOCOL_VERSION, events.stamp(), heads.encode(current.head), missing
     )
-    state.view.transport.send(want.address, messages.encode(message))
+    _send_all(state, [want.address], message)
 
 
 async def _tick(state: _State) -> None:
@@ -176,7 +222,7 @@
         if isinstance(one, command.SayHello):
             _send_all(state, one.addresses, _hello(state, one.wants_answer))
         elif isinstance(one, command.SendBeat):
-            _send_all(state, one.addresses, _beat(state))
+            _send_all(state, one.addresses, _beat(state, one.addresses))
         elif isinstance(one, command.AskConfiguration):
             _send_all(state, [one.address], _want(state))
         else:
@@ -186,6 +232,7 @@
 def _send_all(state: _State, told: list[str], message: messages.Message) -> None:
     data = messages.encode(message)
     for address in told:
+        state.sent.count(data)
         state.view.transport.send(address, data)
 
 
@@ -205,7 +252,7 @@
     )
 
 
-def _beat(state: _State) -> messages.Beat:
+def _beat(state: _State, told: list[str]) -> messages.Beat:
     stamp = clock.parse(events.stamp()) or clock.Stamp(0, 0)
     return messages.Beat(
         messages.PROTOCOL_VERSION,
@@ -214,7 +261,7 @@
         state.members.name,
         state.started_ms,
         state.members.generation,
-        state.sender.next_update(state.view.own_facts.value),
+        state.senders.next_update(told, state.view.own_facts.value),
     )
 
 
@@ -238,5 +285,6 @@
     gone = [name for name in state.facts if name not in names]
     for name in gone:
         del state.facts[name]
+        state.told_by.pop(name, None)
     if gone:
         state.view.peer_facts.publish(dict(state.facts))
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -46,6 +46,7 @@
         "engine": standin.engine,
         "fleet": standin.fleet,
         "plain": standin.plain,
+        "link": standin.link,
     },
 }
 COMMANDS["completion"] = completion.make(COMMANDS)
