--- a/src/galenavane/serve/caller.py
+++ b/src/galenavane/serve/caller.py
@@ -14,6 +14,8 @@
 from galenavane.net import http_server
 
 DEADLINE_HEADER = "x-deadline-seconds"
+PRIORITY_HEADER = "x-priority"
+LOWEST_PRIORITY = 9
 KEY_HEADER = "idempotency-key"
 REQUEST_ID_HEADER = "x-request-id"
 DEFAULT_DEADLINE_SECONDS = 60.0
--- a/src/galenavane/serve/model_request.py
+++ b/src/galenavane/serve/model_request.py
@@ -159,7 +159,7 @@
         model=run.model,
         version=run.version,
         adapter=adapter,
-        priority=service.priority,
+        priority=_priority(service, caller),
         prompt=prompt,
         prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
         max_tokens=request.max_tokens,
@@ -167,6 +167,14 @@
     )
 
 
+def _priority(service: declaration.Service, caller: callers.Caller) -> int:
+    """Return the class of a request: its service's, or a lower one that the caller asks for."""
+    asked = caller.exchange.request.headers.get(callers.PRIORITY_HEADER)
+    if not asked.isdigit():
+        return service.priority
+    return max(service.priority, min(int(asked), callers.LOWEST_PRIORITY))
+
+
 def _find_run(configuration: in_force.InForce, model: str, adapter: str) -> declaration.Run | None:
     for run in configuration.runs():
         if run.model == model and (not adapter or adapter in run.adapters):
--- a/tests/route/dispatch.feature
+++ b/tests/route/dispatch.feature
@@ -8,3 +8,6 @@
 
   Scenario: A hot account leaves room for another
     Then in a simulated deployment with seed 13 a quiet account is answered beside a hot one
+
+  Scenario: A request goes before those whose caller asked for a lower class
+    Then in a simulated deployment with seed 14 a plain request overtakes many of priority 5
--- a/tests/steps/route_dispatch.py
+++ b/tests/steps/route_dispatch.py
@@ -17,20 +17,23 @@
 HOT_REQUESTS = 150
 
 
-def completion(key, tokens, deadline):
+def completion(key, tokens, deadline, priority=""):
     """Build a completion request with a deadline."""
     fields = headers.Headers().add("authorization", f"Bearer {key}")
+    if priority:
+        fields.add("x-priority", priority)
     fields.add("x-deadline-seconds", str(deadline))
     body = {"model": "scribe", "prompt": "p", "max_tokens": tokens}
     return message.Request("POST", "/v1/completions", fields, msgspec.json.encode(body))
 
 
-async def send_many(made, count, tokens, deadline, key=whole.KEY):
+async def send_many(made, count, tokens, deadline, key=whole.KEY, priority=""):
     """Send requests at once through the first entry; return the answers."""
     answers = []
 
     async def send():
-        answers.append(await made.call(made.entries["entry-0"], completion(key, tokens, deadline)))
+        req = completion(key, tokens, deadline, priority)
+        answers.append(await made.call(made.entries["entry-0"], req))
 
     async with trio.open_nursery() as nursery:
         for _ in range(count):
@@ -127,3 +130,23 @@
     *answers, seconds = whole.simulate(seed, scenario)
     assert [one.status for one in answers] == [200] * 5
     assert seconds < 2.0, seconds
+
+
+@then("in a simulated deployment with seed {seed:d} a plain request overtakes many of priority 5")
+def overtake(context, seed):
+    async def scenario(made):
+        ended = []
+
+        async def send(count, priority):
+            await send_many(made, count, 60, 30.0, priority=priority)
+            ended.append((priority, trio.current_time()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, HOT_REQUESTS, "5")
+            await trio.sleep(0.5)
+            nursery.start_soon(send, 1, "")
+        return ended
+
+    ended = whole.simulate(seed, scenario)
+    assert [priority for priority, _ in ended] == ["", "5"], ended
+    assert ended[1][1] - ended[0][1] > 1.0, ended
