--- a/src/galenavane/route/admission.py
+++ b/src/galenavane/route/admission.py
@@ -121,13 +121,12 @@
         """Whether a request of a class may be sent now."""
         return own < max(1.0, self.places - self.reserved_from(priority) * capacity / entries)
 
-    def expire(self, now: float) -> list[decision.Refused]:
-        """Refuse what has waited until its deadline."""
+    def expire(self, now: float) -> list[waiting.Waiting]:
+        """Remove and return what has waited until its deadline."""
         late = [item for item in self.queue.items() if item.ask.deadline <= now]
         for item in late:
             self.queue.remove(item)
-        text = "no group got free before the deadline"
-        return [refuse(item, codes.Code.DEADLINE, text, 0.0) for item in late]
+        return late
 
 
 def refuse(
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -81,7 +81,10 @@
     router.sends.remember(now)
     decisions: list[decision.Decision] = []
     for pool, gate in router.admissions.items():
-        decisions += gate.expire(now)
+        for item in gate.expire(now):
+            _refund(router, item)
+            text = "no group got free before the deadline"
+            decisions.append(admission.refuse(item, codes.Code.DEADLINE, text, 0.0))
         _share_places(router, pool, gate, now)
         decisions += _grant_all(router, pool, now, rng)
     return decisions
--- a/tests/route/router.feature
+++ b/tests/route/router.feature
@@ -28,3 +28,8 @@
     Given a router with 1 group of 1 places
     When routed requests of classes 1, 1, 1 and 0 arrive and the first one ends
     Then the routed request of class 0 has been granted second
+
+  Scenario: A request that waited in vain is not charged
+    Given a router with 1 group of 1 places
+    When a routed request of an account with 1 token a second waits until its deadline
+    Then that account may send another routed request at once
--- a/tests/steps/route_router.py
+++ b/tests/steps/route_router.py
@@ -191,3 +191,21 @@
     for one in open_grants:
         scores = pick.predict_first_token(one.chosen, one.ask.prompt_tokens)
         assert scores >= pick.least_first_token(one.chosen, one.ask.prompt_tokens)
+
+
+@when("a routed request of an account with 1 token a second waits until its deadline")
+def wait_in_vain(context):
+    context.account = declaration.Account("b", "", 1e9, 1.0)
+    ask = make_ask(0)
+    context.found += router.arrive(context.router, ask, ACCOUNT, set(), 0.0, context.rng)
+    ask = make_ask(1, 0.5, account="b")
+    assert not router.arrive(context.router, ask, context.account, set(), 0.0, context.rng)
+    refused = router.step(context.router, 0.5, context.rng)
+    assert [one.failure.code for one in refused] == [code.Code.DEADLINE]
+
+
+@then("that account may send another routed request at once")
+def send_more(context):
+    ask = make_ask(2, account="b")
+    found = router.arrive(context.router, ask, context.account, set(), 0.5, context.rng)
+    assert found == [], found
