--- a/src/galenavane/control/damping.py
+++ b/src/galenavane/control/damping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections import abc
 
 from galenavane.control import condition, sighting
@@ -42,6 +43,12 @@
     )
 
 
+def next_release(state: State, now: float) -> float:
+    """Return when the next instance that is held back becomes free; infinite when none is."""
+    ends = [one.lost_at + hold_seconds(one.losses) for one in state.histories.values()]
+    return min((end for end in ends if end > now), default=math.inf)
+
+
 def hold_seconds(losses: int) -> float:
     """Return how long an instance is held back after so many losses; the first is free."""
     if losses < 2:
@@ -50,7 +57,7 @@
 
 
 def _update(history: _History, incarnation: str, is_heard: bool, now: float) -> None:
-    is_lost = (history.is_heard and not is_heard) or incarnation != history.incarnation
+    is_lost = history.is_heard and (not is_heard or incarnation != history.incarnation)
     if now - history.lost_at > FORGET_SECONDS:
         history.losses = 0
     if is_lost:
--- a/src/galenavane/entry/control_task.py
+++ b/src/galenavane/entry/control_task.py
@@ -24,6 +24,7 @@
 
 STEP_SECONDS = 0.5
 WRITE_TRIES = 3
+WRITE_RETRY_SECONDS = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,11 +34,13 @@
     :ivar version: platform version of the table as last read or written.
     :ivar table: the table that commands follow.
     :ivar is_kept: whether this table is known to be in the platform.
+    :ivar write_after: until when no write is tried, after the platform did not answer.
     """
 
     version: int
     table: table.Table
     is_kept: bool = False
+    write_after: float = float("-inf")
     damping: damping.State = dataclasses.field(default_factory=damping.State)
     quiet: quiet.State = dataclasses.field(default_factory=quiet.State)
 
@@ -133,6 +136,7 @@
         return held
     _publish(view, held)
     now = trio.current_time()
+    seen = _own_sightings(view)
     inputs = commands.Inputs(configuration, held.table, seen, held_back, grant.token, now)
     view.commanding.publish(True)
     try:
@@ -147,11 +151,15 @@
 
     While the platform is down, the plan goes on in memory.
     """
-    if wanted is held.table and held.is_kept:
+    now = trio.current_time()
+    if wanted is not held.table:
+        held.table = wanted
+        held.is_kept = False
+    if held.is_kept or now < held.write_after:
         return True
-    held.table = wanted
-    held.is_kept = False
     written = await _write(view, held)
+    if written is _Written.WAITING:
+        held.write_after = trio.current_time() + WRITE_RETRY_SECONDS
     return written is not _Written.LOST
 
 
--- a/src/galenavane/entry/lease_task.py
+++ b/src/galenavane/entry/lease_task.py
@@ -78,6 +78,7 @@
 async def _read(view: views.View, key: str, state: lease.State) -> None:
     found = await view.platform.get(key)
     if found.is_error():
+        lease.unanswered(state, trio.current_time())
         await trio.sleep(RETRY_SECONDS)
         return
     _observe(state, found.ok)
@@ -86,7 +87,7 @@
 async def _watch(view: views.View, key: str, state: lease.State, wait_seconds: float) -> None:
     found = await view.platform.watch(key, state.version, wait_seconds)
     if found.is_error():
-        lease.write_unsettled(state)
+        lease.unanswered(state, trio.current_time())
         await trio.sleep(RETRY_SECONDS)
         return
     if found.ok.revision < state.version:
--- a/src/galenavane/experiment/control_run.py
+++ b/src/galenavane/experiment/control_run.py
@@ -16,6 +16,7 @@
 from galenavane.target import command
 
 DAY_SECONDS = 86_400.0
+HOUR_SECONDS = 3_600.0
 STEP_SECONDS = 0.5
 MARGIN_SECONDS = 0.01
 STREAM_SECONDS = 20.0
@@ -227,6 +228,8 @@
     for order in orders:
         state.fleet.obey(order.instance, order.command)
     wakes = [state.fleet.next_load_end(), *_silences(state), *_drains(state)]
+    wakes.append((now // HOUR_SECONDS + 1) * HOUR_SECONDS)
+    wakes.append(damping.next_release(state.damping, now))
     if state.events:
         wakes.append(state.events[0][0])
     if is_changed or orders:
--- a/src/galenavane/platform/lease.py
+++ b/src/galenavane/platform/lease.py
@@ -132,6 +132,17 @@
     state.read_due = True
 
 
+def unanswered(state: State, now: float) -> None:
+    """Take in that the platform did not answer: the holder could not renew either.
+
+    The wait for its lease starts again, so that after an outage the holder goes on, with a
+    table that may be ahead of the platform's, and not everybody claims at once.
+    """
+    state.read_due = True
+    if not is_own(state):
+        state.seen_at = now
+
+
 def raise_token(state: State, token: int, now: float) -> bool:
     """Take in a fencing token that a target or a table shows; return whether it is news."""
     if token <= state.highest_token:
--- /dev/null
+++ b/tests/steps/control_commands.py
@@ -0,0 +1,69 @@
+"""Steps that look at commands to targets."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import control_plan as planned
+import msgspec
+from behave import given, then, when
+
+from galenavane.control import commands, table
+from galenavane.target import command, report
+
+
+def orders_of(context, kind):
+    """Return the commands of a kind that are due."""
+    inputs = commands.Inputs(
+        context.configuration, context.planned, context.seen, frozenset(), 1, 0.0
+    )
+    return [one for one in commands.next_orders(inputs) if one.command.kind is kind]
+
+
+def forget(context):
+    """Let every member forget its group; return the first member's name."""
+    members = [one for group in context.planned.groups for one in group.members]
+    for member in members:
+        blank = report.Report(member.instance, member.incarnation)
+        found = context.seen[member.instance]
+        context.seen[member.instance] = dataclasses.replace(found, report=blank)
+    return members[0].instance
+
+
+@given("a data centre with {count:d} idle instances and {groups:d} groups of {members:d} planned")
+def plan_groups(context, count, groups, members):
+    context.configuration = planned.configure([("s", members, groups, 0)])
+    context.seen = planned.see(count, 5)
+    empty = table.Table(planned.DATA_CENTRE, 1, 0, 1 << table.EPOCH_BITS)
+    context.planned = planned.plan_once(context.configuration, empty, context.seen)
+    assert len(context.planned.groups) == groups
+
+
+@when("every member has forgotten its group and one is silent")
+def forget_and_silence(context):
+    name = forget(context)
+    context.seen[name] = dataclasses.replace(context.seen[name], reported_at=-100.0)
+
+
+@when("every member has forgotten its group and one shows token {token:d}")
+def forget_and_show(context, token):
+    name = forget(context)
+    shown = msgspec.structs.replace(context.seen[name].report, token=token)
+    context.seen[name] = dataclasses.replace(context.seen[name], report=shown)
+
+
+@then("{count:d} members are commanded to join")
+def check_joins(context, count):
+    assert len(orders_of(context, command.Kind.JOIN)) == count
+
+
+@then("at most {count:d} loads are commanded at once")
+def check_loads(context, count):
+    joins = orders_of(context, command.Kind.JOIN)
+    assert sum(one.loads for one in joins) == count, len(joins)
+
+
+@then("the free instances are commanded to load each rank's weights")
+def check_standby(context):
+    shards = {one.command.shard for one in orders_of(context, command.Kind.LOAD)}
+    assert shards == {command.shard("m", "v1", rank, 2) for rank in range(2)}, shards
--- /dev/null
+++ b/tests/steps/control_fence.py
@@ -0,0 +1,21 @@
+"""Steps that ask whether a command may be sent."""
+
+from __future__ import annotations
+
+from behave import then
+
+from galenavane.config import declaration
+from galenavane.control import fence
+from galenavane.platform import lease
+
+
+@then("a command to a target whose tokens are {kind} with {left:g} seconds left is {answer}")
+def check_send(context, kind, left, answer):
+    grant = lease.Grant(1, 100.0 + left)
+    may = fence.may_send(declaration.Fencing(kind), grant, 100.0)
+    assert may == (answer == "sent")
+
+
+@then("without a grant no command is sent")
+def check_no_grant(context):
+    assert not any(fence.may_send(kind, None, 0.0) for kind in declaration.Fencing)
