--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -11,6 +11,7 @@
 from galenavane.entry import view as views
 from galenavane.failure import code as codes
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
 from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
@@ -55,7 +56,8 @@
         if isinstance(answer, failure.Failure):
             told.append(answer)
             answer = errors.response(answer, caller.request_id)
-        answer.headers.add(forwarded.REQUEST_ID, caller.request_id)
+        else:
+            answer.headers.add(forwarded.REQUEST_ID, caller.request_id)
         await caller.exchange.respond(answer)
 
     async def run() -> Answer:
@@ -69,7 +71,12 @@
 
 
 def is_idempotent(service: declaration.Service, method: str, path: str) -> bool:
-    """Whether a call is declared as one that may be repeated."""
+    """Whether a call is declared as one that may be repeated.
+
+    A path that its target may read as another one, such as ``/search/../orders``, is not.
+    """
+    if ".." in path or "%" in path or "\\" in path or "//" in path:
+        return False
     call = f"{method} {path}"
     return any(
         call.startswith(pattern[:-1]) if pattern.endswith("*") else call == pattern
@@ -153,5 +160,9 @@
         return classify.broken(exc)
     attempts.end(True, classify.is_refusal(response))
     view.plain_health.succeeded(chosen.name)
+    echoed = response.headers.get(forwarded.REQUEST_ID)
+    if echoed and echoed != call.caller.request_id:
+        text = f"{chosen.name} answered request {echoed}"
+        return failure.Failure(codes.Code.WRONG_ANSWER, text, outcomes.Outcome.UNKNOWN)
     found = classify.refused(response)
     return forwarded.response(response) if found is None else found
--- a/tests/serve/plain_request.feature
+++ b/tests/serve/plain_request.feature
@@ -15,3 +15,19 @@
   Scenario: A leaving target gets nothing
     Given a small deployment whose targets are leaving
     Then an order is told not_run and no target ran it
+
+  Scenario: An answer that a target marks as another request's never reaches the caller
+    Given a small deployment
+    Then an answer that names another request is told as wrong_answer
+
+  Scenario Outline: Only a declared call may be repeated, by a path that has one reading
+    Then with "POST /search*" declared a call "<call>" is idempotent <expected>
+
+    Examples:
+      | call                     | expected |
+      | POST /search/kits        | True     |
+      | POST /orders             | False    |
+      | GET /search              | False    |
+      | POST /search/../orders   | False    |
+      | POST /search/%2e%2e/x    | False    |
+      | POST /search//orders     | False    |
--- a/tests/steps/serve_plain_request.py
+++ b/tests/steps/serve_plain_request.py
@@ -8,11 +8,13 @@
 import trio
 from behave import given, then
 
+from galenavane.config import declaration
 from galenavane.experiment import small_deployment
 from galenavane.net import headers, message
 from galenavane.platform import instance
-from galenavane.serve import forwarded, plain_health
+from galenavane.serve import forwarded, plain_health, plain_request
 from galenavane.simulate import clock, faulty_net
+from galenavane.standin import plain
 
 
 @then("a plain target that failed twice goes last for 2 seconds and then not")
@@ -28,6 +30,14 @@
     assert health.prefer(["a", "b"], 20.0) == {"a", "b"}
 
 
+@then('with "POST /search*" declared a call "{call}" is idempotent {expected}')
+def check_idempotent(context, call, expected):
+    kind = declaration.ServiceKind.PLAIN
+    service = declaration.Service("desk", kind, idempotent=["POST /search*"])
+    method, path = call.split(" ")
+    assert plain_request.is_idempotent(service, method, path) is (expected == "True")
+
+
 @given("a small deployment")
 def make_plain(context):
     context.first_fault = faulty_net.Kind.NONE
@@ -116,6 +126,24 @@
     assert sent.get("x-kept") == "1"
 
 
+@then("an answer that names another request is told as wrong_answer")
+def check_foreign(context):
+    honest = plain._answer
+
+    def answer_foreign(state, req):
+        req.headers.pairs = [(b"x-request-id", b"foreign")]
+        return honest(state, req)
+
+    context.add_cleanup(setattr, plain, "_answer", honest)
+    plain._answer = answer_foreign
+
+    async def scenario(made, faults):
+        answer = await call(made, "GET", "/jobs")
+        assert msgspec.json.decode(answer.body)["error"]["name"] == "wrong_answer"
+
+    simulate(context, scenario)
+
+
 @then("an order is told not_run and no target ran it")
 def check_leaving(context):
     async def scenario(made, faults):
