Keep what a slow caller has not taken when its target hangs up

Cause: epoll reports a hang-up even for a descriptor that is not to be read, so the hub read on and replaced the bytes that the sink had not taken: a hole for a caller slower than its target.

--- a/src/galenavane/net/relay_hub.py
+++ b/src/galenavane/net/relay_hub.py
@@ -91,7 +91,9 @@
                 continue
             was_blocked = bool(stream.unsent)
             if descriptor == stream.source:
-                stream.read_source(now)
+                # A source that hangs up is reported even while it is not to be read.
+                if not was_blocked:
+                    stream.read_source(now)
             elif mask & ~select.EPOLLOUT:
                 stream.read_sink()
             elif mask & select.EPOLLOUT:
--- a/tests/net/relay_hub.feature
+++ b/tests/net/relay_hub.feature
@@ -6,6 +6,9 @@
   Scenario: A client that reads slowly holds its own source back
     Then a relayed stream of 3000 tokens to a slow reader comes whole while another is not held up
 
+  Scenario: A target that closes while its client is slow loses nothing
+    Then a relayed stream of 300 tokens whose target closes reaches a slow reader whole
+
   Scenario: A silent target is noticed after the deadlines
     Then a relayed source that says nothing is given up as silent after 10 virtual seconds
     And a relayed source that stops after 2 tokens is given up as silent after 3 virtual seconds
--- a/tests/steps/net_relay_hub.py
+++ b/tests/steps/net_relay_hub.py
@@ -114,6 +114,23 @@
     clock.run(main, 1)
 
 
+@then("a relayed stream of {count:d} tokens whose target closes reaches a slow reader whole")
+def check_closing(context, count):
+    async def main():
+        stream = Stream("r", small=True)
+
+        async def send_and_close():
+            await stream.send_parts(stream.tokens(count) + END)
+            await stream.engine.aclose()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_and_close)
+            nursery.start_soon(stream.read_count, count, 0.05)
+            await stream.run()
+
+    clock.run(main, 1)
+
+
 async def run_until_error(stream, expected):
     start = trio.current_time()
     try:
