--- a/src/galenavane/proof/__main__.py
+++ b/src/galenavane/proof/__main__.py
@@ -10,6 +10,7 @@
 import defopt
 import trio
 
+from galenavane.proof import case as proofs
 from galenavane.proof import cases, stage, wrapped
 
 MAX_SHOWN = 3
@@ -43,7 +44,7 @@
     return 1 if failed else 0
 
 
-def _run(case: cases.Case, folder: pathlib.Path, wrong: str) -> list[str]:
+def _run(case: proofs.Case, folder: pathlib.Path, wrong: str) -> list[str]:
     folder.mkdir(parents=True, exist_ok=True)
     on = stage.Stage(folder, wrong)
 
--- /dev/null
+++ b/src/galenavane/proof/callers.py
@@ -0,0 +1,50 @@
+"""The deployment of a proof and its callers."""
+
+from __future__ import annotations
+
+import random
+
+from galenavane.net import tcp
+from galenavane.proof import stage
+from galenavane.soak import record as records
+from galenavane.soak import traffic
+
+ENTRIES = ("entry-0", "entry-1", "entry-2")
+
+
+async def begin(on: stage.Stage, ignores_tokens: bool = False) -> None:
+    """Start a deployment of two groups, two plain targets and three entries."""
+    on.start_platform()
+    for number in range(6):
+        on.start_engine(f"engine-{number}", f"domain-{number // 3}", ignores_tokens)
+    for name in ("desk-0", "desk-1"):
+        on.start_plain(name)
+    for name in ENTRIES:
+        on.start_entry(name)
+    await on.list_entries()
+    folder = on.write_declarations(ignores_tokens, 2)
+    told = await on.run_command(
+        "apply", str(folder), "--platform", str(on.platform), "--preset", "ordinary"
+    )
+    if told.returncode:
+        raise RuntimeError(told.stderr.decode())
+    await on.wait_complete(2, ENTRIES)
+
+
+class Callers:
+    """Callers of a proof, who note wrong answers."""
+
+    __slots__ = ("traffic", "wrong")
+
+    def __init__(self, on: stage.Stage) -> None:
+        self.wrong: list[str] = []
+        rng = random.Random(1)
+        self.traffic = traffic.Traffic(tcp.make(), dict(on.entries), rng, self._note)
+
+    def _note(self, number: int, text: str) -> None:
+        self.wrong.append(text)
+
+    @property
+    def records(self) -> list[records.Record]:
+        """What callers were told."""
+        return self.traffic.records
--- a/src/galenavane/proof/stage.py
+++ b/src/galenavane/proof/stage.py
@@ -30,7 +30,7 @@
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
 MAX_ANSWER_BYTES = 10_000_000
-_PLAIN_DECLARATIONS = """[service {service}]
+_DECLARATIONS = """[service {service}]
 kind = plain
 idempotent = GET /jobs*
 [service {model_service}]
@@ -178,7 +178,7 @@
         """Write the declarations of the proof and return their folder."""
         folder = self.folder / "declarations"
         folder.mkdir(exist_ok=True)
-        text = _PLAIN_DECLARATIONS.format(
+        text = _DECLARATIONS.format(
             service=topology.PLAIN_SERVICE,
             model_service=topology.MODEL_SERVICE,
             model=topology.MODEL,
--- /dev/null
+++ b/tests/steps/standin_link.py
@@ -0,0 +1,49 @@
+"""Steps for the TCP relay, over real sockets."""
+
+from __future__ import annotations
+
+import trio
+from behave import then
+
+from galenavane.net import address, message, round_trip, tcp, transport_error
+from galenavane.standin import link
+
+CALL_SECONDS = 5.0
+LIMIT_BYTES = 10_000
+
+
+def free_address():
+    """Return an unused loopback address."""
+    with trio.socket.socket() as sock:
+        sock._sock.bind(("127.0.0.1", 0))
+        return address.Address("127.0.0.1", sock.getsockname()[1])
+
+
+async def call(where, req):
+    """Return the status of an answer, or how the exchange failed."""
+    try:
+        return (await round_trip.send(tcp.make(), where, req, CALL_SECONDS, LIMIT_BYTES)).status
+    except transport_error.TransportError as exc:
+        return exc.kind
+
+
+@then("a link relays an answer, resets it after {size:d} bytes and refuses it when cut")
+def relay(context, size):
+    async def answer(exchange):
+        await exchange.respond(message.json_response(200, {"text": "x" * 100}))
+
+    async def main():
+        listen, control = free_address(), free_address()
+        async with trio.open_nursery() as nursery:
+            target = await nursery.start(tcp.make().listen, address.Address("127.0.0.1", 0), answer)
+            await nursery.start(link.run, tcp.make(), listen, target, control)
+            seen = []
+            for faults in (link.Faults(), link.Faults(cut_after_bytes=size), link.Faults(cut=True)):
+                assert await call(control, message.json_request("POST", "/faults", faults)) == 200
+                seen.append(await call(listen, message.Request("GET", "/")))
+            nursery.cancel_scope.cancel()
+        return seen
+
+    kinds = transport_error.Kind
+    seen = trio.run(main)
+    assert seen == [200, kinds.RESET, kinds.RESET], seen
