--- a/src/galenavane/route/admission.py
+++ b/src/galenavane/route/admission.py
@@ -11,7 +11,7 @@
 MAX_ACCOUNT_WAITING = 250
 SHARE_SECONDS = 1.0
 RESERVE_RAISE = 0.01
-RESERVE_LOWER = 0.0005
+RESERVE_LOWER = 0.0003
 MAX_RESERVED = 0.25
 MIN_GRANTS_PER_SECOND = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -121,13 +121,12 @@
         """Whether a request of a class may be sent now."""
         return own < max(1.0, self.places - self.reserved_from(priority) * capacity / entries)
 
-    def expire(self, now: float) -> list[decision.Refused]:
-        """Refuse what has waited until its deadline."""
+    def expire(self, now: float) -> list[waiting.Waiting]:
+        """Remove and return what has waited until its deadline."""
         late = [item for item in self.queue.items() if item.ask.deadline <= now]
         for item in late:
             self.queue.remove(item)
-        text = "no group got free before the deadline"
-        return [refuse(item, codes.Code.DEADLINE, text, 0.0) for item in late]
+        return late
 
 
 def refuse(
