Send to a group only while its proof holds, also after the connection is open

Cause: opening a connection may take a second, in which the proof of completeness can lapse; only further connections asked again. Change: the proof is asked right before the first byte; request.send is logged there. With the event logged before the guard the soak reported a send that was not made.

--- a/src/galenavane/serve/model_stream.py
+++ b/src/galenavane/serve/model_stream.py
@@ -108,8 +108,6 @@
             told = classify.worse(told, failed)
             if failed.outcome is not outcomes.Outcome.UNKNOWN:
                 break
-            if not _is_proved(view, held.chosen):
-                break
         is_whole = failed is None
         return None if is_whole else told
     finally:
@@ -160,13 +158,6 @@
     """Get the rest of the answer over one new connection."""
     state = stream.state
     state.begin_try()
-    events.log(
-        "request.send",
-        request=stream.caller.request_id,
-        group=chosen.name,
-        epoch=chosen.epoch,
-        offset=state.delivered,
-    )
     stream.attempts.begin()
     try:
         conn = await view.net.dial(addresses.parse(chosen.address), CONNECT_SECONDS)
@@ -194,6 +185,17 @@
 ) -> failure.Failure | None:
     sink = stream.caller.exchange.conn
     deadlines = _deadlines(view, number)
+    if not _is_proved(view, chosen):
+        # The proof may lapse while the connection is opened.
+        text = f'group "{chosen.name}" is no longer known to be complete'
+        return failure.Failure(codes.Code.NO_GROUP, text, outcomes.Outcome.NOT_RUN)
+    events.log(
+        "request.send",
+        request=stream.caller.request_id,
+        group=chosen.name,
+        epoch=chosen.epoch,
+        offset=stream.state.delivered,
+    )
     await conn.send_request(_target_request(stream, chosen), chosen.address)
     head = await disconnect.race(sink, _read_head, conn, deadlines.first_seconds)
     found = classify.refused(head)
