--- a/src/galenavane/cli/status_text.py
+++ b/src/galenavane/cli/status_text.py
@@ -122,6 +122,8 @@
     parts = [f"entry {one.name} in {one.data_centre}: generation {one.generation}"]
     if one.generation < newest:
         parts.append("BEHIND")
+    if 0 < one.platform_generation < one.generation:
+        parts.append(f"the platform LOST CHANGES: it holds generation {one.platform_generation}")
     if one.token is not None:
         parts.append(f"holds the lease with token {one.token}")
     if one.leaving:
--- a/src/galenavane/entry/meter_task.py
+++ b/src/galenavane/entry/meter_task.py
@@ -50,6 +50,9 @@
     _set(found.lease_token, view.token.value or 0)
     _set(found.peers, len(view.peers.value))
     _set(found.in_flight, view.active.value)
+    _set(found.queue, sum(one.queue.size for one in view.router.admissions.values()))
+    _raise(found.platform_calls, view.platform.calls)
+    _raise(found.peer_dropped, view.dropped_messages.value)
     _set(found.memory, _resident_bytes())
 
 
@@ -57,6 +60,11 @@
     return now - max(0.0, set_at)
 
 
+def _raise(counter: collectors.Counter, total: int) -> None:
+    """Bring a counter to a total that is counted elsewhere."""
+    counter.set(_NO_LABELS, total)
+
+
 def _set(gauge: collectors.Gauge, value: float) -> None:
     gauge.set(_NO_LABELS, value)
 
--- a/src/galenavane/entry/status.py
+++ b/src/galenavane/entry/status.py
@@ -44,6 +44,8 @@
     """What one entry answers to ``galenavane status``.
 
     :ivar generation: 0 when it has no configuration.
+    :ivar platform_generation: generation that the platform last showed, 0 before.
+    :ivar dropped_messages: damaged or unknown messages of peers.
     :ivar token: fencing token while it holds the lease, else ``None``.
     :ivar wanted: groups that the preset asks for in this data centre.
     :ivar stranded: idle engines of this data centre.
@@ -57,6 +59,8 @@
     data_centre: str
     generation: int
     preset: str
+    platform_generation: int
+    dropped_messages: int
     token: int | None
     leaving: bool
     active: int
@@ -83,6 +87,8 @@
         data_centre=view.cfg.get(settings.DATA_CENTRE),
         generation=configuration.head.generation if configuration else 0,
         preset=configuration.head.preset if configuration else "",
+        platform_generation=view.platform_generation.value,
+        dropped_messages=view.dropped_messages.value,
         token=view.token.value,
         leaving=view.leaving.value,
         active=view.active.value,
--- a/src/galenavane/observe/metrics.py
+++ b/src/galenavane/observe/metrics.py
@@ -23,8 +23,11 @@
         "lease_token",
         "loop_lag",
         "memory",
+        "peer_dropped",
         "peers",
         "platform_age",
+        "platform_calls",
+        "queue",
         "registry",
         "requests",
         "retries",
@@ -63,6 +66,11 @@
             "platform_age_seconds", "Time since the platform last answered the list of instances."
         )
         self.peers = self._gauge("peers", "Other entries that are heard.")
+        self.peer_dropped = self._counter(
+            "peer_messages_dropped_total", "Damaged or unknown messages of other entries."
+        )
+        self.platform_calls = self._counter("platform_calls_total", "Calls of the platform.")
+        self.queue = self._gauge("queue_length", "Requests that wait for a group.")
         self.memory = self._gauge("resident_memory_bytes", "Resident memory of this process.")
         self.loop_lag = self._gauge("loop_lag_seconds", "How late the event loop last ran a timer.")
 
--- a/src/galenavane/platform/api.py
+++ b/src/galenavane/platform/api.py
@@ -16,8 +16,12 @@
     Failures carry ``PLATFORM_DOWN`` (no write took effect), ``PLATFORM_CONFLICT``,
     ``PLATFORM_UNKNOWN`` (a write may have taken effect), ``PLATFORM_REFUSED`` (call rate) or
     ``VALUE_TOO_LARGE``.
+
+    :ivar calls: calls made so far.
     """
 
+    calls: int
+
     async def get(self, key: str) -> expression.Result[stored.Stored, failure.Failure]:
         """Return an object; version 0 when it does not exist."""
 
--- a/tests/observe/meter.feature
+++ b/tests/observe/meter.feature
@@ -14,3 +14,6 @@
 
   Scenario: The metrics page of an entry names the two measures first
     Then the metrics of a new entry start with group downtime and stranded accelerators
+
+  Scenario: The operators' page explains every metric
+    Then every metric is explained in "docs/operators/metrics.md"
--- a/tests/steps/cli_status.py
+++ b/tests/steps/cli_status.py
@@ -42,6 +42,8 @@
         data_centre="dc",
         generation=1,
         preset="p",
+        platform_generation=0,
+        dropped_messages=0,
         token=None,
         leaving=False,
         active=0,
--- a/tests/steps/observe_meter.py
+++ b/tests/steps/observe_meter.py
@@ -37,3 +37,12 @@
         "galenavane_group_downtime_seconds_total 1.5",
         "galenavane_stranded_accelerator_seconds_total 2.5",
     ], lines
+
+
+@then('every metric is explained in "{path}"')
+def check_page(context, path):
+    page = (context.root / path).read_text()
+    names = list(metrics.make().registry.collectors)
+    assert len(names) > 15
+    missing = [name for name in names if name not in page]
+    assert not missing, missing
