--- a/src/galenavane/cli/check.py
+++ b/src/galenavane/cli/check.py
@@ -4,7 +4,8 @@
 
 import pathlib
 
-from galenavane.config import read
+from galenavane.config import canonical, read, sections
+from galenavane.failure import failure
 
 
 def check(folder: pathlib.Path, /) -> int:
@@ -13,6 +14,9 @@
     :param folder: folder with the INI files
     """
     declared = read.read_folder(folder)
+    sizes = sections.check_sizes(canonical.split(declared))
+    if sizes.is_error():
+        raise failure.UserError(sizes.error)
     print(
         f"{folder}: {len(declared.services)} services, {len(declared.models)} models, "
         f"{len(declared.accounts)} accounts, {len(declared.presets)} presets: correct"
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -23,6 +23,7 @@
     status,
     timeline,
 )
+from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
 
@@ -76,12 +77,21 @@
     return exc
 
 
+def _parse_address(text: str) -> addresses.Address:
+    """Parse an argument; its error is one line, without argparse's usage."""
+    try:
+        return addresses.parse(text)
+    except ValueError as exc:
+        found = failure.Failure(codes.Code.BAD_REQUEST, str(exc))
+        raise failure.UserError(found) from None
+
+
 def _run(argv: abc.Sequence[str] | None) -> int:
     code = defopt.run(
         COMMANDS,
         argv=argv,
         argparse_kwargs={"prog": "galenavane"},
-        parsers={addresses.Address: addresses.parse},
+        parsers={addresses.Address: _parse_address},
         cli_options="has_default",
         no_negated_flags=True,
         show_types=False,
--- a/tests/config/check.feature
+++ b/tests/config/check.feature
@@ -26,6 +26,16 @@
     When galenavane runs "check {folder}/none"
     Then it exits with 2 and one line that contains "does not exist"
 
+  Scenario: A section over 1 MB is refused before it is applied
+    Given the example declarations
+    And a model with adapters of more than 1 MB
+    When galenavane runs "check {folder}"
+    Then it exits with 2 and one line that contains "over the 1000000 allowed"
+
+  Scenario: An argument that is no address gives one line
+    When galenavane runs "status localhost:80"
+    Then it exits with 2 and one line that contains "is not an IP number and port"
+
   Scenario Outline: Bad settings give one line and exit code 2
     Given settings with "<old>" replaced by "<new>"
     When galenavane runs "entry --settings {folder}/entry.ini"
--- a/tests/steps/command_line.py
+++ b/tests/steps/command_line.py
@@ -35,6 +35,12 @@
     path.write_text(text.replace(old, new))
 
 
+@given("a model with adapters of more than 1 MB")
+def write_large(context):
+    names = "".join(f"    adapter-{number}-{'x' * 40}\n" for number in range(22_000))
+    (context.folder / "large.ini").write_text(f"[model large]\nversions = v1\nadapters =\n{names}")
+
+
 @given('settings with "{old}" replaced by "{new}"')
 def write_settings(context, old, new):
     assert old in SETTINGS
