Call the product's object API package store, to leave platform to the adapter

Cause: the users' platform gets an adapter of that name; the product's own port to an object API is not part of it. Only moved and renamed; mypy is clean.

--- a/src/galenavane/cli/acceptance.py
+++ b/src/galenavane/cli/acceptance.py
@@ -14,7 +14,7 @@
 from galenavane.failure import failure
 from galenavane.net import address as addresses
 from galenavane.net import network, tcp
-from galenavane.platform import api, client
+from galenavane.store import api, client
 
 TIMEOUT_SECONDS = 5.0
 
--- a/src/galenavane/cli/generations.py
+++ b/src/galenavane/cli/generations.py
@@ -12,7 +12,7 @@
 from galenavane.net import address as addresses
 from galenavane.net import message, network, round_trip, transport_error
 from galenavane.peer import registration
-from galenavane.platform import api
+from galenavane.store import api
 
 ASKED_PER_DATA_CENTRE = 3
 TIMEOUT_SECONDS = 2.0
--- a/src/galenavane/cli/standin.py
+++ b/src/galenavane/cli/standin.py
@@ -13,12 +13,12 @@
 from galenavane.net import address as addresses
 from galenavane.net import message, round_trip, tcp, transport_error
 from galenavane.observe import events
-from galenavane.platform import instance
 from galenavane.standin import engine as engines
 from galenavane.standin import engine_faults
 from galenavane.standin import link as links
 from galenavane.standin import plain as plains
 from galenavane.standin import platform as platforms
+from galenavane.store import instance
 
 REGISTER_SECONDS = 5.0
 REGISTER_PAUSE_SECONDS = 0.2
--- a/src/galenavane/cli/wanted.py
+++ b/src/galenavane/cli/wanted.py
@@ -8,7 +8,7 @@
 from galenavane.config import accept, declaration
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.platform import api
+from galenavane.store import api
 
 _Result = expression.Result[acceptance.Wanted, failure.Failure]
 
--- a/src/galenavane/config/accept.py
+++ b/src/galenavane/config/accept.py
@@ -11,7 +11,7 @@
 from galenavane.config import head as heads
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.platform import api
+from galenavane.store import api
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/galenavane/config/capacity.py
+++ b/src/galenavane/config/capacity.py
@@ -5,7 +5,7 @@
 import collections
 
 from galenavane.config import declaration
-from galenavane.platform import instance
+from galenavane.store import instance
 
 
 def warnings(
--- a/src/galenavane/config/sections.py
+++ b/src/galenavane/config/sections.py
@@ -9,7 +9,7 @@
 from galenavane.config import head as heads
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.platform import api, stored
+from galenavane.store import api, stored
 
 WRITE_TRIES = 5
 
--- a/src/galenavane/config/settle.py
+++ b/src/galenavane/config/settle.py
@@ -11,7 +11,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.platform import api
+from galenavane.store import api
 
 SETTLE_SECONDS = 30.0
 PAUSE_SECONDS = 0.5
--- a/src/galenavane/config/sweep.py
+++ b/src/galenavane/config/sweep.py
@@ -14,7 +14,7 @@
 from galenavane.config import head as heads
 from galenavane.config import settle
 from galenavane.failure import failure
-from galenavane.platform import api
+from galenavane.store import api
 
 KEPT_GENERATIONS = 200
 EVERY_GENERATIONS = 10
--- a/src/galenavane/control/condition.py
+++ b/src/galenavane/control/condition.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from galenavane.control import sighting, table
-from galenavane.platform import instance
+from galenavane.store import instance
 
 SILENCE_SECONDS = 3.0
 MIN_HEARD_SHARE = 1 / 3
--- a/src/galenavane/control/fence.py
+++ b/src/galenavane/control/fence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from galenavane.config import declaration
-from galenavane.platform import lease
+from galenavane.store import lease
 
 COMMAND_SECONDS = 1.0
 
--- a/src/galenavane/control/sighting.py
+++ b/src/galenavane/control/sighting.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from galenavane.platform import instance
+from galenavane.store import instance
 from galenavane.target import report
 
 
--- a/src/galenavane/entry/configuration_task.py
+++ b/src/galenavane/entry/configuration_task.py
@@ -12,7 +12,7 @@
 from galenavane.entry import view as views
 from galenavane.observe import events
 from galenavane.peer import membership
-from galenavane.platform import backoff
+from galenavane.store import backoff
 
 WATCH_SECONDS = 10.0
 WATCHER_POLL_SECONDS = 2.0
--- a/src/galenavane/entry/control_task.py
+++ b/src/galenavane/entry/control_task.py
@@ -20,7 +20,7 @@
 )
 from galenavane.entry import view as views
 from galenavane.observe import events
-from galenavane.platform import lease
+from galenavane.store import lease
 
 STEP_SECONDS = 0.5
 WRITE_TRIES = 3
--- a/src/galenavane/entry/instances_task.py
+++ b/src/galenavane/entry/instances_task.py
@@ -9,7 +9,7 @@
 from galenavane.config import settings
 from galenavane.entry import configuration_task
 from galenavane.entry import view as views
-from galenavane.platform import backoff, instance
+from galenavane.store import backoff, instance
 
 WATCHER_POLL_SECONDS = 1.0
 OTHER_POLL_SECONDS = 5.0
--- a/src/galenavane/entry/lease_task.py
+++ b/src/galenavane/entry/lease_task.py
@@ -8,7 +8,7 @@
 from galenavane.config import settings
 from galenavane.entry import view as views
 from galenavane.observe import events
-from galenavane.platform import lease, lease_value, stored
+from galenavane.store import lease, lease_value, stored
 
 LEASE_PREFIX = "lease/"
 STEP_SECONDS = 0.5
--- a/src/galenavane/entry/process.py
+++ b/src/galenavane/entry/process.py
@@ -28,8 +28,8 @@
 from galenavane.observe import events
 from galenavane.peer import task as peer_task
 from galenavane.peer import zmq_transport
-from galenavane.platform import client as platform_client
 from galenavane.serve import front
+from galenavane.store import client as platform_client
 from galenavane.target import client as target_client
 
 
--- a/src/galenavane/entry/registration_task.py
+++ b/src/galenavane/entry/registration_task.py
@@ -10,7 +10,7 @@
 from galenavane.entry import view as views
 from galenavane.observe import events
 from galenavane.peer import registration
-from galenavane.platform import backoff, stored
+from galenavane.store import backoff, stored
 
 WATCH_SECONDS = 10.0
 LIST_SECONDS = 60.0
--- a/src/galenavane/entry/reports_task.py
+++ b/src/galenavane/entry/reports_task.py
@@ -12,7 +12,7 @@
 from galenavane.entry import view as views
 from galenavane.observe import events
 from galenavane.peer import members, messages, seen, seen_message
-from galenavane.platform import instance
+from galenavane.store import instance
 
 SHARE_AFTER_SECONDS = 0.1
 REVIEW_AFTER_SECONDS = 0.2
--- a/src/galenavane/entry/routing_task.py
+++ b/src/galenavane/entry/routing_task.py
@@ -9,9 +9,9 @@
 from galenavane.config import settings
 from galenavane.control import completeness, sighting, table
 from galenavane.entry import view as views
-from galenavane.platform import instance
 from galenavane.route import group_facts, pool, router
 from galenavane.serve import dispatch
+from galenavane.store import instance
 
 STEP_SECONDS = 0.1
 TELL_SECONDS = 0.5
--- a/src/galenavane/entry/status.py
+++ b/src/galenavane/entry/status.py
@@ -11,7 +11,7 @@
 from galenavane.control import completeness, sighting, table
 from galenavane.entry import view as views
 from galenavane.observe import meter
-from galenavane.platform import instance
+from galenavane.store import instance
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
--- a/src/galenavane/entry/view.py
+++ b/src/galenavane/entry/view.py
@@ -12,9 +12,9 @@
 from galenavane.net import network
 from galenavane.observe import meter, metrics
 from galenavane.peer import facts, members, registration, seen_message, transport
-from galenavane.platform import api, instance, lease
 from galenavane.route import state as route_state
 from galenavane.serve import plain_health, waiter
+from galenavane.store import api, instance, lease
 from galenavane.target import api as target_api
 
 MAX_QUEUED_REPORTS = 1000
--- a/src/galenavane/experiment/bench.py
+++ b/src/galenavane/experiment/bench.py
@@ -17,10 +17,10 @@
 from galenavane.load import profile as profiles
 from galenavane.load import result as results
 from galenavane.net import address as addresses
-from galenavane.platform import instance
 from galenavane.proof import stage, wrapped
 from galenavane.soak import topology, traffic
 from galenavane.standin import engine_faults, platform_faults
+from galenavane.store import instance
 
 ENTRIES = tuple(f"entry-{number}" for number in range(6))
 ENGINES = 12
--- a/src/galenavane/experiment/control_fleet.py
+++ b/src/galenavane/experiment/control_fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from galenavane.control import sighting
-from galenavane.platform import instance
+from galenavane.store import instance
 from galenavane.target import command, report
 
 DATA_CENTRE = "dc"
--- a/src/galenavane/experiment/control_run.py
+++ b/src/galenavane/experiment/control_run.py
@@ -12,7 +12,7 @@
 from galenavane.config import declaration, head, in_force
 from galenavane.control import commands, completeness, condition, damping, plan, quiet, table
 from galenavane.experiment import control_fleet as fleets
-from galenavane.platform import instance
+from galenavane.store import instance
 from galenavane.target import command
 
 DAY_SECONDS = 86_400.0
--- a/src/galenavane/experiment/entry_processes.py
+++ b/src/galenavane/experiment/entry_processes.py
@@ -18,8 +18,8 @@
 
 from galenavane.net import address as addresses
 from galenavane.net import curve_key, message, round_trip, tcp, transport_error
-from galenavane.platform import api, client
 from galenavane.standin import platform_faults
+from galenavane.store import api, client
 
 TIMEOUT_SECONDS = 5.0
 READY_SECONDS = 60.0
--- a/src/galenavane/experiment/interleaved_key.py
+++ b/src/galenavane/experiment/interleaved_key.py
@@ -6,7 +6,7 @@
 
 from galenavane.control import table
 from galenavane.experiment import interleaved_world as worlds
-from galenavane.platform import lease
+from galenavane.store import lease
 
 
 def key(world: worlds.World) -> abc.Hashable:
--- a/src/galenavane/experiment/interleaved_steps.py
+++ b/src/galenavane/experiment/interleaved_steps.py
@@ -11,7 +11,7 @@
 from galenavane.config import declaration, head, in_force
 from galenavane.control import commands, completeness, fence, table
 from galenavane.experiment import interleaved_world as worlds
-from galenavane.platform import lease
+from galenavane.store import lease
 
 _T = typing.TypeVar("_T")
 CONFIGURATION = in_force.InForce(
--- a/src/galenavane/experiment/interleaved_world.py
+++ b/src/galenavane/experiment/interleaved_world.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from galenavane.control import sighting, table
-from galenavane.platform import instance, lease, lease_value
 from galenavane.standin import engine_faults, engine_state
+from galenavane.store import instance, lease, lease_value
 from galenavane.target import command, report
 
 TICK_SECONDS = 4.0
--- a/src/galenavane/experiment/small_deployment.py
+++ b/src/galenavane/experiment/small_deployment.py
@@ -15,12 +15,12 @@
 from galenavane.net import headers as header_lists
 from galenavane.net import message, network, round_trip
 from galenavane.observe import events
-from galenavane.platform import client as platform_client
-from galenavane.platform import instance
 from galenavane.serve import front
 from galenavane.simulate import faulty_net, net, owner
 from galenavane.standin import plain
 from galenavane.standin import platform as platforms
+from galenavane.store import client as platform_client
+from galenavane.store import instance
 from galenavane.target import client as target_client
 
 LATENCY_SECONDS = 0.0005
--- a/src/galenavane/experiment/stream_schedule.py
+++ b/src/galenavane/experiment/stream_schedule.py
@@ -15,10 +15,10 @@
 from galenavane.net import address as addresses
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
-from galenavane.platform import client
 from galenavane.serve import errors, sse
 from galenavane.simulate import clock, deployment, faulty_net, owner
 from galenavane.standin import engine_faults, engine_text
+from galenavane.store import client
 from galenavane.target import completion
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples" / "dodoma"
--- a/src/galenavane/proof/operator_cases.py
+++ b/src/galenavane/proof/operator_cases.py
@@ -8,11 +8,11 @@
 
 import trio
 
-from galenavane.platform import instance
 from galenavane.proof import callers, stage
 from galenavane.soak import record as records
 from galenavane.soak import topology
 from galenavane.standin import platform_faults
+from galenavane.store import instance
 
 LEAVING_SECONDS = 5.0
 IN_FORCE_SECONDS = 6.0
--- a/src/galenavane/proof/stage.py
+++ b/src/galenavane/proof/stage.py
@@ -20,9 +20,9 @@
 from galenavane.entry import status
 from galenavane.net import address as addresses
 from galenavane.net import message, round_trip, tcp, transport_error
-from galenavane.platform import instance, stored
 from galenavane.soak import topology
 from galenavane.standin import plain, platform_faults
+from galenavane.store import instance, stored
 
 DATA_CENTRE = "makole"
 CALL_SECONDS = 2.0
--- a/src/galenavane/serve/claim.py
+++ b/src/galenavane/serve/claim.py
@@ -11,8 +11,8 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.platform import api, stored
 from galenavane.serve import record as records
+from galenavane.store import api, stored
 
 CLAIM_TRIES = 4
 CLAIM_PAUSE_SECONDS = 0.3
--- a/src/galenavane/serve/plain_request.py
+++ b/src/galenavane/serve/plain_request.py
@@ -15,12 +15,12 @@
 from galenavane.net import address as addresses
 from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
-from galenavane.platform import instance
 from galenavane.route import candidate as candidates
 from galenavane.route import pick
 from galenavane.serve import attempts as attempt_lists
 from galenavane.serve import caller as callers
 from galenavane.serve import classify, errors, forwarded, keyed_request
+from galenavane.store import instance
 
 MAX_TRIES = 3
 MAX_ANSWER_BYTES = 1_000_000
--- a/src/galenavane/serve/sweep.py
+++ b/src/galenavane/serve/sweep.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from galenavane.platform import stored
 from galenavane.serve import record as records
+from galenavane.store import stored
 
 CYCLE_SECONDS = 20_480.0
 STEP_SECONDS = CYCLE_SECONDS / records.SHARDS
--- a/src/galenavane/soak/injector.py
+++ b/src/galenavane/soak/injector.py
@@ -9,10 +9,10 @@
 
 from galenavane.net import message
 from galenavane.observe import events
-from galenavane.platform import instance
 from galenavane.simulate import deployment
 from galenavane.soak import fault, operators, topology
 from galenavane.standin import engine_faults, plain, platform_faults
+from galenavane.store import instance
 
 POLL_SECONDS = 0.1
 LEAVING_UNTIL_KILL_SECONDS = 12.0
--- a/src/galenavane/soak/operators.py
+++ b/src/galenavane/soak/operators.py
@@ -12,8 +12,8 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.observe import events
-from galenavane.platform import client
 from galenavane.simulate import deployment, owner
+from galenavane.store import client
 
 TIMEOUT_SECONDS = 5.0
 
--- a/src/galenavane/soak/wrong.py
+++ b/src/galenavane/soak/wrong.py
@@ -19,8 +19,8 @@
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
 from galenavane.net import transport_error
-from galenavane.platform import client, instance
 from galenavane.serve import classify, stream_state
+from galenavane.store import client, instance
 
 _Number = invariant.Number
 
--- a/src/galenavane/standin/platform.py
+++ b/src/galenavane/standin/platform.py
@@ -11,8 +11,8 @@
 
 from galenavane.net import address as addresses
 from galenavane.net import http_server, message, network
-from galenavane.platform import instance, stored
 from galenavane.standin import platform_faults, platform_store
+from galenavane.store import instance, stored
 
 _OBJECTS = "/v1/objects/"
 
--- a/src/galenavane/standin/platform_store.py
+++ b/src/galenavane/standin/platform_store.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from galenavane.platform import stored
+from galenavane.store import stored
 
 
 class Store:
--- a/src/galenavane/platform/api.py
+++ b/src/galenavane/store/api.py
@@ -7,7 +7,7 @@
 import expression
 
 from galenavane.failure import failure
-from galenavane.platform import instance, stored
+from galenavane.store import instance, stored
 
 
 class Api(typing.Protocol):
--- a/src/galenavane/platform/client.py
+++ b/src/galenavane/store/client.py
@@ -13,7 +13,7 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.net import address as addresses
 from galenavane.net import message, network, round_trip, transport_error
-from galenavane.platform import api, instance, stored
+from galenavane.store import api, instance, stored
 
 WATCH_MARGIN_SECONDS = 2.0
 MAX_ANSWER_BYTES = 64_000_000
--- a/src/galenavane/platform/lease.py
+++ b/src/galenavane/store/lease.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from galenavane.platform import lease_value
+from galenavane.store import lease_value
 
 DURATION_SECONDS = 6.0
 RENEW_EVERY_SECONDS = 2.0
--- a/tests/steps/config_accept.py
+++ b/tests/steps/config_accept.py
@@ -18,8 +18,8 @@
 from galenavane.failure import code, failure
 from galenavane.net import address, http_server, message
 from galenavane.peer import registration
-from galenavane.platform import client
 from galenavane.simulate import clock, deployment
+from galenavane.store import client
 
 OPERATORS = 4
 CHANGES = 12
--- a/tests/steps/control_fence.py
+++ b/tests/steps/control_fence.py
@@ -6,7 +6,7 @@
 
 from galenavane.config import declaration
 from galenavane.control import fence
-from galenavane.platform import lease
+from galenavane.store import lease
 
 
 @then("a command to a target whose tokens are {kind} with {left:g} seconds left is {answer}")
--- a/tests/steps/control_plan.py
+++ b/tests/steps/control_plan.py
@@ -12,7 +12,7 @@
 
 from galenavane.config import declaration, head, in_force
 from galenavane.control import commands, plan, sighting, table, want
-from galenavane.platform import instance
+from galenavane.store import instance
 from galenavane.target import command, report
 
 DATA_CENTRE = "dc"
--- a/tests/steps/control_whole.py
+++ b/tests/steps/control_whole.py
@@ -11,8 +11,8 @@
 from galenavane.control import table
 from galenavane.entry import status as statuses
 from galenavane.net import message
-from galenavane.platform import client
 from galenavane.standin import engine_text, platform_faults
+from galenavane.store import client
 
 STREAMS = 6
 STREAM_TOKENS = 150
--- a/tests/steps/entry_configuration_task.py
+++ b/tests/steps/entry_configuration_task.py
@@ -12,9 +12,9 @@
 from galenavane.config import accept, read
 from galenavane.entry import configuration_task
 from galenavane.net import message
-from galenavane.platform import client
 from galenavane.simulate import clock, deployment
 from galenavane.standin import platform_faults
+from galenavane.store import client
 
 PLACES = {"makole": ["e0", "e1"], "kikuyu": ["e2", "e3"], "chamwino": ["e4", "e5"]}
 NAMES = [name for names in PLACES.values() for name in names]
--- a/tests/steps/entry_instances_task.py
+++ b/tests/steps/entry_instances_task.py
@@ -7,7 +7,7 @@
 import trio
 from behave import then
 
-from galenavane.platform import instance
+from galenavane.store import instance
 
 OTHERS = 996
 FOLLOW_SECONDS = 10.0
--- a/tests/steps/experiment_interleavings.py
+++ b/tests/steps/experiment_interleavings.py
@@ -10,7 +10,7 @@
 from galenavane import invariant
 from galenavane.control import fence, table
 from galenavane.experiment import interleaved_starts, interleavings
-from galenavane.platform import lease
+from galenavane.store import lease
 
 
 @then("every interleaving of {steps:d} steps with {entries:d} entries holds")
--- a/tests/steps/route_dispatch.py
+++ b/tests/steps/route_dispatch.py
@@ -11,7 +11,7 @@
 
 from galenavane.config import declaration
 from galenavane.net import headers, message
-from galenavane.platform import instance
+from galenavane.store import instance
 
 LAG_SECONDS = 5.0
 HOT_REQUESTS = 150
--- a/tests/steps/serve_claim.py
+++ b/tests/steps/serve_claim.py
@@ -9,10 +9,10 @@
 
 from galenavane.failure import code, failure, outcome
 from galenavane.net import headers, message
-from galenavane.platform import stored
 from galenavane.serve import claim, record
 from galenavane.simulate import clock
 from galenavane.standin import platform_store
+from galenavane.store import stored
 
 KEY = record.key("account", "service", "key")
 WALL = 1000.0
--- a/tests/steps/serve_plain_request.py
+++ b/tests/steps/serve_plain_request.py
@@ -11,10 +11,10 @@
 from galenavane.config import declaration
 from galenavane.experiment import small_deployment
 from galenavane.net import headers, message
-from galenavane.platform import instance
 from galenavane.serve import forwarded, plain_health, plain_request
 from galenavane.simulate import clock, faulty_net
 from galenavane.standin import plain
+from galenavane.store import instance
 
 
 @then("a plain target that failed twice goes last for 2 seconds and then not")
--- a/tests/steps/simulate_deployment.py
+++ b/tests/steps/simulate_deployment.py
@@ -14,9 +14,9 @@
 from galenavane.config import accept, read
 from galenavane.entry import status as statuses
 from galenavane.net import headers, message
-from galenavane.platform import client
 from galenavane.simulate import clock, deployment
 from galenavane.standin import engine_text
+from galenavane.store import client
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent.parent / "examples" / "dodoma"
 SETTLE_SECONDS = 30.0
--- a/tests/steps/platform_lease.py
+++ b/tests/steps/store_lease.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from galenavane.platform import lease
+from galenavane.store import lease
 
 STEP_SECONDS = 0.1
 
