--- /dev/null
+++ b/src/galenavane/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force: routes, services, models, client accounts and limits."""
--- /dev/null
+++ b/src/galenavane/catalog/engine.py
@@ -0,0 +1,54 @@
+"""What is published of a model engine."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Model(msgspec.Struct, frozen=True):
+    """A model and the groups that serve it.
+
+    :ivar size: targets of one group.
+    :ivar share: part of the targets that its groups should have.
+    :ivar pace: factor on all times of its groups.
+    :ivar load_seconds: join of a target that has to load the weights.
+    :ivar warm_seconds: join of a target that has them staged.
+    """
+
+    name: str
+    size: int
+    share: float
+    pace: float
+    load_seconds: float
+    warm_seconds: float
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """Constants of a service's engines.
+
+    :ivar slots: requests that a group runs at once.
+    :ivar stride: token steps between two events of a stream.
+    :ivar step_seconds: one token step without requests.
+    :ivar writer_seconds: added to a step for each request that is writing.
+    :ivar read_tokens_per_second: speed at which prompts are read.
+    :ivar loads_per_second: loads from the weight store that may begin.
+    :ivar form_seconds: from the command to open a group until it serves.
+    """
+
+    slots: int
+    stride: int
+    step_seconds: float
+    writer_seconds: float
+    read_tokens_per_second: float
+    loads_per_second: float
+    form_seconds: float
+    models: tuple[Model, ...]
+
+    def find_model(self, name: str) -> Model | None:
+        """Return the model of a name."""
+        return next((one for one in self.models if one.name == name), None)
+
+    def pass_seconds(self, model: Model, writers: int) -> float:
+        """Return the time between two events of a stream beside other writers."""
+        step = self.step_seconds + self.writer_seconds * writers
+        return self.stride * step * model.pace
--- /dev/null
+++ b/src/galenavane/catalog/limits.py
@@ -0,0 +1,18 @@
+"""What a client may send, and how long it may take."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Limits on clients' connections.
+
+    :ivar header_seconds: time to send a request's head.
+    :ivar idle_seconds: wait for the next request on an open connection.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_seconds: float
+    idle_seconds: float
--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -5,6 +5,7 @@
 import configparser
 import pathlib
 import typing
+from collections import abc
 
 from galenavane.config import ini, setting
 from galenavane.failure import code as codes
@@ -106,19 +107,23 @@
         return typing.cast("_T", self._values[(wanted.section, wanted.key)])
 
 
-def load(path: pathlib.Path) -> Settings:
+Declared = abc.Sequence[_S[typing.Any]]
+
+
+def load(path: pathlib.Path, declared: Declared = ALL) -> Settings:
     """Read and check a settings file.
 
+    :param declared: the settings that it may have.
     :raises failure.UserError: naming file, section and key.
     """
     parser = ini.read_file(path)
-    _check_known(path, parser)
-    values = {(one.section, one.key): _read(path, parser, one) for one in ALL}
+    _check_known(path, parser, declared)
+    values = {(one.section, one.key): _read(path, parser, one) for one in declared}
     return Settings(values)
 
 
-def _check_known(path: pathlib.Path, parser: configparser.ConfigParser) -> None:
-    known = {(one.section, one.key) for one in ALL}
+def _check_known(path: pathlib.Path, parser: configparser.ConfigParser, declared: Declared) -> None:
+    known = {(one.section, one.key) for one in declared}
     for section in parser.sections():
         for key in parser[section]:
             if (section, key) not in known:
--- /dev/null
+++ b/src/galenavane/control/formation.py
@@ -0,0 +1,121 @@
+"""Chooses which groups to form from the free targets of one fabric domain.
+
+Load that it answers: targets fail one at a time and for good while every group is busy, so a
+group has to be whole again within a second; a spare that holds its model's weights joins in a
+fraction of the time that a load takes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+from galenavane.catalog import engine
+from galenavane.fleet import target
+
+REJOIN_SECONDS = 0.2
+"""Join of a target whose last group had the model, by the platform's protocol."""
+SPARE_SHARE = 0.15
+"""Part of a domain's targets kept as spares before a second group of a model is formed."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Free:
+    """A target that may join a group.
+
+    :ivar last_model: model of its last group since its start, or empty.
+    """
+
+    target: target.Target
+    last_model: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Domain:
+    """One fabric domain.
+
+    :ivar size: usable targets, in groups or free.
+    :ivar groups: groups of each model that serve or are being formed.
+    """
+
+    size: int
+    groups: abc.Mapping[str, int]
+    free: abc.Sequence[Free]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """A group to form, its head first."""
+
+    model: engine.Model
+    members: tuple[target.Target, ...]
+
+
+def join_seconds(free: Free, model: engine.Model) -> float:
+    """Return how long a target takes to join a group of a model."""
+    if free.last_model == model.name:
+        return REJOIN_SECONDS
+    if model.name in free.target.staged:
+        return model.warm_seconds
+    return model.load_seconds
+
+
+def plan(
+    domain: Domain, models: abc.Sequence[engine.Model], fleet_groups: abc.Mapping[str, int]
+) -> list[Plan]:
+    """Return the groups to form, the model that the fleet lacks most first.
+
+    :param fleet_groups: groups of each model in all domains.
+    """
+    free = list(domain.free)
+    here = dict(domain.groups)
+    everywhere = dict(fleet_groups)
+    reserve = round(domain.size * SPARE_SHARE)
+    found: list[Plan] = []
+    while (model := _next_model(models, here, everywhere, len(free), reserve)) is not None:
+        free.sort(key=lambda one: (join_seconds(one, model), one.target.id))
+        members = free[: model.size]
+        free = free[model.size :]
+        found.append(Plan(model, tuple(one.target for one in members)))
+        here[model.name] = here.get(model.name, 0) + 1
+        everywhere[model.name] = everywhere.get(model.name, 0) + 1
+    return found
+
+
+def _next_model(
+    models: abc.Sequence[engine.Model],
+    here: abc.Mapping[str, int],
+    everywhere: abc.Mapping[str, int],
+    free: int,
+    reserve: int,
+) -> engine.Model | None:
+    for model in sorted(models, key=lambda one: (_supply(one, everywhere), -one.size)):
+        kept = 0 if not here.get(model.name) else reserve
+        if free - model.size >= kept:
+            return model
+    return None
+
+
+def _supply(model: engine.Model, groups: abc.Mapping[str, int]) -> float:
+    """Return the targets that a model has, against its declared share."""
+    return groups.get(model.name, 0) * model.size / max(model.share, 1e-6)
+
+
+def choose_standby(
+    free: Free,
+    models: abc.Sequence[engine.Model],
+    members: abc.Mapping[str, int],
+    standbys: abc.Mapping[str, int],
+) -> engine.Model:
+    """Return the model whose weights a spare should hold.
+
+    :param members: targets of the domain in groups of each model, which may fail.
+    :param standbys: spares of the domain that hold each model.
+    """
+    return max(
+        models,
+        key=lambda one: (
+            members.get(one.name, 0) / (1 + standbys.get(one.name, 0)),
+            -join_seconds(free, one),
+        ),
+    )
--- /dev/null
+++ b/src/galenavane/control/steward.py
@@ -0,0 +1,394 @@
+"""Decides what targets are told, so that whole groups serve.
+
+All that it needs is what targets say in the platform's list, so a successor can go on from
+nothing. A late or repeated command is harmless: epochs grow with the lease's number, and every
+command but a join names the one formation that it is for.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import abc
+
+from galenavane.catalog import engine
+from galenavane.control import formation, group_command, load_budget
+from galenavane.fleet import group, registry, target
+
+STANDBY_PREFIX = "standby-"
+EPOCH_BITS = 20
+"""Formations that one holder of the lease can number."""
+REPEAT_SECONDS = 0.5
+"""Wait for a command's effect in the list before it is given again: some round trips."""
+UNREACHABLE_SECONDS = 4.5
+"""The list drops a silent target after three heartbeats of 1.2 s; one still listed is back."""
+SLOW_SECONDS = 8.0
+"""How long a target found slow is left out, before its pace is trusted again."""
+ADOPT_SECONDS = 1.5
+"""How long a group that a former holder began to form may stay incomplete."""
+CLOSE_SECONDS = 3.0
+"""How long a closing head may finish its streams; most last under 3 s."""
+SLACK_SECONDS = 2.0
+"""Added to the longest join of a formation before it is given up."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Forming:
+    """A group that was ordered and does not serve yet."""
+
+    key: group.Key
+    model: engine.Model
+    members: tuple[str, ...]
+    give_up_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Steward:
+    """What the holder of the lease has under way.
+
+    :ivar token: the lease's number.
+    :ivar doomed: groups whose members are told to leave, and since when.
+    :ivar closing: groups whose heads are told to finish, and since when.
+    :ivar unreachable: targets that did not answer, and until when they are left out.
+    :ivar first_seen: when groups of a former holder were first seen incomplete.
+    :ivar is_loaded: whether loads are counted, which begins with the first request.
+    """
+
+    token: int
+    formed: int = 0
+    forming: dict[group.Key, Forming] = dataclasses.field(default_factory=dict)
+    doomed: dict[group.Key, float] = dataclasses.field(default_factory=dict)
+    closing: dict[group.Key, float] = dataclasses.field(default_factory=dict)
+    unreachable: dict[str, float] = dataclasses.field(default_factory=dict)
+    slow: dict[str, float] = dataclasses.field(default_factory=dict)
+    sent: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
+    first_seen: dict[group.Key, float] = dataclasses.field(default_factory=dict)
+    loads: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
+    is_loaded: bool = False
+
+
+def report_stall(state: Steward, key: group.Key, missing: abc.Iterable[str], now: float) -> None:
+    """Take in that a group stands still, and which of its members did not answer."""
+    for one in missing:
+        state.unreachable[one] = now + UNREACHABLE_SECONDS
+    state.doomed.setdefault(key, now)
+    state.forming.pop(key, None)
+
+
+def report_missing(state: Steward, target_id: str, now: float) -> None:
+    """Take in that no connection to a target could be opened."""
+    state.unreachable[target_id] = now + UNREACHABLE_SECONDS
+
+
+def report_slow(state: Steward, key: group.Key, members: abc.Iterable[str], now: float) -> None:
+    """Take in that members slow their group down."""
+    for one in members:
+        state.slow[one] = now + SLOW_SECONDS
+    state.closing.setdefault(key, now)
+
+
+def decide(
+    state: Steward, known: registry.Registry, service: str, constants: engine.Engine, now: float
+) -> list[group_command.Command]:
+    """Return the commands to give now for one service."""
+    _forget(state, now)
+    found = group.assemble(known.targets.values(), constants, service)
+    commands: list[group_command.Command] = []
+    for key in sorted(found):
+        commands += _tend(state, found[key], now)
+    commands += _follow_forming(state, known, found, now)
+    commands += _form(state, known, found, service, constants, now)
+    _drop_finished(state, found)
+    return commands
+
+
+def _forget(state: Steward, now: float) -> None:
+    state.unreachable = {one: at for one, at in state.unreachable.items() if at > now}
+    state.slow = {one: at for one, at in state.slow.items() if at > now}
+    state.sent = {what: at for what, at in state.sent.items() if now < at + REPEAT_SECONDS}
+
+
+def _drop_finished(state: Steward, found: abc.Mapping[group.Key, group.Group]) -> None:
+    for kept in (state.doomed, state.closing, state.first_seen):
+        for key in [one for one in kept if one not in found]:
+            del kept[key]
+
+
+def _once(state: Steward, what: str, one: target.Target, epoch: int, now: float) -> bool:
+    """Whether a command may be sent now, rather than while its effect may still come."""
+    if one.id in state.unreachable or (what, one.id, epoch) in state.sent:
+        return False
+    state.sent[(what, one.id, epoch)] = now
+    return True
+
+
+def _is_standby(key: group.Key) -> bool:
+    return key.name.startswith(STANDBY_PREFIX)
+
+
+def _tend(state: Steward, found: group.Group, now: float) -> list[group_command.Command]:
+    """Look after one group that its members report."""
+    key = found.key
+    if key in state.doomed:
+        return _dissolve(state, found, now)
+    if _is_standby(key) or key in state.forming:
+        return []
+    if found.state is target.GroupState.OPEN and found.is_whole:
+        return _tend_serving(state, found, now)
+    if found.state is target.GroupState.CLOSING or key in state.closing:
+        return _tend_closing(state, found, now)
+    if found.is_ready and found.head is not None:
+        if _once(state, "open", found.head, key.epoch, now):
+            return [group_command.Open(found.head, key)]
+        return []
+    return _tend_incomplete(state, found, now)
+
+
+def _tend_serving(state: Steward, found: group.Group, now: float) -> list[group_command.Command]:
+    head = found.head
+    if head is None:
+        return []
+    if not found.has_leaving and found.key not in state.closing:
+        return []
+    state.closing.setdefault(found.key, now)
+    if now >= state.closing[found.key] + CLOSE_SECONDS:
+        state.doomed[found.key] = now
+        return _dissolve(state, found, now)
+    if _once(state, "close", head, found.key.epoch, now):
+        return [group_command.Close(head, found.key)]
+    return []
+
+
+def _tend_closing(state: Steward, found: group.Group, now: float) -> list[group_command.Command]:
+    since = state.closing.setdefault(found.key, now)
+    is_closed = found.state not in (target.GroupState.CLOSING, target.GroupState.OPEN)
+    if is_closed or not found.is_whole or now >= since + CLOSE_SECONDS:
+        state.doomed[found.key] = now
+        return _dissolve(state, found, now)
+    return []
+
+
+def _tend_incomplete(state: Steward, found: group.Group, now: float) -> list[group_command.Command]:
+    """Dissolve a group that lost a member, or that a former holder did not complete."""
+    is_begun = found.state in (target.GroupState.JOINING, target.GroupState.READY, None)
+    since = state.first_seen.setdefault(found.key, now)
+    if is_begun and now < since + ADOPT_SECONDS:
+        return []
+    state.doomed[found.key] = now
+    return _dissolve(state, found, now)
+
+
+def _dissolve(state: Steward, found: group.Group, now: float) -> list[group_command.Command]:
+    return [
+        group_command.Leave(one, found.key)
+        for one in found.members
+        if _once(state, "leave", one, found.key.epoch, now)
+    ]
+
+
+def _follow_forming(
+    state: Steward,
+    known: registry.Registry,
+    found: abc.Mapping[group.Key, group.Group],
+    now: float,
+) -> list[group_command.Command]:
+    commands: list[group_command.Command] = []
+    for key, one in list(state.forming.items()):
+        seen = found.get(key)
+        if seen is not None and seen.state is target.GroupState.OPEN:
+            del state.forming[key]
+        elif _is_failed(state, known, one, now):
+            del state.forming[key]
+            state.doomed[key] = now
+        else:
+            commands += _push(state, known, one, seen, now)
+    return commands
+
+
+def _is_failed(state: Steward, known: registry.Registry, one: Forming, now: float) -> bool:
+    if now >= one.give_up_at:
+        return True
+    for member in one.members:
+        seen = known.targets.get(member)
+        if seen is None or seen.is_leaving or member in state.unreachable:
+            return True
+    return False
+
+
+def _push(
+    state: Steward,
+    known: registry.Registry,
+    one: Forming,
+    seen: group.Group | None,
+    now: float,
+) -> list[group_command.Command]:
+    """Repeat joins without effect, and open a group that is ready."""
+    if seen is not None and seen.is_ready and seen.head is not None:
+        if _once(state, "open", seen.head, one.key.epoch, now):
+            return [group_command.Open(seen.head, one.key)]
+        return []
+    commands: list[group_command.Command] = []
+    for member in one.members:
+        listed = known.targets[member]
+        if _has_joined(listed, one.key):
+            continue
+        if _once(state, "join", listed, one.key.epoch, now):
+            join = group_command.Join(listed, one.key, one.model.name, one.members, False)
+            commands.append(join)
+    return commands
+
+
+def _has_joined(one: target.Target, key: group.Key) -> bool:
+    held = one.membership
+    return held is not None and (held.group, held.epoch) == (key.name, key.epoch)
+
+
+def _form(
+    state: Steward,
+    known: registry.Registry,
+    found: abc.Mapping[group.Key, group.Group],
+    service: str,
+    constants: engine.Engine,
+    now: float,
+) -> list[group_command.Command]:
+    usable = _find_usable(state, known, service)
+    counts = _count_groups(state, known, found)
+    fleet: dict[str, int] = {}
+    for groups in counts.values():
+        for model, number in groups.items():
+            fleet[model] = fleet.get(model, 0) + number
+    commands: list[group_command.Command] = []
+    for name in sorted(usable, key=lambda one: (sum(counts.get(one, {}).values()), one)):
+        free = [_make_free(known, one) for one in usable[name] if _is_free(state, one)]
+        domain = formation.Domain(len(usable[name]), counts.get(name, {}), free)
+        used: set[str] = set()
+        for plan in formation.plan(domain, constants.models, fleet):
+            joins = _begin(state, known, plan, constants, now)
+            if joins:
+                commands += joins
+                used.update(one.id for one in plan.members)
+                fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
+        left = [one for one in free if one.target.id not in used]
+        commands += _keep_standbys(state, usable[name], left, constants, now)
+    return commands
+
+
+def _find_usable(
+    state: Steward, known: registry.Registry, service: str
+) -> dict[str, list[target.Target]]:
+    """Return the targets that may be in groups, by domain."""
+    found: dict[str, list[target.Target]] = {}
+    for one in known.targets.values():
+        is_out = one.is_leaving or one.id in state.unreachable or one.id in state.slow
+        if one.service == service and not is_out and one.id not in known.held:
+            found.setdefault(one.domain, []).append(one)
+    return found
+
+
+def _count_groups(
+    state: Steward, known: registry.Registry, found: abc.Mapping[group.Key, group.Group]
+) -> dict[str, dict[str, int]]:
+    """Return the groups of each model that serve or will, by domain."""
+    counts: dict[str, dict[str, int]] = {}
+
+    def count(domain: str, model: str) -> None:
+        here = counts.setdefault(domain, {})
+        here[model] = here.get(model, 0) + 1
+
+    for key, one in found.items():
+        is_ending = key in state.doomed or key in state.closing or key in state.forming
+        if not _is_standby(key) and not is_ending and one.model:
+            count(one.domain, one.model)
+    for forming in state.forming.values():
+        listed = known.targets.get(forming.members[0])
+        if listed is not None:
+            count(listed.domain, forming.model.name)
+    return counts
+
+
+def _is_free(state: Steward, one: target.Target) -> bool:
+    """Whether a target belongs to no group, so that it may be told to join one."""
+    if any(one.id in forming.members for forming in state.forming.values()):
+        return False
+    held = one.membership
+    return held is None or held.group.startswith(STANDBY_PREFIX)
+
+
+def _make_free(known: registry.Registry, one: target.Target) -> formation.Free:
+    last = known.last_models.get((one.id, one.incarnation), "")
+    return formation.Free(one, last)
+
+
+def _begin(
+    state: Steward,
+    known: registry.Registry,
+    plan: formation.Plan,
+    constants: engine.Engine,
+    now: float,
+) -> list[group_command.Command]:
+    """Order a group, unless its loads have to wait."""
+    waits = [formation.join_seconds(_make_free(known, one), plan.model) for one in plan.members]
+    loads = sum(wait >= plan.model.load_seconds for wait in waits)
+    if not _may_load(state, loads, constants, now):
+        return []
+    key = _next_key(state, "group")
+    ids = tuple(one.id for one in plan.members)
+    give_up_at = now + 2 * max(waits) + SLACK_SECONDS
+    state.forming[key] = Forming(key, plan.model, ids, give_up_at)
+    commands: list[group_command.Command] = []
+    for one, wait in zip(plan.members, waits, strict=True):
+        state.sent[("join", one.id, key.epoch)] = now
+        is_load = wait >= plan.model.load_seconds
+        commands.append(group_command.Join(one, key, plan.model.name, ids, is_load))
+    return commands
+
+
+def _may_load(state: Steward, loads: int, constants: engine.Engine, now: float) -> bool:
+    if not state.is_loaded:
+        return True
+    return all(state.loads.spend(constants.loads_per_second, now) for _ in range(loads))
+
+
+def _next_key(state: Steward, kind: str) -> group.Key:
+    state.formed += 1
+    epoch = (state.token << EPOCH_BITS) + state.formed
+    return group.Key(f"{kind}-{epoch:x}", epoch)
+
+
+def _keep_standbys(
+    state: Steward,
+    domain: abc.Sequence[target.Target],
+    free: abc.Sequence[formation.Free],
+    constants: engine.Engine,
+    now: float,
+) -> list[group_command.Command]:
+    """Let spares hold weights: a group of its own, never opened, makes the next join short."""
+    members, standbys = _count_members(domain)
+    commands: list[group_command.Command] = []
+    for one in free:
+        if one.target.membership is not None or ("standby", one.target.id, 0) in state.sent:
+            continue
+        model = formation.choose_standby(one, constants.models, members, standbys)
+        wait = formation.join_seconds(one, model)
+        is_load = wait >= model.load_seconds
+        if is_load and not _may_load(state, 1, constants, now):
+            continue
+        key = _next_key(state, STANDBY_PREFIX.rstrip("-"))
+        state.sent[("standby", one.target.id, 0)] = now
+        standbys[model.name] = standbys.get(model.name, 0) + 1
+        ids = (one.target.id,)
+        commands.append(group_command.Join(one.target, key, model.name, ids, is_load))
+    return commands
+
+
+def _count_members(
+    domain: abc.Sequence[target.Target],
+) -> tuple[dict[str, int], dict[str, int]]:
+    members: dict[str, int] = {}
+    standbys: dict[str, int] = {}
+    for one in domain:
+        if one.membership is None or not one.model:
+            continue
+        is_spare = one.membership.group.startswith(STANDBY_PREFIX)
+        counts = standbys if is_spare else members
+        counts[one.model] = counts.get(one.model, 0) + 1
+    return members, standbys
--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -68,6 +68,8 @@
     _C.OBJECT_DAMAGED: Row(
         0, "a configuration object of the platform is damaged", "no", "apply the declarations again"
     ),
+    _C.OBJECT_MISSING: Row(0, "the platform has no such object", "no", "create it"),
+    _C.HISTORY_GONE: Row(0, "the platform forgot the changes asked for", "no", "list again"),
     _C.STALE_TOKEN: Row(409, "the fencing token is old", "no", "none: a newer holder acts"),
     _C.BAD_SETTING: Row(0, "a setting of the process is wrong", "no", "correct the file"),
     _C.BAD_DECLARATION: Row(0, "a declaration is wrong", "no", "correct the file"),
--- /dev/null
+++ b/src/galenavane/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Targets, and the replica groups that they form, as the platform lists them."""
--- /dev/null
+++ b/src/galenavane/fleet/group.py
@@ -0,0 +1,94 @@
+"""Replica groups, assembled from what their members say."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import msgspec
+
+from galenavane.catalog import engine
+from galenavane.fleet import target
+
+
+class Key(msgspec.Struct, frozen=True, order=True):
+    """Names one formation of a group; an epoch is never used twice."""
+
+    name: str
+    epoch: int
+
+
+class Group(msgspec.Struct, frozen=True):
+    """A group as far as its members are listed.
+
+    :ivar members: listed members by rank.
+    :ivar is_whole: every member of the model's size is listed.
+    """
+
+    key: Key
+    service: str
+    model: str
+    domain: str
+    members: tuple[target.Target, ...]
+    is_whole: bool
+
+    @property
+    def head(self) -> target.Target | None:
+        """The member that serves requests, unless it is no longer listed."""
+        first = self.members[0]
+        return first if first.membership is not None and first.membership.rank == 0 else None
+
+    @property
+    def state(self) -> target.GroupState | None:
+        """The state of the head."""
+        head = self.head
+        return head.membership.state if head is not None and head.membership is not None else None
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether requests may be sent to the head."""
+        head = self.head
+        return (
+            self.is_whole
+            and head is not None
+            and not head.is_leaving
+            and self.state is target.GroupState.OPEN
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether every member is ready, so that the head may be opened."""
+        return self.is_whole and all(
+            one.membership is not None and one.membership.state is target.GroupState.READY
+            for one in self.members
+        )
+
+    @property
+    def has_leaving(self) -> bool:
+        """Whether a member is about to stop."""
+        return any(one.is_leaving for one in self.members)
+
+
+def assemble(
+    targets: abc.Iterable[target.Target], constants: engine.Engine, service: str
+) -> dict[Key, Group]:
+    """Return the groups of a service that its listed targets belong to."""
+    found: dict[Key, list[target.Target]] = {}
+    for one in targets:
+        if one.service == service and one.membership is not None:
+            key = Key(one.membership.group, one.membership.epoch)
+            found.setdefault(key, []).append(one)
+    return {key: _make(key, members, constants) for key, members in found.items()}
+
+
+def _make(key: Key, members: list[target.Target], constants: engine.Engine) -> Group:
+    members.sort(key=_rank)
+    named = next((one.model for one in members if one.model), "")
+    model = constants.find_model(named)
+    ranks = [_rank(one) for one in members]
+    is_whole = model is not None and ranks == list(range(model.size))
+    first = members[0]
+    return Group(key, first.service, named, first.domain, tuple(members), is_whole)
+
+
+def _rank(one: target.Target) -> int:
+    return one.membership.rank if one.membership is not None else -1
--- /dev/null
+++ b/src/galenavane/gateway/admission.py
@@ -0,0 +1,95 @@
+"""Finds out what a request may do by the configuration in force."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import expression
+import msgspec
+
+from galenavane.catalog import catalog, route
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.gateway import boot_clock, knowledge
+from galenavane.gateway import state as states
+from galenavane.serve import call
+
+RETRY_SECONDS = 0.4
+"""Another entry may know more at once, and this one learns within a few tries."""
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """A request that may be served.
+
+    :ivar account: name of the client account, empty on public routes.
+    :ivar deadline: on trio's clock; the final answer is due by then.
+    """
+
+    call: call.Call
+    route: route.Route
+    service: str
+    account: str
+    received_at: float
+    deadline: float
+
+
+def admit(
+    gw: states.Gateway, found: call.Call, now: float
+) -> expression.Result[Admitted, failure.Failure]:
+    """Return what a request may do, or why it is refused."""
+    known = gw.knowledge.catalog
+    if known is None:
+        return _refuse(codes.Code.NO_CONFIGURATION, "no configuration is known yet")
+    if not found.id:
+        return _fail(codes.Code.BAD_REQUEST, "the request has no id")
+    place = known.find_route(found.host, found.path)
+    if place is None:
+        return _missing(gw, codes.Code.NO_SUCH_PATH, "no route matches host and path")
+    account = _find_account(gw, known, place, found)
+    if account.is_error():
+        return expression.Error(account.error)
+    service = _choose_service(place, gw.rng)
+    if service not in known.services:
+        return _refuse(codes.Code.NO_GROUP, "the route's service is not declared")
+    wait = min(found.wait_seconds, place.timeout_seconds)
+    return expression.Ok(Admitted(found, place, service, account.ok, now, now + wait))
+
+
+def _find_account(
+    gw: states.Gateway, known: catalog.Catalog, place: route.Route, found: call.Call
+) -> expression.Result[str, failure.Failure]:
+    if place.is_public or not known.has_accounts:
+        return expression.Ok("")
+    if not gw.may_use_keys():
+        return _refuse(codes.Code.NO_CONFIGURATION, "keys can't be confirmed now")
+    holder = known.find_account(found.key)
+    if holder is None:
+        return _missing(gw, codes.Code.UNKNOWN_ACCOUNT, "the key belongs to no account")
+    return expression.Ok(holder.name)
+
+
+def _missing(
+    gw: states.Gateway, code: codes.Code, text: str
+) -> expression.Result[typing.Any, failure.Failure]:
+    """Refuse for good only what no newer configuration can allow."""
+    if knowledge.is_complete(gw.knowledge, boot_clock.now()):
+        return _fail(code, text)
+    return _refuse(codes.Code.NO_CONFIGURATION, f"{text}, as far as is known")
+
+
+def _refuse(code: codes.Code, text: str) -> expression.Result[typing.Any, failure.Failure]:
+    return expression.Error(failure.Failure(code, text, retry_after_seconds=RETRY_SECONDS))
+
+
+def _fail(code: codes.Code, text: str) -> expression.Result[typing.Any, failure.Failure]:
+    return expression.Error(failure.Failure(code, text))
+
+
+def _choose_service(place: route.Route, rng: random.Random) -> str:
+    if not place.backings:
+        return ""
+    weights = [one.weight for one in place.backings]
+    if sum(weights) <= 0:
+        return place.backings[0].service
+    return rng.choices(place.backings, weights)[0].service
--- /dev/null
+++ b/src/galenavane/gateway/config_task.py
@@ -0,0 +1,68 @@
+"""Keeps the configuration in force known."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.gateway import boot_clock, knowledge, object_store
+from galenavane.gateway import state as states
+from galenavane.observe import events
+
+WATCH_SECONDS = 1.0
+"""Each watch that ends without news confirms the configuration once more."""
+RETRY_SECONDS = 0.15
+"""Between calls that fail; a store that is back has to be noticed at once."""
+
+
+async def run(gw: states.Gateway) -> None:
+    """Read the configuration, then watch it."""
+    revision = 0
+    is_answered = True
+    while True:
+        sent_at = boot_clock.now()
+        if revision == 0:
+            read = await gw.store.read_config()
+            found = read.map(lambda one: object_store.Changes(one.revision, [one]))
+        else:
+            found = await gw.store.watch_config(revision, WATCH_SECONDS)
+        if found.is_ok():
+            if not is_answered:
+                events.log("store.regained", age=round(sent_at - gw.knowledge.store_at, 3))
+            is_answered = True
+            revision = _take(gw, found.ok, sent_at)
+            continue
+        if is_answered and found.error.code is not codes.Code.HISTORY_GONE:
+            events.log("store.lost", code=found.error.code.name, text=found.error.message)
+            is_answered = False
+        revision = _restart(found.error, revision)
+        await trio.sleep(RETRY_SECONDS * (0.5 + gw.rng.random()))
+
+
+def _restart(error: failure.Failure, revision: int) -> int:
+    """Return the revision to go on from after a failure."""
+    is_lost = error.code in (codes.Code.HISTORY_GONE, codes.Code.OBJECT_DAMAGED)
+    return 0 if is_lost else revision
+
+
+def _take(gw: states.Gateway, found: object_store.Changes, sent_at: float) -> int:
+    gw.knowledge.store_at = max(gw.knowledge.store_at, sent_at)
+    for one in found.objects:
+        if one.name == "main":
+            take_config(gw, one.value, sent_at, "store")
+    knowledge.confirm(gw.knowledge, sent_at)
+    return found.revision
+
+
+def take_config(gw: states.Gateway, raw: bytes, as_of: float, source: str) -> None:
+    """Take in a configuration that was in force at a boot time."""
+    try:
+        found = gw.dialect.decode_config(raw)
+    except (msgspec.DecodeError, ValueError) as exc:
+        events.log("config.damaged", source=source, text=str(exc))
+        return
+    if knowledge.offer(gw.knowledge, found, raw, as_of):
+        events.log("config.in_force", version=found.version, source=source)
+        gw.wake_control()
--- /dev/null
+++ b/src/galenavane/gateway/control_task.py
@@ -0,0 +1,159 @@
+"""Gives targets the commands that the steward decides on."""
+
+from __future__ import annotations
+
+import functools
+
+import trio
+
+from galenavane.control import group_command, steward
+from galenavane.fleet import group, registry, target
+from galenavane.gateway import boot_clock, member_check
+from galenavane.gateway import state as states
+from galenavane.net import transport_error
+from galenavane.observe import events
+
+TICK_SECONDS = 0.2
+COMMAND_SECONDS = 0.5
+"""Targets answer commands in milliseconds; one that does not is asked again or left out."""
+MAX_ANSWER_BYTES = 65_536
+STORE_SILENT_SECONDS = 1.0
+"""Older lists don't show the effect of commands, so targets are asked themselves."""
+REPORT_SECONDS = 0.25
+"""Reports are some hundred milliseconds old, so asking more often shows nothing new."""
+
+
+async def run(gw: states.Gateway) -> None:
+    """Command targets while the lease is held."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_run_reports, gw)
+        while True:
+            changed = gw.changed
+            _take_stalls(gw, nursery)
+            if gw.steward is not None and not gw.is_stopping:
+                _decide(gw, gw.steward, nursery)
+            with trio.move_on_after(TICK_SECONDS):
+                await changed.wait()
+
+
+def _decide(gw: states.Gateway, holder: steward.Steward, nursery: trio.Nursery) -> None:
+    catalog = gw.knowledge.catalog
+    if catalog is None:
+        return
+    holder.is_loaded = holder.is_loaded or bool(gw.served)
+    now = trio.current_time()
+    for service in catalog.engine_services():
+        if service.engine is None:
+            continue
+        commands = steward.decide(holder, gw.registry, service.name, service.engine, now)
+        for command in commands:
+            nursery.start_soon(_give, gw, holder, command)
+
+
+async def _give(
+    gw: states.Gateway, holder: steward.Steward, command: group_command.Command
+) -> None:
+    """Give one command; its effect is seen in the list of targets."""
+    req = gw.dialect.command_request(command)
+    result = "unanswered"
+    try:
+        response = await gw.calls.send(
+            command.target.address, req, COMMAND_SECONDS, MAX_ANSWER_BYTES
+        )
+        result = str(response.status)
+    except transport_error.TransportError as exc:
+        result = exc.kind.value
+    events.log(
+        "command.given",
+        command=type(command).__name__.lower(),
+        target=command.target.id,
+        group=command.key.name,
+        epoch=command.key.epoch,
+        token=holder.token,
+        revision=gw.registry.revision,
+        result=result,
+    )
+    gw.metrics.commands.inc({"command": type(command).__name__.lower(), "result": result})
+    if result == transport_error.Kind.NOT_CONNECTED.value:
+        steward.report_missing(holder, command.target.id, trio.current_time())
+
+
+def _take_stalls(gw: states.Gateway, nursery: trio.Nursery) -> None:
+    """Check the groups that entries found still, once each."""
+    found, gw.stalls = gw.stalls, []
+    if gw.steward is None:
+        return
+    for service, key, missing in set(found):
+        nursery.start_soon(_verify, gw, service, key, missing)
+
+
+async def _verify(
+    gw: states.Gateway, service: str, key: group.Key, missing: tuple[str, ...]
+) -> None:
+    """Dissolve a group that stands still, with what its members say to this entry."""
+    found = _find_group(gw, service, key)
+    if found is None or gw.steward is None or key in gw.steward.doomed:
+        return
+    silent = await member_check.find_silent(gw, found.members)
+    holder = gw.steward
+    if holder is None:
+        return
+    # A member that answers here is alive, whatever another entry reaches; a group without
+    # a silent member is dissolved only when its head was found still for long.
+    if silent or not missing:
+        events.log(
+            "group.dissolved",
+            group=key.name,
+            epoch=key.epoch,
+            silent=",".join(silent),
+            told=",".join(missing),
+        )
+        steward.report_stall(holder, key, silent, trio.current_time())
+        gw.wake_control()
+    else:
+        events.log("group.kept", group=key.name, epoch=key.epoch, told=",".join(missing))
+
+
+def _find_group(gw: states.Gateway, service: str, key: group.Key) -> group.Group | None:
+    catalog = gw.knowledge.catalog
+    declared = catalog.services.get(service) if catalog is not None else None
+    if declared is None or declared.engine is None:
+        return None
+    return gw.groups(service, declared.engine).get(key)
+
+
+async def _run_reports(gw: states.Gateway) -> None:
+    """Ask targets under command themselves, while the store does not tell."""
+    while True:
+        await trio.sleep(REPORT_SECONDS)
+        holder = gw.steward
+        if holder is None or boot_clock.now() - gw.knowledge.store_at < STORE_SILENT_SECONDS:
+            continue
+        asked = _under_command(gw, holder)
+        async with trio.open_nursery() as nursery:
+            for one in asked:
+                nursery.start_soon(functools.partial(_ask, gw, one))
+        if asked:
+            gw.wake_control()
+
+
+def _under_command(gw: states.Gateway, holder: steward.Steward) -> list[target.Target]:
+    ids = {member for one in holder.forming.values() for member in one.members}
+    keys = set(holder.doomed) | set(holder.closing)
+    for one in gw.registry.targets.values():
+        held = one.membership
+        if held is not None and group.Key(held.group, held.epoch) in keys:
+            ids.add(one.id)
+    return [gw.registry.targets[one] for one in sorted(ids) if one in gw.registry.targets]
+
+
+async def _ask(gw: states.Gateway, one: target.Target) -> None:
+    try:
+        response = await gw.calls.send(
+            one.address, gw.dialect.report_request(), COMMAND_SECONDS, MAX_ANSWER_BYTES
+        )
+    except transport_error.TransportError:
+        return
+    found = gw.dialect.decode_report(one, response.body) if response.status == 200 else None
+    if found is not None:
+        registry.put(gw.registry, found[0])
--- /dev/null
+++ b/src/galenavane/gateway/dialect.py
@@ -0,0 +1,41 @@
+"""How requests, answers and commands look on the wire; the adapter provides it."""
+
+from __future__ import annotations
+
+import typing
+
+from galenavane.catalog import catalog
+from galenavane.control import group_command
+from galenavane.fleet import target
+from galenavane.net import headers, message
+from galenavane.serve import call, target_answer
+
+
+class Dialect(typing.Protocol):
+    """Translations between the wire and the product's types."""
+
+    def decode_config(self, body: bytes) -> catalog.Catalog:
+        """Return a configuration.
+
+        :raises ValueError: when it can't be read.
+        """
+
+    def decode_request(self, req: message.Request) -> call.Call:
+        """Return what a client's request asks for."""
+
+    def target_headers(self, found: call.Call, send: call.Send) -> headers.Headers:
+        """Return the headers with which a call is sent to a target."""
+
+    def read_answer(self, found: call.Call, head: message.Response) -> target_answer.TargetAnswer:
+        """Return what the head of a target's answer says."""
+
+    def command_request(self, command: group_command.Command) -> message.Request:
+        """Return the request that gives a command to a target."""
+
+    def report_request(self) -> message.Request:
+        """Return the request for a target's own report."""
+
+    def decode_report(
+        self, known: target.Target, body: bytes
+    ) -> tuple[target.Target, float] | None:
+        """Return a target as it reports itself, and its pace; over 1 is slow."""
--- /dev/null
+++ b/src/galenavane/gateway/front.py
@@ -0,0 +1,97 @@
+"""Clients' HTTP on the users' platform: answers every request and says why."""
+
+from __future__ import annotations
+
+import trio
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.gateway import admission, model_serving, plain_serving
+from galenavane.gateway import state as states
+from galenavane.net import disconnect, http_server, transport_error
+from galenavane.observe import events
+from galenavane.serve import call as calls
+from galenavane.serve import errors
+
+_Outcome = outcomes.Outcome
+LEAVING_SECONDS = 0.05
+"""Another entry can serve at once."""
+
+
+def make_handler(gw: states.Gateway) -> http_server.Handler:
+    """Return the handler of clients' requests."""
+
+    async def handle(exchange: http_server.Exchange) -> None:
+        gw.active += 1
+        gw.last_request_at = trio.current_time()
+        try:
+            await _serve(gw, exchange)
+        finally:
+            gw.active -= 1
+
+    return handle
+
+
+async def _serve(gw: states.Gateway, exchange: http_server.Exchange) -> None:
+    began_at = trio.current_time()
+    call = gw.dialect.decode_request(exchange.request)
+    try:
+        found = await disconnect.race(exchange.conn, _answer, gw, exchange, call, began_at)
+    except disconnect.DisconnectError:
+        found = failure.Failure(codes.Code.CALLER_GONE, "the client left", _Outcome.UNKNOWN)
+    except transport_error.TransportError as exc:
+        found = failure.Failure(codes.Code.CALLER_GONE, str(exc), _Outcome.UNKNOWN)
+    _log_end(gw, call, found, trio.current_time() - began_at)
+    if found is None or exchange.answered or found.code is codes.Code.CALLER_GONE:
+        return
+    answer = errors.response(found, call.id, is_fraction_known=True)
+    if gw.is_closing:
+        answer.headers.add("connection", "close")
+    await exchange.respond(answer)
+
+
+async def _answer(
+    gw: states.Gateway, exchange: http_server.Exchange, call: calls.Call, now: float
+) -> failure.Failure | None:
+    admitted = admission.admit(gw, call, now)
+    if admitted.is_error():
+        return admitted.error
+    if gw.is_closing:
+        return failure.Failure(
+            codes.Code.LEAVING, "this entry is stopping", retry_after_seconds=LEAVING_SECONDS
+        )
+    return await _serve_in_time(gw, exchange, admitted.ok)
+
+
+async def _serve_in_time(
+    gw: states.Gateway, exchange: http_server.Exchange, found: admission.Admitted
+) -> failure.Failure | None:
+    gw.budget(found.service).count_first(found.received_at)
+    catalog = gw.knowledge.catalog
+    service = catalog.services.get(found.service) if catalog is not None else None
+    with trio.move_on_at(found.deadline):
+        if service is not None and service.engine is not None:
+            return await model_serving.serve(gw, exchange, found, service.engine)
+        return await plain_serving.serve(gw, exchange, found)
+    return failure.Failure(
+        codes.Code.TARGET_SILENT, "the time for the answer is over", _Outcome.UNKNOWN
+    )
+
+
+def _log_end(
+    gw: states.Gateway, call: calls.Call, found: failure.Failure | None, seconds: float
+) -> None:
+    code = found.code.name if found is not None else "ANSWERED"
+    outcome = found.outcome.value if found is not None else _Outcome.ANSWERED.value
+    events.log(
+        "request.end",
+        request=call.id,
+        code=code,
+        outcome=outcome,
+        seconds=round(seconds, 4),
+        version=gw.knowledge.version,
+        text=found.message if found is not None else "",
+    )
+    gw.metrics.ends.inc({"code": code, "outcome": outcome})
+    gw.metrics.whole.observe({}, seconds)
--- /dev/null
+++ b/src/galenavane/gateway/lease_task.py
@@ -0,0 +1,133 @@
+"""Takes, renews and gives up the right to command targets."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from galenavane.control import steward
+from galenavane.failure import code as codes
+from galenavane.gateway import boot_clock, lease, object_store, peers
+from galenavane.gateway import state as states
+from galenavane.observe import events
+
+LEASE_KIND = "galenavane-leases"
+LEASE_NAME = "control"
+TICK_SECONDS = 0.1
+
+
+async def run(gw: states.Gateway) -> None:
+    """Hold the lease whenever nobody else does, until the process stops."""
+    while not gw.is_stopping:
+        now = boot_clock.now()
+        command = lease.next_command(gw.lease, _is_holder_heard(gw, now), _is_gone(gw, now), now)
+        if gw.knowledge.catalog is None:
+            command = None
+        if isinstance(command, lease.Read):
+            await _read(gw)
+        elif isinstance(command, lease.Write):
+            await _write(gw, command)
+        _follow(gw)
+        await trio.sleep(TICK_SECONDS * (0.7 + 0.6 * gw.rng.random()))
+    await _release(gw)
+
+
+def _holder_pulse(gw: states.Gateway) -> peers.Peer | None:
+    name = gw.lease.value.holder.partition("/")[0]
+    return gw.peers.get(name)
+
+
+def _is_holder_heard(gw: states.Gateway, now: float) -> bool:
+    found = _holder_pulse(gw)
+    if found is None or found.pulse is None or now - found.heard_at > peers.SILENT_SECONDS:
+        return False
+    return found.pulse.token == gw.lease.value.token and not found.pulse.is_stopping
+
+
+def _is_gone(gw: states.Gateway, now: float) -> bool:
+    found = _holder_pulse(gw)
+    if found is None or found.pulse is None:
+        return False
+    is_silent = now - found.heard_at > peers.SILENT_SECONDS
+    holder = gw.lease.value.holder.partition("/")[2]
+    return is_silent or found.pulse.incarnation != holder
+
+
+async def _read(gw: states.Gateway) -> None:
+    found = await gw.store.read(LEASE_KIND, LEASE_NAME)
+    now = boot_clock.now()
+    if found.is_ok():
+        lease.observe(gw.lease, found.ok.revision, _decode(found.ok), now)
+    elif found.error.code is codes.Code.OBJECT_MISSING:
+        lease.observe(gw.lease, 0, lease.Value("", 0, 0), now)
+
+
+async def _write(gw: states.Gateway, command: lease.Write) -> None:
+    sent_at = boot_clock.now()
+    gw.lease.sent_at = sent_at
+    if command.revision == 0:
+        made = await gw.store.create(LEASE_KIND, LEASE_NAME, command.value)
+    else:
+        made = await gw.store.replace(LEASE_KIND, LEASE_NAME, command.value, command.revision)
+    if made.is_ok():
+        lease.written(gw.lease, made.ok.revision, command.value, sent_at)
+        return
+    if made.error.code in (
+        codes.Code.PLATFORM_CONFLICT,
+        codes.Code.PLATFORM_UNKNOWN,
+        codes.Code.OBJECT_MISSING,
+    ):
+        await _settle(gw, command, sent_at)
+
+
+async def _settle(gw: states.Gateway, command: lease.Write, sent_at: float) -> None:
+    """Read what the lease holds after a write whose effect is not known."""
+    found = await gw.store.read(LEASE_KIND, LEASE_NAME)
+    if found.is_error():
+        return
+    value = _decode(found.ok)
+    if value == command.value:
+        lease.written(gw.lease, found.ok.revision, value, sent_at)
+        return
+    if lease.observe(gw.lease, found.ok.revision, value, boot_clock.now()):
+        events.log("lease.lost", token=command.value.token, holder=value.holder)
+
+
+def _decode(found: object_store.Stored) -> lease.Value:
+    try:
+        return msgspec.json.decode(found.value, type=lease.Value)
+    except msgspec.DecodeError as exc:
+        events.log("lease.damaged", text=str(exc))
+        return lease.Value("", 0, 0)
+
+
+def _follow(gw: states.Gateway) -> None:
+    """Begin to command with a new lease, and stop when it may be another's."""
+    now = boot_clock.now()
+    held = lease.is_held(gw.lease, now) or _may_go_on(gw, now)
+    token = gw.lease.value.token
+    if held and (gw.steward is None or gw.steward.token != token):
+        gw.steward = steward.Steward(token)
+        events.log("lease.gained", token=token)
+        gw.wake_control()
+    elif not held and gw.steward is not None:
+        events.log("lease.ended", token=gw.steward.token, text="not renewed in time")
+        gw.steward = None
+
+
+def _may_go_on(gw: states.Gateway, now: float) -> bool:
+    """Whether a holder that can't renew goes on, since nobody else can hold the lease either."""
+    if gw.steward is None or not lease.is_own(gw.lease):
+        return False
+    live = [one.pulse for one in peers.list_live(gw.peers, now) if one.pulse is not None]
+    if any(one.token > gw.steward.token for one in live):
+        return False
+    return all(one.store_age > lease.HOLD_SECONDS for one in live)
+
+
+async def _release(gw: states.Gateway) -> None:
+    gw.steward = None
+    command = lease.release(gw.lease)
+    if command is not None:
+        await gw.store.replace(LEASE_KIND, LEASE_NAME, command.value, command.revision)
+        events.log("lease.released", token=command.value.token)
--- /dev/null
+++ b/src/galenavane/gateway/member_check.py
@@ -0,0 +1,42 @@
+"""Finds out which members of a group can't be connected to."""
+
+from __future__ import annotations
+
+import functools
+from collections import abc
+
+import trio
+
+from galenavane.fleet import target
+from galenavane.gateway import state as states
+from galenavane.net import transport_error
+
+CONNECT_SECONDS = 0.07
+"""A connection within a region takes a few milliseconds."""
+TRIES = 2
+"""One lost packet is not a lost member."""
+LAG_SECONDS = 0.05
+"""When the loop itself was this late, silence proves nothing."""
+
+
+async def find_silent(gw: states.Gateway, members: abc.Sequence[target.Target]) -> tuple[str, ...]:
+    """Return the ids of the members that did not answer."""
+    silent: list[str] = []
+    async with trio.open_nursery() as nursery:
+        for one in members:
+            nursery.start_soon(functools.partial(_check, gw, one, silent))
+    return tuple(sorted(silent))
+
+
+async def _check(gw: states.Gateway, one: target.Target, silent: list[str]) -> None:
+    for _ in range(TRIES):
+        before = trio.current_time()
+        try:
+            conn = await gw.net.dial(one.address, CONNECT_SECONDS)
+        except transport_error.TransportError:
+            if trio.current_time() - before > CONNECT_SECONDS + LAG_SECONDS:
+                return
+            continue
+        await conn.close()
+        return
+    silent.append(one.id)
--- /dev/null
+++ b/src/galenavane/gateway/model_serving.py
@@ -0,0 +1,298 @@
+"""Serves streams of models from replica groups.
+
+A stream whose group fails goes on at another group, after the last event that its client got.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from galenavane.catalog import engine
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.fleet import group
+from galenavane.gateway import (
+    admission,
+    boot_clock,
+    heads_task,
+    peers,
+    stoppable,
+    target_exchange,
+)
+from galenavane.gateway import state as states
+from galenavane.net import disconnect, http_server, message, transport_error
+from galenavane.observe import events
+from galenavane.route import head_choice, head_watch
+from galenavane.serve import call as calls
+from galenavane.serve import event_split, target_answer
+
+REFUSED_SUSPECT_SECONDS = 0.3
+"""A head that refuses is full, or about to be found broken."""
+NO_GROUP_SECONDS = (0.4, 1.0)
+"""A group is formed again in about a second; callers come back spread out."""
+FIRST_MARGIN_SECONDS = 0.04
+MAX_REFUSALS = 2
+_Outcome = outcomes.Outcome
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """How far one client's stream is.
+
+    :ivar last_event: number of the last event that the client has.
+    :ivar sends: targets that may have run it.
+    :ivar refusals: targets that refused it.
+    """
+
+    found: admission.Admitted
+    constants: engine.Engine
+    last_event: int
+    is_started: bool = False
+    sends: int = 0
+    refusals: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    worst: failure.Failure | None = None
+
+
+async def serve(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    found: admission.Admitted,
+    constants: engine.Engine,
+) -> failure.Failure | None:
+    """Answer a request; return the failure to tell, or ``None`` when it was answered."""
+    stream = Stream(found, constants, found.call.last_event)
+    if constants.find_model(found.call.model) is None:
+        return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
+    while True:
+        to = _choose(gw, stream)
+        if to is None or not _may_send(gw, stream):
+            return stream.worst or _no_group(gw)
+        sent = await _send(gw, exchange, stream, to)
+        if sent is None:
+            return None
+        _log_failed(gw, stream, to, sent)
+        if stream.worst is None or stream.worst.outcome is _Outcome.NOT_RUN:
+            stream.worst = sent
+        if not _may_go_on(stream, sent):
+            return stream.worst
+
+
+def _choose(gw: states.Gateway, stream: Stream) -> group.Group | None:
+    told = peers.add_up_loads(gw.peers, boot_clock.now())
+    candidates: dict[str, group.Group] = {}
+    options: list[head_choice.Candidate] = []
+    known = gw.groups(stream.found.service, stream.constants)
+    for one in known.values():
+        head = one.head
+        if head is None or one.model != stream.found.call.model or not one.is_serving:
+            continue
+        if gw.is_suspect(head.id):
+            continue
+        own = gw.heads.get(head.id)
+        in_flight = told.get(head.id, 0) + (len(own.reads) if own is not None else 0)
+        is_near = head.data_centre == gw.data_centre
+        options.append(head_choice.Candidate(head.id, in_flight, is_near))
+        candidates[head.id] = one
+    picked = head_choice.pick(options, stream.tried, gw.rng)
+    return candidates[picked.head] if picked is not None else None
+
+
+def _may_send(gw: states.Gateway, stream: Stream) -> bool:
+    if stream.found.account and not gw.may_use_keys():
+        return False
+    if stream.sends + stream.refusals == 0:
+        return True
+    gw.metrics.further_sends.inc({"service": stream.found.service})
+    return gw.budget(stream.found.service).spend(gw.entries(), trio.current_time())
+
+
+def _may_go_on(stream: Stream, sent: failure.Failure) -> bool:
+    if sent.outcome is _Outcome.NOT_RUN:
+        return stream.refusals <= MAX_REFUSALS
+    return stream.found.route.may_repeat and stream.sends < stream.found.route.max_sends
+
+
+def _no_group(gw: states.Gateway) -> failure.Failure:
+    low, high = NO_GROUP_SECONDS
+    return failure.Failure(
+        codes.Code.NO_GROUP,
+        "no whole group serves the model",
+        retry_after_seconds=gw.rng.uniform(low, high),
+    )
+
+
+def _log_failed(gw: states.Gateway, stream: Stream, to: group.Group, sent: failure.Failure) -> None:
+    events.log(
+        "request.send_failed",
+        request=stream.found.call.id,
+        group=to.key.name,
+        epoch=to.key.epoch,
+        revision=gw.registry.revision,
+        last_event=stream.last_event,
+        code=sent.code.name,
+        outcome=sent.outcome.value,
+        text=sent.message,
+    )
+
+
+async def _send(
+    gw: states.Gateway, exchange: http_server.Exchange, stream: Stream, to: group.Group
+) -> failure.Failure | None:
+    head = to.head
+    record = heads_task.use(gw, to, stream.constants)
+    if head is None or record is None:
+        return _no_group(gw)
+    request = stream.found.call.id
+    stream.tried.add(head.id)
+    read = record.reads[request] = stoppable.Stoppable()
+    now = trio.current_time()
+    head_watch.begin(record.activity, request, _expect_first(stream, to), now)
+    try:
+        return await _attempt(gw, exchange, stream, to, record, read)
+    except stoppable.StoppedError:
+        stream.sends += 1
+        return failure.Failure(codes.Code.TARGET_SILENT, "the group stands still", _Outcome.UNKNOWN)
+    finally:
+        head_watch.end(record.activity, request)
+        record.reads.pop(request, None)
+
+
+def _expect_first(stream: Stream, to: group.Group) -> float:
+    """Return the predicted time to the first event, in seconds."""
+    model = stream.constants.find_model(to.model)
+    if model is None:
+        return FIRST_MARGIN_SECONDS
+    reading = stream.found.call.prompt_tokens / stream.constants.read_tokens_per_second
+    beat = stream.constants.pass_seconds(model, stream.constants.slots // 2)
+    return FIRST_MARGIN_SECONDS + reading * model.pace + 2 * beat
+
+
+async def _attempt(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    stream: Stream,
+    to: group.Group,
+    record: states.Head,
+    read: stoppable.Stoppable,
+) -> failure.Failure | None:
+    head = to.head
+    assert head is not None
+    try:
+        link = await target_exchange.connect(gw, head, stream.found.call)
+    except transport_error.TransportError as exc:
+        gw.suspect(head.id, heads_task.SUSPECT_SECONDS)
+        stream.refusals += 1
+        return failure.Failure(codes.Code.TARGET_UNREACHABLE, str(exc))
+    try:
+        left = stream.found.deadline - trio.current_time()
+        send = calls.Send(head.id, stream.found.account, left, stream.last_event)
+        answer = await read.run(lambda: link.send(send))
+        refused = await _check_head(gw, exchange, stream, to, link, answer)
+        if refused is not None or (exchange.answered and not stream.is_started):
+            return refused
+        return await _relay(exchange, stream, record, read, link, answer)
+    except transport_error.TransportError as exc:
+        stream.sends += 1
+        return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
+    finally:
+        await link.close()
+
+
+async def _check_head(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    stream: Stream,
+    to: group.Group,
+    link: target_exchange.TargetExchange,
+    answer: target_answer.TargetAnswer,
+) -> failure.Failure | None:
+    """Return why an answer is no stream to relay, or ``None``."""
+    head = to.head
+    assert head is not None
+    if not answer.is_own:
+        stream.sends += 1
+        return failure.Failure(
+            codes.Code.WRONG_ANSWER, "the answer is to another request", _Outcome.UNKNOWN
+        )
+    if answer.is_not_run:
+        stream.refusals += 1
+        gw.suspect(head.id, REFUSED_SUSPECT_SECONDS)
+        if answer.at_fault:
+            gw.stalls.append((stream.found.service, to.key, (answer.at_fault,)))
+            gw.wake_control()
+        return failure.Failure(codes.Code.TARGET_REFUSED, f"status {answer.status}")
+    stream.sends += 1
+    if answer.status == 200:
+        if answer.is_signed:
+            return None
+        return failure.Failure(
+            codes.Code.TARGET_FAILED, "the answer is not signed", _Outcome.FAILED
+        )
+    found = failure.Failure(codes.Code.TARGET_FAILED, f"status {answer.status}", _Outcome.FAILED)
+    is_final = not _may_go_on(stream, found) and not stream.is_started
+    if not is_final or answer.status in (408, 429, 503):
+        return found
+    body = await link.read_body()
+    fields = target_exchange.client_headers(answer)
+    await exchange.respond(message.Response(answer.status, fields, body))
+    return None
+
+
+async def _relay(
+    exchange: http_server.Exchange,
+    stream: Stream,
+    record: states.Head,
+    read: stoppable.Stoppable,
+    link: target_exchange.TargetExchange,
+    answer: target_answer.TargetAnswer,
+) -> failure.Failure | None:
+    splitter = event_split.Splitter()
+    request = stream.found.call.id
+    while (part := await read.run(link.read_part)) is not None:
+        try:
+            whole = splitter.feed(part)
+        except ValueError as exc:
+            return failure.Failure(codes.Code.TARGET_FAILED, str(exc), _Outcome.FAILED)
+        if not whole:
+            continue
+        head_watch.note_event(record.activity, request, trio.current_time())
+        data = b""
+        for event in whole:
+            if event.number != stream.last_event + 1:
+                await _deliver(exchange, stream, answer, data)
+                text = f"event {event.number} after {stream.last_event}"
+                return failure.Failure(codes.Code.TARGET_FAILED, text, _Outcome.FAILED)
+            stream.last_event = event.number
+            data += event.data
+        await _deliver(exchange, stream, answer, data)
+    if not splitter.is_empty:
+        return failure.Failure(
+            codes.Code.TARGET_LOST, "the stream ended within an event", _Outcome.UNKNOWN
+        )
+    if not stream.is_started:
+        fields = target_exchange.client_headers(answer)
+        await exchange.respond(message.Response(200, fields, b""))
+        return None
+    await exchange.end_stream()
+    return None
+
+
+async def _deliver(
+    exchange: http_server.Exchange,
+    stream: Stream,
+    answer: target_answer.TargetAnswer,
+    data: bytes,
+) -> None:
+    """Give the client whole events at once, with the first target's headers."""
+    if not data:
+        return
+    stream.is_started = True
+    framed = exchange.frame_chunk(target_exchange.client_headers(answer), data)
+    try:
+        await exchange.conn.stream.send_all(framed)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        raise disconnect.DisconnectError from None
--- /dev/null
+++ b/src/galenavane/gateway/process.py
@@ -0,0 +1,137 @@
+"""One entry process on the users' platform: starts its tasks and stops them gracefully."""
+
+from __future__ import annotations
+
+import signal
+
+import trio
+
+from galenavane.gateway import (
+    boot_clock,
+    config_task,
+    control_task,
+    front,
+    gateway_metrics,
+    heads_task,
+    lease_task,
+    peers_task,
+    settings,
+    targets_task,
+)
+from galenavane.gateway import state as states
+from galenavane.net import http_server, message
+from galenavane.observe import events, log_sink
+
+FLUSH_SECONDS = 0.05
+LOOK_SECONDS = 2.6
+"""The balancer asks once a second and takes an entry out after two misses."""
+STOP_MARGIN_SECONDS = 0.4
+"""Before the kill, for the last answers to leave."""
+METRICS_PATH = "/metrics"
+BODY_BYTES = 8_388_608
+IDLE_SECONDS = 60.0
+READ_SECONDS = 20.0
+
+_TASKS = (
+    config_task.run,
+    targets_task.run,
+    targets_task.run_expiry,
+    peers_task.run_listing,
+    peers_task.run_pulses,
+    peers_task.run_hearing,
+    peers_task.run_forgetting,
+    control_task.run,
+    heads_task.run,
+)
+
+
+async def run(gw: states.Gateway, sink: log_sink.LogSink) -> None:
+    """Serve until SIGTERM or SIGINT, then end what is in flight."""
+    cfg = gw.cfg
+    events.log("entry.start", incarnation=gw.incarnation, callers=str(cfg.get(settings.CALLERS)))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_flush, gw, sink)
+        for task in _TASKS:
+            nursery.start_soon(task, gw)
+        await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness(gw))
+        limits = http_server.Limits(BODY_BYTES, IDLE_SECONDS, READ_SECONDS)
+        await nursery.start(
+            gw.net.listen, cfg.get(settings.CALLERS), front.make_handler(gw), limits
+        )
+        nursery.start_soon(lease_task.run, gw)
+        nursery.start_soon(_log_reloads)
+        await _wait_stop()
+        await _stop(gw)
+        events.log("entry.stop", active=gw.active)
+        sink.flush()
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_stop() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
+
+
+async def _log_reloads() -> None:
+    """Note a reload: no setting of a running entry may change but by a restart."""
+    with trio.open_signal_receiver(signal.SIGHUP) as received:
+        async for _ in received:
+            events.log("entry.reload", text="settings are read at the next start")
+
+
+async def _stop(gw: states.Gateway) -> None:
+    """Let the balancer turn away, then end what is in flight."""
+    grace = gw.cfg.get(settings.GRACE)
+    stop_at = trio.current_time() + grace - STOP_MARGIN_SECONDS
+    events.log("entry.leaving", active=gw.active)
+    gw.is_stopping = True
+    gw.wake_control()
+    await trio.sleep(min(LOOK_SECONDS, grace / 2))
+    gw.is_closing = True
+    quiet_at = trio.current_time() + 1.0
+    while trio.current_time() < stop_at:
+        if gw.active == 0 and trio.current_time() >= quiet_at:
+            return
+        await trio.sleep(0.05)
+
+
+async def _flush(gw: states.Gateway, sink: log_sink.LogSink) -> None:
+    dropped = 0
+    while True:
+        sink.flush()
+        if sink.dropped > dropped:
+            events.log("log.dropped", lines=sink.dropped - dropped)
+            dropped = sink.dropped
+        gw.metrics.dropped_lines.set({}, sink.dropped)
+        await trio.sleep(FLUSH_SECONDS)
+
+
+def _make_readiness(gw: states.Gateway) -> http_server.Handler:
+    async def handle(exchange: http_server.Exchange) -> None:
+        if exchange.request.path == METRICS_PATH:
+            await exchange.respond(_render_metrics(gw))
+            return
+        is_ready = _is_ready(gw)
+        await exchange.respond(message.Response(200 if is_ready else 503))
+
+    return handle
+
+
+def _is_ready(gw: states.Gateway) -> bool:
+    """Whether this entry can serve what clients send."""
+    return not gw.is_stopping and gw.may_use_keys() and bool(gw.registry.targets)
+
+
+def _render_metrics(gw: states.Gateway) -> message.Response:
+    found = gw.metrics
+    age = boot_clock.now() - gw.knowledge.confirmed_at
+    found.in_flight.set({}, gw.active)
+    found.knowledge_age.set({}, min(age, 1e6))
+    found.store_calls.set({}, gw.store.calls)
+    found.peers.set({}, gw.entries() - 1)
+    found.targets.set({}, len(gw.registry.targets))
+    found.lease_token.set({}, gw.steward.token if gw.steward is not None else 0)
+    answer = message.Response(200, body=gateway_metrics.render(found))
+    answer.headers.add("content-type", "text/plain; version=0.0.4")
+    return answer
--- /dev/null
+++ b/src/galenavane/gateway/settings.py
@@ -0,0 +1,57 @@
+"""Settings of an entry process on the users' platform."""
+
+from __future__ import annotations
+
+import typing
+
+from galenavane.config import setting
+from galenavane.net import address as addresses
+
+_S = setting.Setting
+
+NAME = _S("entry", "name", setting.parse_text, None, "", "Name of this entry, unique.")
+DATA_CENTRE = _S("entry", "data_centre", setting.parse_text, None, "", "Where this entry runs.")
+CALLERS = _S("entry", "callers", addresses.parse, None, "IP:port", "Where callers are served.")
+READINESS = _S("entry", "readiness", addresses.parse, None, "IP:port", "Where the balancer asks.")
+HOST = _S("entry", "host", setting.parse_text, None, "IP", "Address of this instance.")
+PEER_PORT = _S("entry", "peer_port", setting.parse_count, None, "", "First port for other entries.")
+STORE = _S("store", "address", addresses.parse, None, "IP:port", "The platform's store.")
+GRACE = _S(
+    "stop", "grace", setting.parse_number, 8.0, "seconds", "From the stop signal to the kill."
+)
+REVOKE = _S(
+    "bounds", "revoke", setting.parse_number, 5.0, "seconds", "How long a removed key may work."
+)
+RETRY_RATIO = _S(
+    "bounds", "retry_ratio", setting.parse_number, 0.2, "", "Further sends for each request."
+)
+RETRY_WINDOW = _S(
+    "bounds", "retry_window", setting.parse_number, 10.0, "seconds", "Window of the ratio."
+)
+RETRY_SLACK = _S(
+    "bounds", "retry_slack", setting.parse_number, 100.0, "", "Further sends beyond the ratio."
+)
+STALL = _S(
+    "bounds",
+    "stall",
+    setting.parse_number,
+    4.0,
+    "seconds",
+    "From a member's loss to a broken head.",
+)
+
+ALL: tuple[_S[typing.Any], ...] = (
+    NAME,
+    DATA_CENTRE,
+    CALLERS,
+    READINESS,
+    HOST,
+    PEER_PORT,
+    STORE,
+    GRACE,
+    REVOKE,
+    RETRY_RATIO,
+    RETRY_WINDOW,
+    RETRY_SLACK,
+    STALL,
+)
--- /dev/null
+++ b/src/galenavane/gateway/state.py
@@ -0,0 +1,175 @@
+"""What the tasks of one entry process share."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import trio
+
+from galenavane.catalog import engine
+from galenavane.config import settings as settings_types
+from galenavane.control import steward
+from galenavane.fleet import group, registry
+from galenavane.gateway import (
+    boot_clock,
+    dialect,
+    gateway_metrics,
+    knowledge,
+    lease,
+    object_store,
+    peers,
+    settings,
+    stoppable,
+)
+from galenavane.net import keep_alive, network
+from galenavane.peer import transport
+from galenavane.route import head_watch, send_budget
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """The requests of this entry at one head.
+
+    :ivar reads: reads of answers, broken off when the head is found still.
+    :ivar is_checked: whether its members are being checked now.
+    """
+
+    key: group.Key
+    activity: head_watch.Activity
+    reads: dict[str, stoppable.Stoppable] = dataclasses.field(default_factory=dict)
+    is_checked: bool = False
+
+
+class Gateway:
+    """The state of one entry process.
+
+    :ivar suspects: targets that are avoided, and until when, on trio's clock.
+    :ivar is_stopping: whether the process was told to stop.
+    :ivar is_closing: whether answers close their connections.
+    :ivar active: requests being served.
+    :ivar changed: set when targets changed, for the control task.
+    """
+
+    __slots__ = (
+        "_groups",
+        "_groups_at",
+        "active",
+        "budgets",
+        "calls",
+        "cfg",
+        "changed",
+        "data_centre",
+        "dialect",
+        "heads",
+        "incarnation",
+        "is_closing",
+        "is_stopping",
+        "knowledge",
+        "last_request_at",
+        "lease",
+        "metrics",
+        "name",
+        "net",
+        "peers",
+        "registry",
+        "rng",
+        "served",
+        "stalls",
+        "steward",
+        "store",
+        "suspects",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        cfg: settings_types.Settings,
+        incarnation: str,
+        store: object_store.ObjectStore,
+        wire: dialect.Dialect,
+        net: network.Network,
+        messages: transport.Transport,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.name = cfg.get(settings.NAME)
+        self.data_centre = cfg.get(settings.DATA_CENTRE)
+        self.incarnation = incarnation
+        self.store = store
+        self.dialect = wire
+        self.net = net
+        self.calls = keep_alive.make(net)
+        self.transport = messages
+        self.rng = rng
+        self.knowledge = knowledge.Knowledge()
+        self.registry = registry.Registry()
+        self.peers: dict[str, peers.Peer] = {}
+        self.lease = lease.Lease(f"{self.name}/{incarnation}")
+        self.steward: steward.Steward | None = None
+        self.stalls: list[tuple[str, group.Key, tuple[str, ...]]] = []
+        self.heads: dict[str, Head] = {}
+        self.suspects: dict[str, float] = {}
+        self.budgets: dict[str, send_budget.SendBudget] = {}
+        self.served: dict[str, int] = {}
+        self.metrics = gateway_metrics.make()
+        self.is_stopping = False
+        self.is_closing = False
+        self.active = 0
+        self.last_request_at = float("-inf")
+        self.changed = trio.Event()
+        self._groups: dict[str, dict[group.Key, group.Group]] = {}
+        self._groups_at = (-1, -1)
+
+    def wake_control(self) -> None:
+        """Let the control task look at the targets now."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def groups(self, service: str, constants: engine.Engine) -> dict[group.Key, group.Group]:
+        """Return the groups of a service, assembled anew when something changed."""
+        at = (self.registry.changes, self.knowledge.version)
+        if at != self._groups_at:
+            self._groups = {}
+            self._groups_at = at
+        found = self._groups.get(service)
+        if found is None:
+            found = group.assemble(self.registry.targets.values(), constants, service)
+            self._groups[service] = found
+        return found
+
+    def budget(self, service: str) -> send_budget.SendBudget:
+        """Return the budget of further sends of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            cfg = self.cfg
+            found = self.budgets[service] = send_budget.SendBudget(
+                cfg.get(settings.RETRY_RATIO),
+                cfg.get(settings.RETRY_SLACK),
+                cfg.get(settings.RETRY_WINDOW),
+            )
+        return found
+
+    def entries(self) -> int:
+        """Return how many entries serve, this one included."""
+        return 1 + len(peers.list_live(self.peers, boot_clock.now()))
+
+    def may_use_keys(self) -> bool:
+        """Whether keys of the configuration in force may be used now."""
+        revoke = self.cfg.get(settings.REVOKE)
+        return knowledge.may_use_keys(self.knowledge, revoke, boot_clock.now())
+
+    def suspect(self, target_id: str, seconds: float) -> None:
+        """Avoid a target for a while."""
+        until = trio.current_time() + seconds
+        self.suspects[target_id] = max(until, self.suspects.get(target_id, 0.0))
+
+    def is_suspect(self, target_id: str) -> bool:
+        """Whether a target is avoided now."""
+        until = self.suspects.get(target_id)
+        if until is None:
+            return False
+        if trio.current_time() < until:
+            return True
+        del self.suspects[target_id]
+        return False
--- /dev/null
+++ b/src/galenavane/gateway/target_exchange.py
@@ -0,0 +1,117 @@
+"""Sends a request to a target over a connection of its own."""
+
+from __future__ import annotations
+
+import h11
+import trio
+
+from galenavane.fleet import target
+from galenavane.gateway import state as states
+from galenavane.net import headers as header_lists
+from galenavane.net import http_connection, message, transport_error
+from galenavane.serve import call as calls
+from galenavane.serve import target_answer
+
+CONNECT_SECONDS = 0.25
+"""A connection within a region takes a few milliseconds; a dead target never answers."""
+SMALL_BODY_BYTES = 16_384
+"""Fits the socket's buffer, so that sending it does not wait for the target."""
+MAX_BODY_BYTES = 16_000_000
+
+
+class TargetExchange:
+    """One request at one target.
+
+    :ivar is_sent: whether any byte of the request may have reached the target.
+    """
+
+    __slots__ = ("_call", "_conn", "_gw", "is_sent")
+
+    def __init__(
+        self, gw: states.Gateway, conn: http_connection.HttpConnection, call: calls.Call
+    ) -> None:
+        self._gw = gw
+        self._conn = conn
+        self._call = call
+        self.is_sent = False
+
+    async def send(self, send: calls.Send) -> target_answer.TargetAnswer:
+        """Send the request and return the head of its answer.
+
+        A target may answer before it has read a long body, so both go on at once.
+
+        :raises TransportError: when the connection breaks.
+        """
+        fields = self._gw.dialect.target_headers(self._call, send)
+        head = h11.Request(method=self._call.method, target=self._call.target, headers=fields.pairs)
+        self.is_sent = True
+        parts: list[h11.Event] = [head, h11.EndOfMessage()]
+        if self._call.body:
+            parts.insert(1, h11.Data(data=self._call.body))
+        if len(self._call.body) <= SMALL_BODY_BYTES:
+            await self._conn.send(*parts)
+            found = await self._conn.read_response_head()
+        else:
+            found = await self._send_long(parts)
+        return self._gw.dialect.read_answer(self._call, found)
+
+    async def _send_long(self, parts: list[h11.Event]) -> message.Response:
+        failures: list[transport_error.TransportError] = []
+
+        async def push() -> None:
+            try:
+                await self._conn.send(*parts)
+            except transport_error.TransportError as exc:
+                # The answer that came before tells more; it is read below.
+                failures.append(exc)
+
+        found: message.Response | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(push)
+            try:
+                found = await self._conn.read_response_head()
+            except transport_error.TransportError as exc:
+                failures.append(exc)
+            nursery.cancel_scope.cancel()
+        if found is None:
+            raise failures[-1]
+        return found
+
+    async def read_part(self) -> bytes | None:
+        """Return the next part of the answer's body, ``None`` at its end.
+
+        :raises TransportError: when the connection breaks before the end.
+        """
+        event = await self._conn.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise transport_error.TransportError(
+            transport_error.Kind.RESET, True, "the answer ended too early"
+        )
+
+    async def read_body(self) -> bytes:
+        """Return the whole body of the answer.
+
+        :raises TransportError: when the connection breaks before the end.
+        """
+        return await self._conn.read_body(MAX_BODY_BYTES)
+
+    async def close(self) -> None:
+        """Close the connection, which tells the target that nobody waits any more."""
+        await self._conn.close()
+
+
+async def connect(gw: states.Gateway, to: target.Target, call: calls.Call) -> TargetExchange:
+    """Open a connection to a target.
+
+    :raises TransportError: ``NOT_CONNECTED``.
+    """
+    conn = await gw.net.dial(to.address, CONNECT_SECONDS)
+    return TargetExchange(gw, conn, call)
+
+
+def client_headers(found: target_answer.TargetAnswer) -> header_lists.Headers:
+    """Return the headers that a client gets, without those that frame the body."""
+    return found.headers.without({b"content-length", b"transfer-encoding"})
--- /dev/null
+++ b/src/galenavane/gateway/targets_task.py
@@ -0,0 +1,94 @@
+"""Keeps the list of targets known."""
+
+from __future__ import annotations
+
+import expression
+import trio
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.fleet import registry
+from galenavane.gateway import object_store
+from galenavane.gateway import state as states
+from galenavane.observe import events
+
+WATCH_SECONDS = 2.0
+"""Bounds how long a connection that went silent stays unnoticed."""
+GATHER_SECONDS = 0.015
+"""Changes of several members come together; one watch then returns them all."""
+RETRY_SECONDS = 0.15
+EXPIRE_SECONDS = 0.1
+
+
+async def run(gw: states.Gateway) -> None:
+    """List targets, then watch them."""
+    revision = 0
+    answered_at = trio.current_time()
+    while True:
+        if revision == 0:
+            found = await _list(gw, answered_at)
+        else:
+            found = await _watch(gw, revision, answered_at)
+        if found.is_ok():
+            answered_at = trio.current_time()
+            revision = found.ok
+            await trio.sleep(GATHER_SECONDS)
+            continue
+        if found.error.code in (codes.Code.HISTORY_GONE, codes.Code.OBJECT_DAMAGED):
+            events.log("targets.relist", code=found.error.code.name)
+            revision = 0
+        await trio.sleep(RETRY_SECONDS * (0.5 + gw.rng.random()))
+
+
+async def _list(gw: states.Gateway, answered_at: float) -> expression.Result[int, failure.Failure]:
+    found = await gw.store.list_targets()
+    if found.is_error():
+        return expression.Error(found.error)
+    now = trio.current_time()
+    registry.note_return(gw.registry, now - answered_at, now)
+    _log_gone(registry.replace(gw.registry, found.ok.targets, found.ok.revision, now))
+    gw.wake_control()
+    return expression.Ok(found.ok.revision)
+
+
+async def _watch(
+    gw: states.Gateway, revision: int, answered_at: float
+) -> expression.Result[int, failure.Failure]:
+    found = await gw.store.watch_targets(revision, WATCH_SECONDS)
+    if found.is_error():
+        return expression.Error(found.error)
+    now = trio.current_time()
+    silent = now - answered_at - WATCH_SECONDS
+    registry.note_return(gw.registry, silent, now)
+    for change in found.ok.changes:
+        _take(gw, change, now)
+    gw.registry.revision = max(gw.registry.revision, found.ok.revision)
+    if found.ok.changes:
+        gw.wake_control()
+    return expression.Ok(found.ok.revision)
+
+
+def _take(gw: states.Gateway, change: object_store.TargetChange, now: float) -> None:
+    if change.target is None:
+        if registry.remove(gw.registry, change.id, now):
+            _log_gone([change.id])
+        return
+    known = gw.registry.targets.get(change.id)
+    if known is None or known.is_leaving != change.target.is_leaving:
+        events.log("target.seen", target=change.id, leaving=change.target.is_leaving)
+    registry.put(gw.registry, change.target)
+
+
+def _log_gone(ids: list[str]) -> None:
+    for one in ids:
+        events.log("target.gone", target=one)
+
+
+async def run_expiry(gw: states.Gateway) -> None:
+    """Drop targets whose entries did not come back after an outage."""
+    while True:
+        await trio.sleep(EXPIRE_SECONDS)
+        gone = registry.expire(gw.registry, trio.current_time())
+        if gone:
+            _log_gone(gone)
+            gw.wake_control()
--- a/src/galenavane/net/keep_alive.py
+++ b/src/galenavane/net/keep_alive.py
@@ -9,10 +9,11 @@
 from galenavane.net import http_connection, message, network, transport_error
 
 MAX_IDLE_CONNECTIONS = 512
+MAX_IDLE_PER_ADDRESS = 3
 
 
 class KeepAlive:
-    """One idle connection an address.
+    """A few idle connections an address.
 
     Only for requests that may be repeated: a kept connection may have been closed or forgotten
     by something on the way, so a call that gets no answer over it is made again over a fresh one.
@@ -22,7 +23,7 @@
 
     def __init__(self, net: network.Dialer) -> None:
         self._net = net
-        self._idle: dict[addresses.Address, http_connection.HttpConnection] = {}
+        self._idle: dict[addresses.Address, list[http_connection.HttpConnection]] = {}
 
     async def send(
         self,
@@ -30,16 +31,20 @@
         req: message.Request,
         timeout_seconds: float,
         limit_bytes: int,
+        kept_share: float = 0.5,
     ) -> message.Response:
-        """Send an idempotent request; half of the time at most is spent on a kept connection.
+        """Send an idempotent request.
 
+        :param kept_share: part of the time that may be spent on a kept connection; 1.0 for a
+            call whose answer is expected late.
         :raises TransportError: with whether any byte of the request was sent.
         """
         started_at = trio.current_time()
-        kept = self._idle.pop(where, None)
+        kept = self._take(where)
         if kept is not None:
+            share = timeout_seconds * kept_share
             try:
-                return await self._exchange(kept, where, req, timeout_seconds / 2, limit_bytes)
+                return await self._exchange(kept, where, req, share, limit_bytes)
             except transport_error.TransportError:
                 pass
         left = timeout_seconds - (trio.current_time() - started_at)
@@ -47,6 +52,10 @@
         left = timeout_seconds - (trio.current_time() - started_at)
         return await self._exchange(conn, where, req, left, limit_bytes)
 
+    def _take(self, where: addresses.Address) -> http_connection.HttpConnection | None:
+        idle = self._idle.get(where)
+        return idle.pop() if idle else None
+
     async def _exchange(
         self,
         conn: http_connection.HttpConnection,
@@ -76,10 +85,12 @@
         machine = conn.machine
         if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
             return False
-        if where in self._idle or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        idle = self._idle.setdefault(where, [])
+        kept = sum(len(conns) for conns in self._idle.values())
+        if len(idle) >= MAX_IDLE_PER_ADDRESS or kept >= MAX_IDLE_CONNECTIONS:
             return False
         machine.start_next_cycle()
-        self._idle[where] = conn
+        idle.append(conn)
         return True
 
 
--- a/src/galenavane/observe/events.py
+++ b/src/galenavane/observe/events.py
@@ -42,9 +42,14 @@
     _source.set(source)
 
 
+def name_process(name: str, data_centre: str, incarnation: str) -> None:
+    """Log as a process from now on."""
+    become(Source(name, data_centre, incarnation, time.time))
+
+
 def start(name: str, data_centre: str, incarnation: str, stream: typing.IO[str] | None) -> None:
     """Name this process and send its events to a stream, standard error by default."""
-    become(Source(name, data_centre, incarnation, time.time))
+    name_process(name, data_centre, incarnation)
     eliot.to_file(stream or sys.stderr)
 
 
--- /dev/null
+++ b/src/galenavane/platform/__main__.py
@@ -0,0 +1,57 @@
+"""Runs one entry process on the users' platform, with the settings that the platform renders."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import random
+import sys
+import uuid
+
+import eliot
+import trio
+
+from galenavane.config import settings as settings_files
+from galenavane.failure import failure
+from galenavane.gateway import process, settings, state
+from galenavane.net import address, keep_alive, tcp
+from galenavane.observe import events, log_sink
+from galenavane.peer import zmq_transport
+from galenavane.platform import store_client, wire_dialect
+
+SETTINGS_VARIABLE = "GALENAVANE_BOOT"
+EXIT_USER_ERROR = 2
+
+
+def main() -> int:
+    """Run until the process is told to stop."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"galenavane: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return EXIT_USER_ERROR
+    try:
+        cfg = settings_files.load(pathlib.Path(path), settings.ALL)
+    except failure.UserError as exc:
+        print(f"galenavane: error {exc.failure.code.value}: {exc}", file=sys.stderr)
+        return EXIT_USER_ERROR
+    sink = log_sink.open_sink(sys.stdout.fileno())
+    eliot.add_destinations(sink)
+    incarnation = uuid.uuid4().hex[:12]
+    events.name_process(cfg.get(settings.NAME), cfg.get(settings.DATA_CENTRE), incarnation)
+    trio.run(_run, cfg, incarnation, sink)
+    return 0
+
+
+async def _run(cfg: settings_files.Settings, incarnation: str, sink: log_sink.LogSink) -> None:
+    net = tcp.make()
+    where = address.Address(cfg.get(settings.HOST), cfg.get(settings.PEER_PORT))
+    messages = zmq_transport.make(where)
+    store = store_client.make(keep_alive.make(net), cfg.get(settings.STORE))
+    gw = state.Gateway(
+        cfg, incarnation, store, wire_dialect.make(), net, messages, random.SystemRandom()
+    )
+    await process.run(gw, sink)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/galenavane/platform/store_client.py
@@ -0,0 +1,212 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.fleet import target
+from galenavane.gateway import object_store
+from galenavane.net import address, keep_alive, message, transport_error
+from galenavane.platform import wire_target
+
+CALL_SECONDS = 0.6
+"""Longest wait for an answer that takes 4 ms, and up to 60 times as long when the store is slow."""
+WATCH_MARGIN_SECONDS = 0.6
+MAX_ANSWER_BYTES = 8_000_000
+_TARGETS = "servers"
+_CONFIG = "config/main"
+
+_T = typing.TypeVar("_T")
+_Result = expression.Result
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    # Revision of the object's last change.
+    revision: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct):
+    as_of: int
+    items: list[_Object] = []
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    as_of: int
+    events: list[_Event] = []
+
+
+class _NewMetadata(msgspec.Struct, omit_defaults=True):
+    name: str
+    revision: int | None = None
+
+
+class _Write(msgspec.Struct):
+    metadata: _NewMetadata
+    spec: object
+
+
+class _StoreClient:
+    __slots__ = ("_calls", "_where", "calls")
+
+    def __init__(self, calls: keep_alive.KeepAlive, where: address.Address) -> None:
+        self._calls = calls
+        self._where = where
+        self.calls = 0
+
+    async def list_targets(self) -> _Result[object_store.TargetList, failure.Failure]:
+        found: list[target.Target] = []
+        after = ""
+        while True:
+            page = await self._get(f"/objects/{_TARGETS}{_query(after=after)}", _Page)
+            if page.is_error():
+                return expression.Error(page.error)
+            for one in page.ok.items:
+                decoded = wire_target.decode_entry(one.metadata.name, one.spec)
+                if decoded is not None:
+                    found.append(decoded)
+            if not page.ok.has_more or not page.ok.items:
+                return expression.Ok(object_store.TargetList(page.ok.as_of, found))
+            after = page.ok.items[-1].metadata.name
+
+    async def watch_targets(
+        self, revision: int, wait_seconds: float
+    ) -> _Result[object_store.TargetChanges, failure.Failure]:
+        found = await self._watch(_TARGETS, revision, wait_seconds)
+        return found.map(_make_changes)
+
+    async def read_config(self) -> _Result[object_store.Stored, failure.Failure]:
+        return (await self._get(f"/objects/{_CONFIG}", _Object)).map(_make_stored)
+
+    async def watch_config(
+        self, revision: int, wait_seconds: float
+    ) -> _Result[object_store.Changes, failure.Failure]:
+        kind = _CONFIG.partition("/")[0]
+        found = await self._watch(kind, revision, wait_seconds)
+        return found.map(
+            lambda events: object_store.Changes(
+                events.as_of,
+                [_make_stored(one.object) for one in events.events if not one.deleted],
+            )
+        )
+
+    async def read(self, kind: str, name: str) -> _Result[object_store.Stored, failure.Failure]:
+        return (await self._get(f"/objects/{kind}/{name}", _Object)).map(_make_stored)
+
+    async def list_objects(self, kind: str) -> _Result[list[object_store.Stored], failure.Failure]:
+        # Data that is seconds old is enough for a list of peers, at a tenth of the price.
+        page = await self._get(f"/objects/{kind}?stale_ok=1", _Page)
+        return page.map(lambda found: [_make_stored(one) for one in found.items])
+
+    async def create(
+        self, kind: str, name: str, value: object
+    ) -> _Result[object_store.Stored, failure.Failure]:
+        body = _Write(_NewMetadata(name), value)
+        return await self._write("POST", f"/objects/{kind}", body)
+
+    async def replace(
+        self, kind: str, name: str, value: object, revision: int | None
+    ) -> _Result[object_store.Stored, failure.Failure]:
+        body = _Write(_NewMetadata(name, revision), value)
+        return await self._write("PUT", f"/objects/{kind}/{name}", body)
+
+    async def delete(self, kind: str, name: str) -> _Result[None, failure.Failure]:
+        req = message.Request("DELETE", f"/objects/{kind}/{name}")
+        return (await self._call(req, CALL_SECONDS)).map(lambda _: None)
+
+    async def _watch(
+        self, kind: str, revision: int, wait_seconds: float
+    ) -> _Result[_Events, failure.Failure]:
+        query = _query(watch=str(revision), wait_ms=str(int(wait_seconds * 1000)))
+        timeout = wait_seconds + WATCH_MARGIN_SECONDS
+        req = message.Request("GET", f"/objects/{kind}{query}")
+        response = await self._call(req, timeout, kept_share=1.0)
+        return response.bind(lambda found: _decode(found, _Events))
+
+    async def _write(
+        self, method: str, path: str, body: _Write
+    ) -> _Result[object_store.Stored, failure.Failure]:
+        req = message.json_request(method, path, body)
+        response = await self._call(req, CALL_SECONDS)
+        return response.bind(lambda found: _decode(found, _Object)).map(_make_stored)
+
+    async def _get(self, path: str, kind: type[_T]) -> _Result[_T, failure.Failure]:
+        response = await self._call(message.Request("GET", path), CALL_SECONDS)
+        return response.bind(lambda found: _decode(found, kind))
+
+    async def _call(
+        self, req: message.Request, timeout: float, kept_share: float = 0.5
+    ) -> _Result[message.Response, failure.Failure]:
+        self.calls += 1
+        try:
+            response = await self._calls.send(
+                self._where, req, timeout, MAX_ANSWER_BYTES, kept_share
+            )
+        except transport_error.TransportError as exc:
+            code = codes.Code.PLATFORM_DOWN
+            if exc.bytes_sent and req.method != "GET":
+                code = codes.Code.PLATFORM_UNKNOWN
+            text = f"{req.method} {req.path}: {exc}"
+            return expression.Error(failure.Failure(code, text, outcomes.Outcome.UNKNOWN))
+        if response.status in (200, 201, 202, 204):
+            return expression.Ok(response)
+        text = f"{req.method} {req.path}: status {response.status}"
+        code = _CODES.get(response.status, codes.Code.PLATFORM_DOWN)
+        return expression.Error(failure.Failure(code, text))
+
+
+_CODES = {
+    404: codes.Code.OBJECT_MISSING,
+    409: codes.Code.PLATFORM_CONFLICT,
+    410: codes.Code.HISTORY_GONE,
+    413: codes.Code.VALUE_TOO_LARGE,
+    429: codes.Code.PLATFORM_REFUSED,
+}
+
+
+def make(calls: keep_alive.KeepAlive, where: address.Address) -> object_store.ObjectStore:
+    """Return a client of the store at an address."""
+    return _StoreClient(calls, where)
+
+
+def _query(**words: str) -> str:
+    given = {name: word for name, word in words.items() if word}
+    return f"?{urllib.parse.urlencode(given)}" if given else ""
+
+
+def _decode(response: message.Response, kind: type[_T]) -> _Result[_T, failure.Failure]:
+    try:
+        return expression.Ok(msgspec.json.decode(response.body, type=kind))
+    except msgspec.DecodeError as exc:
+        return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, str(exc)))
+
+
+def _make_stored(found: _Object) -> object_store.Stored:
+    return object_store.Stored(found.metadata.name, found.metadata.revision, bytes(found.spec))
+
+
+def _make_changes(found: _Events) -> object_store.TargetChanges:
+    changes: list[object_store.TargetChange] = []
+    for one in found.events:
+        name = one.object.metadata.name
+        seen = None if one.deleted else wire_target.decode_entry(name, one.object.spec)
+        changes.append(object_store.TargetChange(name, seen))
+    return object_store.TargetChanges(found.as_of, changes)
--- /dev/null
+++ b/src/galenavane/platform/wire_config.py
@@ -0,0 +1,146 @@
+"""The configuration object as the platform stores it, decoded into a catalog."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenavane.catalog import account, catalog, engine, limits, route, service
+
+
+class _Split(msgspec.Struct):
+    backend: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    # A route has either one service or several with weights.
+    backend: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+    size: int
+    share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 16.0
+    warm_s: float = 2.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    stride: int = 1
+    step_ms: float = 10.0
+    # Added to a step for each request that is writing.
+    per_seq_ms: float = 0.0
+    read_per_s: float = 50_000.0
+    loads_per_s: float = 1.0
+    form_ms: float = 300.0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class Config(msgspec.Struct):
+    """The operator's configuration, in full."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_KINDS = {
+    "idempotent": route.Kind.IDEMPOTENT,
+    "non_idempotent": route.Kind.NON_IDEMPOTENT,
+    "streaming": route.Kind.STREAM,
+}
+
+
+def decode(body: bytes) -> catalog.Catalog:
+    """Return the catalog of a stored configuration.
+
+    :raises msgspec.ValidationError: when it doesn't have the published form.
+    """
+    found = msgspec.json.decode(body, type=Config)
+    return catalog.Catalog(
+        found.version,
+        [_make_route(one) for one in found.routes],
+        [_make_service(one) for one in found.services],
+        [account.Account(one.name, tuple(one.api_keys), one.priority) for one in found.tenants],
+        limits.Limits(
+            found.limits.max_header_bytes,
+            found.limits.max_body_bytes,
+            found.limits.header_timeout_ms / 1000,
+            found.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _make_route(found: _Route) -> route.Route:
+    backings = [route.Backing(one.backend, one.weight) for one in found.traffic_split]
+    if found.backend is not None:
+        backings = [route.Backing(found.backend, 1.0)]
+    return route.Route(
+        name=found.name,
+        host=found.hostname,
+        path_prefix=found.path_prefix,
+        # An unknown kind gets the strictest handling.
+        kind=_KINDS.get(found.kind, route.Kind.NON_IDEMPOTENT),
+        timeout_seconds=found.timeout_ms / 1000,
+        latency_target_seconds=found.target_latency_ms / 1000,
+        priority=found.priority,
+        backings=tuple(backings),
+        max_sends=max(1, found.max_attempts),
+        is_public=found.public,
+        is_resumable=found.resumable,
+    )
+
+
+def _make_service(found: _Service) -> service.Service:
+    constants = found.engine
+    if constants is None or not constants.models:
+        return service.Service(found.name, found.max_connections, None)
+    models = tuple(
+        engine.Model(one.name, one.size, one.share, one.pace, one.load_s, one.warm_s)
+        for one in constants.models
+    )
+    made = engine.Engine(
+        slots=constants.slots,
+        stride=constants.stride,
+        step_seconds=constants.step_ms / 1000,
+        writer_seconds=constants.per_seq_ms / 1000,
+        read_tokens_per_second=constants.read_per_s,
+        loads_per_second=constants.loads_per_s,
+        form_seconds=constants.form_ms / 1000,
+        models=models,
+    )
+    return service.Service(found.name, found.max_connections, made)
--- /dev/null
+++ b/src/galenavane/platform/wire_dialect.py
@@ -0,0 +1,44 @@
+"""The platform's wire behind the product's port."""
+
+from __future__ import annotations
+
+from galenavane.catalog import catalog
+from galenavane.control import group_command
+from galenavane.fleet import target
+from galenavane.gateway import dialect
+from galenavane.net import headers, message
+from galenavane.platform import wire_config, wire_request, wire_target
+from galenavane.serve import call, target_answer
+
+
+class _WireDialect:
+    __slots__ = ()
+
+    def decode_config(self, body: bytes) -> catalog.Catalog:
+        return wire_config.decode(body)
+
+    def decode_request(self, req: message.Request) -> call.Call:
+        return wire_request.decode(req)
+
+    def target_headers(self, found: call.Call, send: call.Send) -> headers.Headers:
+        return wire_request.target_headers(found, send)
+
+    def read_answer(self, found: call.Call, head: message.Response) -> target_answer.TargetAnswer:
+        return wire_request.read_answer(found, head)
+
+    def command_request(self, command: group_command.Command) -> message.Request:
+        fields = headers.Headers().add("content-type", "application/json")
+        return message.Request("POST", "/order", fields, wire_target.encode_command(command))
+
+    def report_request(self) -> message.Request:
+        return message.Request("GET", "/report")
+
+    def decode_report(
+        self, known: target.Target, body: bytes
+    ) -> tuple[target.Target, float] | None:
+        return wire_target.decode_report(known, body)
+
+
+def make() -> dialect.Dialect:
+    """Return the platform's wire."""
+    return _WireDialect()
--- /dev/null
+++ b/src/galenavane/platform/wire_request.py
@@ -0,0 +1,90 @@
+"""Headers of requests and answers on the platform's wire."""
+
+from __future__ import annotations
+
+from galenavane.net import headers as header_lists
+from galenavane.net import message
+from galenavane.serve import call as calls
+from galenavane.serve import target_answer
+
+_ATTEMPT = "attempt-id"
+_DEADLINE = "deadline-ms"
+_EXPECT = "expect-replica"
+_ACCOUNT = "tenant"
+_KEY = "authorization"
+_MODEL = "model"
+_TOKENS = "token-usage"
+_LENGTH_HINT = "length-hint"
+_LAST_EVENT = "last-event-id"
+_SIGNATURE = "replica-signature"
+_NOT_RUN = "not-executed"
+_AT_FAULT = "at-server"
+_PRIORITY = "request-priority"
+_BEARER = "bearer "
+
+# Set by the system itself, whatever the client sent.
+_OWN = frozenset(
+    one.encode()
+    for one in (_DEADLINE, _EXPECT, _ACCOUNT, _KEY, _LAST_EVENT, _PRIORITY, "content-length")
+)
+
+
+def decode(req: message.Request) -> calls.Call:
+    """Return what a client's request asks for."""
+    fields = req.headers
+    prompt, _, answer = fields.get(_TOKENS).partition(",")
+    key = fields.get(_KEY)
+    is_bearer = key.lower().startswith(_BEARER)
+    hint = _number(fields.get(_LENGTH_HINT))
+    return calls.Call(
+        id=fields.get(_ATTEMPT),
+        method=req.method,
+        target=req.target,
+        host=fields.get("host").partition(":")[0].lower(),
+        path=req.path,
+        key=key[len(_BEARER) :].strip() if is_bearer else "",
+        model=fields.get(_MODEL),
+        prompt_tokens=int(_number(prompt) or 0),
+        answer_tokens=int(hint if hint is not None else _number(answer) or 0),
+        wait_seconds=(_number(fields.get(_DEADLINE)) or 60_000.0) / 1000,
+        last_event=int(_number(fields.get(_LAST_EVENT)) or 0),
+        headers=fields.end_to_end().without(_OWN),
+        body=req.body,
+    )
+
+
+def target_headers(call: calls.Call, send: calls.Send) -> header_lists.Headers:
+    """Return the headers with which a call is sent to a target."""
+    fields = header_lists.Headers(call.headers.pairs)
+    fields.add(_DEADLINE, str(max(1, int(send.wait_seconds * 1000))))
+    fields.add(_EXPECT, send.target_id)
+    if send.account:
+        fields.add(_ACCOUNT, send.account)
+    if send.last_event:
+        fields.add(_LAST_EVENT, str(send.last_event))
+    if call.body or call.method in ("POST", "PUT", "PATCH"):
+        fields.add("content-length", str(len(call.body)))
+    return fields
+
+
+def read_answer(call: calls.Call, head: message.Response) -> target_answer.TargetAnswer:
+    """Return what the head of a target's answer says."""
+    fields = head.headers
+    is_refusal = head.status == 421 or (head.status >= 400 and bool(fields.get(_NOT_RUN)))
+    is_encoded = fields.get("content-encoding").lower() not in ("", "identity")
+    return target_answer.TargetAnswer(
+        status=head.status,
+        headers=fields.end_to_end(),
+        is_not_run=is_refusal,
+        is_own=fields.get(_ATTEMPT) == call.id,
+        is_signed=bool(fields.get(_SIGNATURE)) and not is_encoded,
+        is_last=b"close" in fields.get("connection").lower().encode(),
+        at_fault=fields.get(_AT_FAULT),
+    )
+
+
+def _number(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/galenavane/route/head_choice.py
@@ -0,0 +1,40 @@
+"""Picks the head that a request is sent to.
+
+Load that it answers: many entries send to the same heads without seeing each other's requests;
+each adds what the others told to what it sent itself.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import abc
+
+import msgspec
+
+FAR_COST = 0.4
+"""Cost of another data centre, in requests: bytes between data centres are paid for."""
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A head that may be picked.
+
+    :ivar in_flight: requests at the head, of this entry and, as last told, of the others.
+    """
+
+    head: str
+    in_flight: float
+    is_near: bool
+
+
+def pick(
+    candidates: abc.Sequence[Candidate], tried: abc.Set[str], rng: random.Random
+) -> Candidate | None:
+    """Return the least loaded head that the request has not been sent to."""
+    left = [one for one in candidates if one.head not in tried]
+    if not left:
+        return None
+    return min(left, key=lambda one: (_cost(one), rng.random()))
+
+
+def _cost(one: Candidate) -> float:
+    return one.in_flight + (0.0 if one.is_near else FAR_COST)
