--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -48,7 +48,7 @@
 async def run(gw: states.Gateway, sink: log_sink.LogSink) -> None:
     """Serve until SIGTERM or SIGINT, then end what is in flight."""
     cfg = gw.cfg
-    events.log("entry.start", incarnation=gw.incarnation, callers=str(cfg.get(settings.CALLERS)))
+    events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_flush, gw, sink)
         for task in _TASKS:
