--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -89,11 +89,14 @@
     free: int,
     reserve: int,
 ) -> engine.Model | None:
-    for model in sorted(models, key=lambda one: (_supply(one, everywhere), -one.size)):
-        kept = 0 if not here.get(model.name) else reserve
-        if free - model.size >= kept:
-            return model
-    return None
+    ordered = sorted(models, key=lambda one: (_supply(one, everywhere), -one.size))
+    first = [one for one in ordered if not here.get(one.name) and one.size <= free]
+    if first:
+        return first[0]
+    if any(not here.get(one.name) for one in models):
+        # What is free may yet complete the group that the domain lacks.
+        return None
+    return next((one for one in ordered if free - one.size >= reserve), None)
 
 
 def _supply(model: engine.Model, groups: abc.Mapping[str, int]) -> float:
--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -27,6 +27,8 @@
 """How long a group that a former holder began to form may stay incomplete."""
 CLOSE_SECONDS = 3.0
 """How long a closing head may finish its streams; most last under 3 s."""
+SETTLE_SECONDS = 0.6
+"""A domain that comes up is listed within this; its first groups are planned over all of it."""
 SLACK_SECONDS = 2.0
 """Added to the longest join of a formation before it is given up."""
 
@@ -50,6 +52,7 @@
     :ivar closing: groups whose heads are told to finish, and since when.
     :ivar unreachable: targets that did not answer, and until when they are left out.
     :ivar first_seen: when groups of a former holder were first seen incomplete.
+    :ivar sizes: usable targets of each domain, and since when there are as many.
     :ivar is_loaded: whether loads are counted, which begins with the first request.
     """
 
@@ -64,6 +67,7 @@
     first_seen: dict[group.Key, float] = dataclasses.field(default_factory=dict)
     loads: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
     is_loaded: bool = False
+    sizes: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
 
 def report_stall(state: Steward, key: group.Key, missing: abc.Iterable[str], now: float) -> None:
@@ -258,6 +262,8 @@
             fleet[model] = fleet.get(model, 0) + number
     commands: list[group_command.Command] = []
     for name in sorted(usable, key=lambda one: (sum(counts.get(one, {}).values()), one)):
+        if not _is_settled(state, name, len(usable[name]), counts.get(name, {}), now):
+            continue
         free = [_make_free(known, one) for one in usable[name] if _is_free(state, one)]
         domain = formation.Domain(len(usable[name]), counts.get(name, {}), free)
         used: set[str] = set()
@@ -272,6 +278,17 @@
     return commands
 
 
+def _is_settled(
+    state: Steward, domain: str, size: int, groups: abc.Mapping[str, int], now: float
+) -> bool:
+    """Whether a domain without groups is listed as far as it will soon be."""
+    known, since = state.sizes.get(domain, (0, now))
+    if size != known:
+        since = now
+    state.sizes[domain] = (size, since)
+    return bool(groups) or now >= since + SETTLE_SECONDS
+
+
 def _find_usable(
     state: Steward, known: registry.Registry, service: str
 ) -> dict[str, list[target.Target]]:
