--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -25,6 +25,8 @@
 """How long a target found slow is left out, before its pace is trusted again."""
 ADOPT_SECONDS = 1.5
 """How long a group that a former holder began to form may stay incomplete."""
+ADOPT_LOAD_SECONDS = 20.0
+"""The same when all members have joined and some still load, which takes up to 16 s."""
 CLOSE_SECONDS = 3.0
 """How long a closing head may finish its streams; most last under 3 s."""
 SETTLE_SECONDS = 0.6
@@ -175,7 +177,8 @@
     """Dissolve a group that lost a member, or that a former holder did not complete."""
     is_begun = found.state in (target.GroupState.JOINING, target.GroupState.READY, None)
     since = state.first_seen.setdefault(found.key, now)
-    if is_begun and now < since + ADOPT_SECONDS:
+    limit = ADOPT_LOAD_SECONDS if found.has_all_ranks else ADOPT_SECONDS
+    if is_begun and now < since + limit:
         return []
     state.doomed[found.key] = now
     return _dissolve(state, found, now)
@@ -379,7 +382,7 @@
     now: float,
 ) -> list[group_command.Command]:
     """Let spares hold weights: a group of its own, never opened, makes the next join short."""
-    members, standbys = _count_members(domain)
+    members, standbys = _count_members(state, domain)
     commands: list[group_command.Command] = []
     for one in free:
         if one.target.membership is not None or ("standby", one.target.id, 0) in state.sent:
@@ -398,11 +401,15 @@
 
 
 def _count_members(
-    domain: abc.Sequence[target.Target],
+    state: Steward, domain: abc.Sequence[target.Target]
 ) -> tuple[dict[str, int], dict[str, int]]:
+    forming = {one: made.model.name for made in state.forming.values() for one in made.members}
     members: dict[str, int] = {}
     standbys: dict[str, int] = {}
     for one in domain:
+        if one.id in forming:
+            members[forming[one.id]] = members.get(forming[one.id], 0) + 1
+            continue
         if one.membership is None or not one.model:
             continue
         is_spare = one.membership.group.startswith(STANDBY_PREFIX)
--- a/src/galenavane/fleet/group.py
+++ b/src/galenavane/fleet/group.py
@@ -22,6 +22,7 @@
 
     :ivar members: listed members by rank.
     :ivar is_whole: every member of the model's size is listed.
+    :ivar has_all_ranks: the listed members would be a whole group of some model.
     """
 
     key: Key
@@ -30,6 +31,7 @@
     domain: str
     members: tuple[target.Target, ...]
     is_whole: bool
+    has_all_ranks: bool
 
     @property
     def head(self) -> target.Target | None:
@@ -86,8 +88,10 @@
     model = constants.find_model(named)
     ranks = [_rank(one) for one in members]
     is_whole = model is not None and ranks == list(range(model.size))
+    sizes = {one.size for one in constants.models}
+    has_all = len(ranks) in sizes and ranks == list(range(len(ranks)))
     first = members[0]
-    return Group(key, first.service, named, first.domain, tuple(members), is_whole)
+    return Group(key, first.service, named, first.domain, tuple(members), is_whole, has_all)
 
 
 def _rank(one: target.Target) -> int:
--- a/src/galenavane/gateway/config_task.py
+++ b/src/galenavane/gateway/config_task.py
@@ -48,7 +48,7 @@
 
 
 def _take(gw: states.Gateway, found: object_store.Changes, sent_at: float) -> int:
-    gw.knowledge.store_at = max(gw.knowledge.store_at, sent_at)
+    gw.knowledge.store_at = boot_clock.now()
     for one in found.objects:
         if one.name == "main":
             take_config(gw, one.value, sent_at, "store")
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -17,8 +17,9 @@
 COMMAND_SECONDS = 0.5
 """Targets answer commands in milliseconds; one that does not is asked again or left out."""
 MAX_ANSWER_BYTES = 65_536
-STORE_SILENT_SECONDS = 1.0
-"""Older lists don't show the effect of commands, so targets are asked themselves."""
+STORE_SILENT_SECONDS = 1.7
+"""A watch of the configuration ends each second; without an answer for longer, the list of
+targets doesn't show the effect of commands, so targets are asked themselves."""
 REPORT_SECONDS = 0.25
 """Reports are some hundred milliseconds old, so asking more often shows nothing new."""
 
--- a/src/galenavane/gateway/knowledge.py
+++ b/src/galenavane/gateway/knowledge.py
@@ -26,7 +26,7 @@
     :ivar raw: the configuration as stored, to pass on to peers.
     :ivar confirmed_at: latest boot time at which this version was in force, by the store's
         word or a peer's.
-    :ivar store_at: latest boot time of the store's own word.
+    :ivar store_at: latest boot time at which the store answered.
     """
 
     catalog: catalog.Catalog | None = None
--- a/src/galenavane/gateway/lease.py
+++ b/src/galenavane/gateway/lease.py
@@ -16,7 +16,7 @@
 HOLD_SECONDS = 2.4
 """From sending the last renewal that was acknowledged."""
 CLAIM_SECONDS = 1.8
-"""An unchanged lease is free after two missed renewals and a margin."""
+"""The lease of a holder never heard is free after two missed renewals and a margin."""
 READ_SECONDS = 0.3
 """Between two reads of a lease whose holder is not heard."""
 REST_SECONDS = 4.0
@@ -83,8 +83,12 @@
     if now < state.rest_until or is_holder_heard:
         return None
     is_free = not state.value.holder
-    wait = RENEW_SECONDS + READ_SECONDS if is_holder_gone else CLAIM_SECONDS
-    is_over = now >= state.unchanged_since + wait and state.read_at >= state.unchanged_since + wait
+    if is_holder_gone:
+        # One read makes sure that nobody else has claimed it meanwhile.
+        is_over = state.read_at >= now - READ_SECONDS
+    else:
+        since = state.unchanged_since
+        is_over = now >= since + CLAIM_SECONDS and state.read_at >= since + CLAIM_SECONDS
     if is_free or is_over:
         return Write(Value(state.me, state.value.token + 1, 0), state.revision)
     return Read() if now >= state.read_at + READ_SECONDS else None
--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -7,7 +7,7 @@
 
 from galenavane.gateway import knowledge, peer_message
 
-SILENT_SECONDS = 1.2
+SILENT_SECONDS = 0.9
 """Without a message for several intervals, an entry counts as gone."""
 FORGET_SECONDS = 30.0
 """An address that nobody was heard at for this long is no longer tried."""
--- a/src/galenavane/route/head_watch.py
+++ b/src/galenavane/route/head_watch.py
@@ -10,13 +10,13 @@
 import dataclasses
 import enum
 
-BEATS = 2.2
+BEATS = 1.9
 """Passes without any event after which members are checked; prompts make single passes long."""
-CHECK_MARGIN_SECONDS = 0.045
+CHECK_MARGIN_SECONDS = 0.04
 """Delay of the network, the loop and the relaying entry."""
 READ_MARGIN_SECONDS = 0.12
 """Longest time that prompts of other entries' requests add to a pass, mostly."""
-FIRST_FACTOR = 2.0
+FIRST_FACTOR = 1.5
 RECHECK_SECONDS = 0.3
 STILL_SECONDS = 0.8
 """Silence of streams that have begun, after which the group counts as still in any case."""
@@ -77,22 +77,31 @@
     state.writers.discard(request)
 
 
+def silence(state: Activity, now: float) -> float:
+    """Return for how long no request here had an event that it could have had."""
+    if state.writers:
+        return now - state.last_event_at
+    if not state.waiting:
+        return 0.0
+    first = min(one.sent_at for one in state.waiting.values())
+    return now - max(first, state.last_event_at)
+
+
 def judge(state: Activity, now: float) -> Verdict:
     """Return what the silence of a head calls for."""
     if state.writers:
-        silence = now - state.last_event_at
         reading = READ_MARGIN_SECONDS if state.waiting else 0.0
         limit = BEATS * state.pass_seconds + CHECK_MARGIN_SECONDS + reading
         still = STILL_SECONDS
     elif state.waiting:
         first = min(state.waiting.values(), key=lambda one: one.sent_at)
-        silence = now - max(first.sent_at, state.last_event_at)
         limit = FIRST_FACTOR * first.expected_seconds + READ_MARGIN_SECONDS
         still = STILL_FIRST_SECONDS
     else:
         return Verdict.FINE
-    if silence >= still:
+    silent = silence(state, now)
+    if silent >= still:
         return Verdict.STILL
-    if silence >= limit and now >= state.checked_at + RECHECK_SECONDS:
+    if silent >= limit and now >= state.checked_at + RECHECK_SECONDS:
         return Verdict.CHECK
     return Verdict.FINE
