--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -84,8 +84,10 @@
     found, gw.stalls = gw.stalls, []
     if gw.steward is None:
         return
-    for service, key, missing in set(found):
-        nursery.start_soon(_verify, gw, service, key, missing)
+    for service, key, missing in found:
+        if key not in gw.verifying:
+            gw.verifying.add(key)
+            nursery.start_soon(_verify, gw, service, key, missing)
 
 
 async def _verify(
@@ -94,8 +96,11 @@
     """Dissolve a group that stands still, with what its members say to this entry."""
     found = _find_group(gw, service, key)
     if found is None or gw.steward is None or key in gw.steward.doomed:
+        gw.verifying.discard(key)
         return
-    silent = await member_check.find_silent(gw, found.members)
+    # Another entry tried twice already.
+    silent = await member_check.find_silent(gw, found.members, tries=1)
+    gw.verifying.discard(key)
     holder = gw.steward
     if holder is None:
         return
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -14,6 +14,10 @@
 TICK_SECONDS = 0.02
 LAG_SECONDS = 0.1
 """When the loop was this late, events may wait unread, so silence proves nothing."""
+TOLD_SECONDS = 0.5
+"""Until the holder of the lease has decided about a group that another entry found still."""
+BEATS_TOLD = 1.3
+"""Silence here, in passes, that agrees with what another entry tells."""
 SUSPECT_SECONDS = 2.0
 """Longer than a group needs to be formed again under a new name."""
 
@@ -73,6 +77,32 @@
 
 def _declare(gw: states.Gateway, head: str, one: states.Head, silent: tuple[str, ...]) -> None:
     """Move the streams of a head that stands still, and tell the others."""
+    _move(gw, head, one, silent)
+    service = _service_of(gw, head)
+    gw.stalls.append((service, one.key, silent))
+    gw.wake_control()
+    told = peer_message.Stall(gw.name, service, head, one.key.name, one.key.epoch, list(silent))
+    for peer in list(gw.peers.values()):
+        gw.transport.send(peer.address, peer_message.encode(told))
+
+
+def hear_still(gw: states.Gateway, head: str, key: group.Key) -> None:
+    """Take in that another entry found members of a group silent.
+
+    What this entry sees goes first: a head that lately sent an event here is not still.
+    """
+    one = gw.heads.get(head)
+    if one is None or one.key != key:
+        gw.suspect(head, TOLD_SECONDS)
+        return
+    silent = head_watch.silence(one.activity, trio.current_time())
+    if silent >= BEATS_TOLD * one.activity.pass_seconds:
+        _move(gw, head, one, ())
+    elif not one.reads:
+        gw.suspect(head, TOLD_SECONDS)
+
+
+def _move(gw: states.Gateway, head: str, one: states.Head, silent: tuple[str, ...]) -> None:
     events.log(
         "head.still",
         head=head,
@@ -88,12 +118,6 @@
     del gw.heads[head]
     for read in list(one.reads.values()):
         read.stop()
-    service = _service_of(gw, head)
-    gw.stalls.append((service, one.key, silent))
-    gw.wake_control()
-    told = peer_message.Stall(gw.name, service, one.key.name, one.key.epoch, list(silent))
-    for peer in list(gw.peers.values()):
-        gw.transport.send(peer.address, peer_message.encode(told))
 
 
 def _service_of(gw: states.Gateway, head: str) -> str:
--- a/src/galenavane/gateway/member_check.py
+++ b/src/galenavane/gateway/member_check.py
@@ -19,17 +19,19 @@
 """When the loop itself was this late, silence proves nothing."""
 
 
-async def find_silent(gw: states.Gateway, members: abc.Sequence[target.Target]) -> tuple[str, ...]:
+async def find_silent(
+    gw: states.Gateway, members: abc.Sequence[target.Target], tries: int = TRIES
+) -> tuple[str, ...]:
     """Return the ids of the members that did not answer."""
     silent: list[str] = []
     async with trio.open_nursery() as nursery:
         for one in members:
-            nursery.start_soon(functools.partial(_check, gw, one, silent))
+            nursery.start_soon(functools.partial(_check, gw, one, tries, silent))
     return tuple(sorted(silent))
 
 
-async def _check(gw: states.Gateway, one: target.Target, silent: list[str]) -> None:
-    for _ in range(TRIES):
+async def _check(gw: states.Gateway, one: target.Target, tries: int, silent: list[str]) -> None:
+    for _ in range(tries):
         before = trio.current_time()
         try:
             conn = await gw.net.dial(one.address, CONNECT_SECONDS)
--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -77,6 +77,7 @@
 
     sender: str
     service: str
+    head: str
     group: str
     epoch: int
     missing: list[str]
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -6,7 +6,14 @@
 import trio
 
 from galenavane.fleet import group, registry
-from galenavane.gateway import boot_clock, config_task, peer_message, peers, settings
+from galenavane.gateway import (
+    boot_clock,
+    config_task,
+    heads_task,
+    peer_message,
+    peers,
+    settings,
+)
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
@@ -139,10 +146,11 @@
             registry.replace(gw.registry, found.targets, found.revision, trio.current_time())
             gw.wake_control()
         case peer_message.Stall():
-            gw.stalls.append(
-                (found.service, group.Key(found.group, found.epoch), tuple(found.missing))
-            )
+            key = group.Key(found.group, found.epoch)
+            gw.stalls.append((found.service, key, tuple(found.missing)))
             gw.wake_control()
+            if found.missing:
+                heads_task.hear_still(gw, found.head, key)
 
 
 def _hear_pulse(gw: states.Gateway, found: peer_message.Pulse, now: float) -> None:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -45,6 +45,7 @@
     """The state of one entry process.
 
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
+    :ivar verifying: groups said to stand still, while their members are checked.
     :ivar is_stopping: whether the process was told to stop.
     :ivar is_closing: whether answers close their connections.
     :ivar active: requests being served.
@@ -80,6 +81,7 @@
         "store",
         "suspects",
         "transport",
+        "verifying",
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         self.lease = lease.Lease(f"{self.name}/{incarnation}")
         self.steward: steward.Steward | None = None
         self.stalls: list[tuple[str, group.Key, tuple[str, ...]]] = []
+        self.verifying: set[group.Key] = set()
         self.heads: dict[str, Head] = {}
         self.suspects: dict[str, float] = {}
         self.budgets: dict[str, send_budget.SendBudget] = {}
