Don't end the process when a kept connection has used up a call's time

Tasks now also run on after a defect, which is logged. Test: fails before with ValueError, passes after.

--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+import traceback
+from collections import abc
 
 import trio
 
@@ -31,6 +33,11 @@
 BODY_BYTES = 8_388_608
 IDLE_SECONDS = 60.0
 READ_SECONDS = 20.0
+RESTART_SECONDS = 0.3
+"""Between two runs of a task that fails at once."""
+MAX_TRACE_CHARACTERS = 2_000
+
+Task = abc.Callable[[states.Gateway], abc.Awaitable[None]]
 
 _TASKS = (
     config_task.run,
@@ -51,14 +58,13 @@
     events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_flush, gw, sink)
-        for task in _TASKS:
-            nursery.start_soon(task, gw)
+        for task in (*_TASKS, lease_task.run):
+            nursery.start_soon(_keep_running, task, gw)
         await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness(gw))
         limits = http_server.Limits(BODY_BYTES, IDLE_SECONDS, READ_SECONDS)
         await nursery.start(
             gw.net.listen, cfg.get(settings.CALLERS), front.make_handler(gw), limits
         )
-        nursery.start_soon(lease_task.run, gw)
         nursery.start_soon(_log_reloads)
         await _wait_stop()
         await _stop(gw)
@@ -67,6 +73,18 @@
         nursery.cancel_scope.cancel()
 
 
+async def _keep_running(task: Task, gw: states.Gateway) -> None:
+    """Run a task, and again after a defect: requests go on being served meanwhile."""
+    while True:
+        try:
+            await task(gw)
+            return
+        except Exception as exc:
+            text = "".join(traceback.format_exception(exc))[-MAX_TRACE_CHARACTERS:]
+            events.log("task.defect", task=task.__module__, text=text)
+        await trio.sleep(RESTART_SECONDS)
+
+
 async def _wait_stop() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
--- a/src/galenavane/net/keep_alive.py
+++ b/src/galenavane/net/keep_alive.py
@@ -47,9 +47,9 @@
                 return await self._exchange(kept, where, req, share, limit_bytes)
             except transport_error.TransportError:
                 pass
-        left = timeout_seconds - (trio.current_time() - started_at)
-        conn = await self._net.dial(where, left)
-        left = timeout_seconds - (trio.current_time() - started_at)
+        until = started_at + timeout_seconds
+        conn = await self._net.dial(where, max(0.0, until - trio.current_time()))
+        left = max(0.0, until - trio.current_time())
         return await self._exchange(conn, where, req, left, limit_bytes)
 
     def _take(self, where: addresses.Address) -> http_connection.HttpConnection | None:
--- a/tests/net/keep_alive.feature
+++ b/tests/net/keep_alive.feature
@@ -11,5 +11,8 @@
       | was reset        | 0.1     |
       | has gone silent  | 0.6     |
 
+  Scenario: A kept connection that used up the time fails the call and not the caller
+    Then a call that may spend all of its time on a kept silent connection fails in time
+
   Scenario: A target that hangs costs the whole timeout and no more
     Then a call over a kept connection to a frozen target fails as silent after 1 s
--- a/tests/steps/net_keep_alive.py
+++ b/tests/steps/net_keep_alive.py
@@ -89,3 +89,22 @@
         assert abs(trio.current_time() - before - TIMEOUT_SECONDS) < 0.01
 
     on_network(scenario)
+
+
+@then("a call that may spend all of its time on a kept silent connection fails in time")
+def call_all_on_kept(context):
+    async def scenario(made, target, kept, dialled):
+        await call(kept)
+        for ends in made.open:
+            ends[0].silent = True
+        req = message.Request("GET", "/")
+        before = trio.current_time()
+        try:
+            await kept.send(WHERE, req, TIMEOUT_SECONDS, LIMIT_BYTES, kept_share=1.0)
+        except transport_error.TransportError:
+            pass
+        else:
+            raise AssertionError("a silent connection answered")
+        assert abs(trio.current_time() - before - TIMEOUT_SECONDS) < 0.01
+
+    on_network(scenario)
