Keep a group whose member is cut off from the store alone

Members whose entries lapse now count while they answer; heads don't, since requests may not be sent to an unlisted target.

--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -97,10 +97,11 @@
 ) -> list[group_command.Command]:
     """Return the commands to give now for one service."""
     _forget(state, now)
-    found = group.assemble(known.targets.values(), constants, service)
+    found = group.assemble(registry.members(known), constants, service)
     commands: list[group_command.Command] = []
     for key in sorted(found):
         commands += _tend(state, found[key], now)
+    commands = [one for one in commands if one.target.id in known.targets]
     commands += _follow_forming(state, known, found, now)
     commands += _form(state, known, found, service, constants, now)
     _drop_finished(state, found)
--- a/src/galenavane/fleet/registry.py
+++ b/src/galenavane/fleet/registry.py
@@ -9,10 +9,23 @@
 
 LAPSE_GRACE_SECONDS = 2.0
 """Entries that lapsed in an outage are listed again this long after its end, by the platform."""
+UNLISTED_SECONDS = 15.0
+"""How long a member whose entry lapsed is still counted, while its group works."""
 OUTAGE_SECONDS = 0.6
 """The store's longest silence after which missing entries count as gone at once."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unlisted:
+    """A member whose entry lapsed.
+
+    :ivar since: when it did.
+    """
+
+    target: target.Target
+    since: float
+
+
 @dataclasses.dataclass(slots=True)
 class Registry:
     """The list as last seen.
@@ -21,6 +34,8 @@
     :ivar last_models: model of each target's last group, by id and incarnation.
     :ivar held: ids that are missing since an outage, and until when they count as alive.
     :ivar grace_until: end of the time in which a missing entry may only have lapsed.
+    :ivar unlisted: members of open groups whose entries lapsed; a member that is cut off from
+        the store alone goes on working.
     :ivar changes: counts changes, for those who cache what they derive.
     """
 
@@ -29,6 +44,7 @@
     last_models: dict[tuple[str, int], str] = dataclasses.field(default_factory=dict)
     held: dict[str, float] = dataclasses.field(default_factory=dict)
     grace_until: float = 0.0
+    unlisted: dict[str, Unlisted] = dataclasses.field(default_factory=dict)
     changes: int = 0
 
 
@@ -70,13 +86,52 @@
     over = [one for one, until in state.held.items() if now >= until]
     for one in over:
         del state.held[one]
-        state.targets.pop(one, None)
-        state.changes += 1
+        _drop(state, one, now)
+    for kept in list(state.unlisted.values()):
+        if now >= kept.since + UNLISTED_SECONDS or not _has_open_head(state, kept.target):
+            forget_unlisted(state, kept.target.id)
     return over
 
 
+def forget_unlisted(state: Registry, target_id: str) -> None:
+    """Stop counting a member whose entry lapsed."""
+    if state.unlisted.pop(target_id, None) is not None:
+        state.changes += 1
+
+
+def members(state: Registry) -> list[target.Target]:
+    """Return all that may be members of groups, whether still listed or not."""
+    return [*state.targets.values(), *(one.target for one in state.unlisted.values())]
+
+
+def _drop(state: Registry, target_id: str, now: float) -> None:
+    gone = state.targets.pop(target_id, None)
+    if gone is None:
+        return
+    state.changes += 1
+    held = gone.membership
+    # A head gets requests, which the platform forbids once its entry is gone.
+    is_member = held is not None and held.rank > 0 and not gone.is_leaving
+    if is_member and _has_open_head(state, gone):
+        state.unlisted[target_id] = Unlisted(gone, now)
+    else:
+        state.last_models.pop((gone.id, gone.incarnation), None)
+
+
+def _has_open_head(state: Registry, one: target.Target) -> bool:
+    held = one.membership
+    return held is not None and any(
+        other.membership is not None
+        and other.membership.rank == 0
+        and other.membership.state is target.GroupState.OPEN
+        and (other.membership.group, other.membership.epoch) == (held.group, held.epoch)
+        for other in state.targets.values()
+    )
+
+
 def _put(state: Registry, one: target.Target) -> None:
     state.held.pop(one.id, None)
+    state.unlisted.pop(one.id, None)
     if state.targets.get(one.id) == one:
         return
     state.targets[one.id] = one
@@ -91,8 +146,6 @@
     if now < state.grace_until:
         state.held.setdefault(target_id, state.grace_until)
         return False
-    gone = state.targets.pop(target_id)
     state.held.pop(target_id, None)
-    state.last_models.pop((gone.id, gone.incarnation), None)
-    state.changes += 1
+    _drop(state, target_id, now)
     return True
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -20,6 +20,8 @@
 STORE_SILENT_SECONDS = 1.7
 """A watch of the configuration ends each second; without an answer for longer, the list of
 targets doesn't show the effect of commands, so targets are asked themselves."""
+UNLISTED_SECONDS = 0.3
+"""Between two checks of members whose entries lapsed; a silent one ends its group."""
 REPORT_SECONDS = 0.25
 """Reports are some hundred milliseconds old, so asking more often shows nothing new."""
 
@@ -28,6 +30,7 @@
     """Command targets while the lease is held."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_run_reports, gw)
+        nursery.start_soon(_run_unlisted, gw)
         while True:
             changed = gw.changed
             _take_stalls(gw, nursery)
@@ -128,6 +131,27 @@
     return gw.groups(service, declared.engine).get(key)
 
 
+async def _run_unlisted(gw: states.Gateway) -> None:
+    """Check members whose entries lapsed: one that answers is cut off from the store alone."""
+    while True:
+        await trio.sleep(UNLISTED_SECONDS)
+        unlisted = [one.target for one in gw.registry.unlisted.values()]
+        if gw.steward is None or not unlisted:
+            continue
+        silent = await member_check.find_silent(gw, unlisted)
+        holder = gw.steward
+        if holder is None:
+            continue
+        for one in unlisted:
+            held = one.membership
+            if one.id in silent and held is not None:
+                key = group.Key(held.group, held.epoch)
+                events.log("member.lost", target=one.id, group=held.group, epoch=held.epoch)
+                registry.forget_unlisted(gw.registry, one.id)
+                steward.report_stall(holder, key, [one.id], trio.current_time())
+                gw.wake_control()
+
+
 async def _run_reports(gw: states.Gateway) -> None:
     """Ask targets under command themselves, while the store does not tell."""
     while True:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -137,7 +137,7 @@
             self._groups_at = at
         found = self._groups.get(service)
         if found is None:
-            found = group.assemble(self.registry.targets.values(), constants, service)
+            found = group.assemble(registry.members(self.registry), constants, service)
             self._groups[service] = found
         return found
 
