Refuse what a full head can't serve in time

A growing queue made every request late. Now a head takes as many requests as it has slots, and those whose turn comes before their first event would be late; the others are refused at once with a time to come back by its throughput. Entries tell each other their loads every 0.1 to 0.15 s in place of 0.25 s.

--- a/src/galenavane/catalog/engine.py
+++ b/src/galenavane/catalog/engine.py
@@ -32,6 +32,7 @@
     :ivar writer_seconds: added to a step for each request that is writing.
     :ivar read_tokens_per_second: speed at which prompts are read.
     :ivar loads_per_second: loads from the weight store that may begin.
+    :ivar usual_prompt_tokens: mean of all requests, as are the answer's.
     :ivar form_seconds: from the command to open a group until it serves.
     """
 
@@ -42,6 +43,8 @@
     read_tokens_per_second: float
     loads_per_second: float
     form_seconds: float
+    usual_prompt_tokens: float
+    usual_answer_tokens: float
     models: tuple[Model, ...]
 
     def find_model(self, name: str) -> Model | None:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -25,7 +25,7 @@
 from galenavane.gateway import state as states
 from galenavane.net import disconnect, http_server, message, transport_error
 from galenavane.observe import events
-from galenavane.route import head_choice, head_watch
+from galenavane.route import head_capacity, head_choice, head_watch
 from galenavane.serve import call as calls
 from galenavane.serve import event_split, target_answer
 
@@ -68,8 +68,14 @@
     if constants.find_model(found.call.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
     while True:
-        to = _choose(gw, stream)
-        if to is None or not _may_send(gw, stream):
+        picked = _choose(gw, stream)
+        if picked is None:
+            return stream.worst or _no_group(gw)
+        to, in_flight = picked
+        full = _check_limit(gw, stream, to, in_flight)
+        if full is not None:
+            return full
+        if not _may_send(gw, stream):
             return stream.worst or _no_group(gw)
         sent = await _send(gw, exchange, stream, to)
         if sent is None:
@@ -81,7 +87,26 @@
             return stream.worst
 
 
-def _choose(gw: states.Gateway, stream: Stream) -> group.Group | None:
+def _check_limit(
+    gw: states.Gateway, stream: Stream, to: group.Group, in_flight: float
+) -> failure.Failure | None:
+    """Refuse a new request that the least loaded head can't serve in time."""
+    model = stream.constants.find_model(to.model)
+    if model is None or stream.sends > 0:
+        return None
+    target_seconds = stream.found.route.latency_target_seconds
+    limit = head_capacity.limit(stream.constants, model, target_seconds)
+    if in_flight < limit:
+        return None
+    wait = head_capacity.retry_seconds(stream.constants, model, in_flight - limit, gw.rng.random())
+    return failure.Failure(
+        codes.Code.QUEUE_FULL,
+        f"the least loaded of the model's groups has {in_flight:.0f} of {limit} requests",
+        retry_after_seconds=wait,
+    )
+
+
+def _choose(gw: states.Gateway, stream: Stream) -> tuple[group.Group, float] | None:
     told = peers.add_up_loads(gw.peers, boot_clock.now())
     candidates: dict[str, group.Group] = {}
     options: list[head_choice.Candidate] = []
@@ -98,7 +123,7 @@
         options.append(head_choice.Candidate(head.id, in_flight, is_near))
         candidates[head.id] = one
     picked = head_choice.pick(options, stream.tried, gw.rng)
-    return candidates[picked.head] if picked is not None else None
+    return (candidates[picked.head], picked.in_flight) if picked is not None else None
 
 
 def _may_send(gw: states.Gateway, stream: Stream) -> bool:
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -18,8 +18,10 @@
 from galenavane.observe import events
 
 ENTRIES_KIND = "galenavane-entries"
-PULSE_SECONDS = 0.25
-"""Loads and the lease's holder have to be known within some hundred milliseconds."""
+PULSE_SECONDS = 0.1
+"""With few entries: a head gets about one request in this time from all of them."""
+PULSE_PEER_SECONDS = 0.008
+"""Added for each peer, so that messages of all entries together grow no faster than they do."""
 LIST_SECONDS = 3.0
 STORE_SILENT_SECONDS = 1.6
 """Older words of the store are replaced by those of peers."""
@@ -81,7 +83,7 @@
         for one in list(gw.peers.values()):
             gw.transport.send(one.address, peer_message.encode(_make_pulse(gw, one, now)))
         _ask_if_behind(gw, now)
-        await trio.sleep(PULSE_SECONDS)
+        await trio.sleep(PULSE_SECONDS + PULSE_PEER_SECONDS * len(gw.peers))
 
 
 def _make_pulse(gw: states.Gateway, to: peers.Peer, now: float) -> peer_message.Pulse:
--- a/src/galenavane/platform/wire_config.py
+++ b/src/galenavane/platform/wire_config.py
@@ -37,6 +37,12 @@
     warm_s: float = 2.0
 
 
+class _Usual(msgspec.Struct):
+    # Mean token counts.
+    prompt: float = 1000.0
+    answer: float = 150.0
+
+
 class _Engine(msgspec.Struct):
     slots: int
     stride: int = 1
@@ -46,6 +52,7 @@
     read_per_s: float = 50_000.0
     loads_per_s: float = 1.0
     form_ms: float = 300.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_Model] = []
 
 
@@ -141,6 +148,8 @@
         read_tokens_per_second=constants.read_per_s,
         loads_per_second=constants.loads_per_s,
         form_seconds=constants.form_ms / 1000,
+        usual_prompt_tokens=constants.usual.prompt,
+        usual_answer_tokens=constants.usual.answer,
         models=models,
     )
     return service.Service(found.name, found.max_connections, made)
