Let a few relays of each data centre watch the store and add up loads

Now two relays of each data centre, those with the widest links first, tell the others changes, configuration and the loads of all entries; an entry that hears no relay with a fresh word watches for itself. Ruled out: asking for whole lists whenever behind; it filled the relays' links.

--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -15,8 +15,10 @@
 
 REJOIN_SECONDS = 0.2
 """Join of a target whose last group had the model, by the platform's protocol."""
-SPARE_SHARE = 0.15
+SPARE_SHARE = 0.11
 """Part of a domain's targets kept as spares before a second group of a model is formed."""
+MIN_SPARES = 2
+"""One for each of two losses in a domain before the first replacement has loaded."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -70,7 +72,7 @@
     free = list(domain.free)
     here = dict(domain.groups)
     everywhere = dict(fleet_groups)
-    reserve = round(domain.size * SPARE_SHARE)
+    reserve = max(MIN_SPARES, round(domain.size * SPARE_SHARE))
     found: list[Plan] = []
     while (model := _next_model(models, here, everywhere, len(free), reserve)) is not None:
         free.sort(key=lambda one: (join_seconds(one, model), one.target.id))
--- a/src/galenavane/fleet/target.py
+++ b/src/galenavane/fleet/target.py
@@ -19,7 +19,7 @@
     BROKEN = "broken"
 
 
-class Membership(msgspec.Struct, frozen=True):
+class Membership(msgspec.Struct, frozen=True, array_like=True):
     """The group that a target says it belongs to.
 
     :ivar rank: place in the group's list of members; rank 0 is the head.
@@ -31,7 +31,7 @@
     state: GroupState
 
 
-class Target(msgspec.Struct, frozen=True):
+class Target(msgspec.Struct, frozen=True, array_like=True):
     """A target.
 
     :ivar domain: fabric domain; members of a group in one domain are fast together.
--- a/src/galenavane/gateway/config_task.py
+++ b/src/galenavane/gateway/config_task.py
@@ -7,7 +7,7 @@
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.gateway import boot_clock, knowledge, object_store
+from galenavane.gateway import boot_clock, knowledge, object_store, peers_telling
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
@@ -22,6 +22,11 @@
     revision = 0
     is_answered = True
     while True:
+        if gw.knowledge.catalog is not None and not peers_telling.is_watcher(gw, boot_clock.now()):
+            revision = 0
+            is_answered = True
+            await trio.sleep(RETRY_SECONDS)
+            continue
         sent_at = boot_clock.now()
         if revision == 0:
             read = await gw.store.read_config()
@@ -50,19 +55,21 @@
 def _take(gw: states.Gateway, found: object_store.Changes, sent_at: float) -> int:
     gw.knowledge.store_at = boot_clock.now()
     for one in found.objects:
-        if one.name == "main":
-            take_config(gw, one.value, sent_at, "store")
+        if one.name == "main" and take_config(gw, one.value, sent_at, "store"):
+            peers_telling.tell_config(gw)
     knowledge.confirm(gw.knowledge, sent_at)
     return found.revision
 
 
-def take_config(gw: states.Gateway, raw: bytes, as_of: float, source: str) -> None:
-    """Take in a configuration that was in force at a boot time."""
+def take_config(gw: states.Gateway, raw: bytes, as_of: float, source: str) -> bool:
+    """Take in a configuration that was in force at a boot time; return whether it is news."""
     try:
         found = gw.dialect.decode_config(raw)
     except (msgspec.DecodeError, ValueError) as exc:
         events.log("config.damaged", source=source, text=str(exc))
-        return
-    if knowledge.offer(gw.knowledge, found, raw, as_of):
+        return False
+    is_news = knowledge.offer(gw.knowledge, found, raw, as_of)
+    if is_news:
         events.log("config.in_force", version=found.version, source=source)
         gw.wake_control()
+    return is_news
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -6,7 +6,7 @@
 
 from galenavane.catalog import engine
 from galenavane.fleet import group
-from galenavane.gateway import member_check, peer_message
+from galenavane.gateway import member_check, peer_message, peers_telling
 from galenavane.gateway import state as states
 from galenavane.observe import events
 from galenavane.route import head_watch
@@ -47,7 +47,11 @@
 ) -> None:
     verdict = head_watch.judge(one.activity, now)
     if verdict is head_watch.Verdict.STILL:
-        _declare(gw, head, one, ())
+        if one.activity.writers:
+            _declare(gw, head, one, ())
+        else:
+            # A full head lets requests wait too, so that alone says nothing about its group.
+            _move(gw, head, one, ())
     elif verdict is head_watch.Verdict.CHECK and not one.is_checked:
         one.is_checked = True
         one.activity.checked_at = now
@@ -82,8 +86,8 @@
     gw.stalls.append((service, one.key, silent))
     gw.wake_control()
     told = peer_message.Stall(gw.name, service, head, one.key.name, one.key.epoch, list(silent))
-    for peer in list(gw.peers.values()):
-        gw.transport.send(peer.address, peer_message.encode(told))
+    gw.note_told_stall(one.key)
+    peers_telling.tell_stall(gw, told)
 
 
 def hear_still(gw: states.Gateway, head: str, key: group.Key) -> None:
--- a/src/galenavane/gateway/lease.py
+++ b/src/galenavane/gateway/lease.py
@@ -54,6 +54,27 @@
     rest_until: float = float("-inf")
 
 
+@dataclasses.dataclass(slots=True)
+class Holder:
+    """The holder of the lease, as the entries tell each other.
+
+    :ivar token: highest lease number heard.
+    :ivar seen_at: boot time at which its holder last said that it commands.
+    """
+
+    token: int = 0
+    seen_at: float = float("-inf")
+
+
+def note_holder(state: Holder, token: int, seen_at: float) -> None:
+    """Take in a lease number in use, and when its holder said so."""
+    if token > state.token:
+        state.token = token
+        state.seen_at = seen_at
+    elif token == state.token and token > 0:
+        state.seen_at = max(state.seen_at, seen_at)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Read:
     """Command: read the lease."""
--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -32,25 +32,29 @@
     await _release(gw)
 
 
-def _holder_pulse(gw: states.Gateway) -> peers.Peer | None:
-    name = gw.lease.value.holder.partition("/")[0]
-    return gw.peers.get(name)
+HEARD_SECONDS = 1.1
+"""The holder's word reaches all entries within two or three regular messages."""
 
 
 def _is_holder_heard(gw: states.Gateway, now: float) -> bool:
-    found = _holder_pulse(gw)
-    if found is None or found.pulse is None or now - found.heard_at > peers.SILENT_SECONDS:
+    if _is_restarted(gw):
         return False
-    return found.pulse.token == gw.lease.value.token and not found.pulse.is_stopping
+    is_recent = now - gw.holder.seen_at <= HEARD_SECONDS
+    return is_recent and gw.holder.token >= gw.lease.value.token
 
 
 def _is_gone(gw: states.Gateway, now: float) -> bool:
-    found = _holder_pulse(gw)
-    if found is None or found.pulse is None:
-        return False
-    is_silent = now - found.heard_at > peers.SILENT_SECONDS
-    holder = gw.lease.value.holder.partition("/")[2]
-    return is_silent or found.pulse.incarnation != holder
+    if _is_restarted(gw):
+        return True
+    was_heard = gw.holder.token == gw.lease.value.token and gw.holder.token > 0
+    return was_heard and now - gw.holder.seen_at > HEARD_SECONDS
+
+
+def _is_restarted(gw: states.Gateway) -> bool:
+    """Whether the holder's process was replaced by a new one."""
+    name, _, incarnation = gw.lease.value.holder.partition("/")
+    found = gw.peers.get(name)
+    return found is not None and found.pulse is not None and found.pulse.incarnation != incarnation
 
 
 async def _read(gw: states.Gateway) -> None:
@@ -106,6 +110,8 @@
     now = boot_clock.now()
     held = lease.is_held(gw.lease, now) or _may_go_on(gw, now)
     token = gw.lease.value.token
+    if held:
+        lease.note_holder(gw.holder, token, now)
     if held and (gw.steward is None or gw.steward.token != token):
         gw.steward = steward.Steward(token)
         events.log("lease.gained", token=token)
@@ -119,10 +125,10 @@
     """Whether a holder that can't renew goes on, since nobody else can hold the lease either."""
     if gw.steward is None or not lease.is_own(gw.lease):
         return False
-    live = [one.pulse for one in peers.list_live(gw.peers, now) if one.pulse is not None]
-    if any(one.token > gw.steward.token for one in live):
+    if gw.holder.token > gw.steward.token:
         return False
-    return all(one.store_age > lease.HOLD_SECONDS for one in live)
+    live = [one.pulse for one in gw.peers.values() if peers.is_heard(one, now)]
+    return all(one is None or one.store_age > lease.HOLD_SECONDS for one in live)
 
 
 async def _release(gw: states.Gateway) -> None:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -16,9 +16,7 @@
 from galenavane.fleet import group
 from galenavane.gateway import (
     admission,
-    boot_clock,
     heads_task,
-    peers,
     stoppable,
     target_exchange,
 )
@@ -107,7 +105,7 @@
 
 
 def _choose(gw: states.Gateway, stream: Stream) -> tuple[group.Group, float] | None:
-    told = peers.add_up_loads(gw.peers, boot_clock.now())
+    told = gw.loads()
     candidates: dict[str, group.Group] = {}
     options: list[head_choice.Candidate] = []
     known = gw.groups(stream.found.service, stream.constants)
@@ -117,8 +115,7 @@
             continue
         if gw.is_suspect(head.id):
             continue
-        own = gw.heads.get(head.id)
-        in_flight = told.get(head.id, 0) + (len(own.reads) if own is not None else 0)
+        in_flight = told.get(head.id, 0)
         is_near = head.data_centre == gw.data_centre
         options.append(head_choice.Candidate(head.id, in_flight, is_near))
         candidates[head.id] = one
--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -1,65 +1,161 @@
-"""What an entry knows of the others."""
+"""What an entry knows of the others, and which of them pass knowledge on.
+
+In each data centre a few entries relay: they watch the store, add up loads, and tell the others
+of their data centre and the relays of other ones. So neither calls of the store nor messages
+grow with the square of the entries. Everybody finds the relays by the same order of names, and
+an entry that hears none of them watches for itself.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+import zlib
 from collections import abc
 
 from galenavane.gateway import knowledge, peer_message
 
+RELAYS = 2
+"""Per data centre; the second one is there when the first one ends."""
 SILENT_SECONDS = 0.9
-"""Without a message for several intervals, an entry counts as gone."""
+"""Several regular messages are missing."""
+RETRY_SECONDS = 5.0
+"""After which an entry that did not answer is tried again."""
 FORGET_SECONDS = 30.0
-"""An address that nobody was heard at for this long is no longer tried."""
+"""An address that was neither listed nor heard for this long is dropped."""
 
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """Another entry.
+    """Another entry; times are boot times.
 
-    :ivar heard_at: boot time of its last message.
-    :ivar known_at: boot time at which its address was last listed or heard.
+    :ivar known_at: when its address was last listed or heard.
+    :ivar heard_at: when its last message came.
+    :ivar asked_at: first message to it since it was last heard, ``None`` for none.
+    :ivar wanted_at: when it last asked this entry to relay.
     """
 
     name: str
     address: str
+    data_centre: str
+    bandwidth: float
     known_at: float
     heard_at: float = float("-inf")
+    asked_at: float | None = None
+    wanted_at: float = float("-inf")
     pulse: peer_message.Pulse | None = None
 
 
+def is_heard(peer: Peer, now: float) -> bool:
+    """Whether an entry was heard lately and goes on serving."""
+    is_stopping = peer.pulse is not None and peer.pulse.is_stopping
+    return now - peer.heard_at <= SILENT_SECONDS and not is_stopping
+
+
+def ask(peer: Peer, now: float) -> None:
+    """Take in that an entry is sent a message that it should answer."""
+    if peer.asked_at is None or now - peer.asked_at > RETRY_SECONDS:
+        peer.asked_at = now
+
+
+def _may_relay(peer: Peer, now: float) -> bool:
+    """Whether an entry can be hoped to relay."""
+    if peer.pulse is not None and peer.pulse.is_stopping:
+        return False
+    if is_heard(peer, now):
+        return True
+    return peer.asked_at is None or now - peer.asked_at <= SILENT_SECONDS
+
+
+def choose_relays(
+    known: abc.Mapping[str, Peer],
+    data_centre: str,
+    now: float,
+    me: str = "",
+    bandwidth: float = 0.0,
+) -> list[str]:
+    """Return the names of the relays of a data centre, first choice first.
+
+    :param me: name of this entry where it is of this data centre, else empty.
+    :param bandwidth: of this entry's own link, in Mbit/s.
+    """
+    places = [
+        _place(one.name, one.bandwidth)
+        for one in known.values()
+        if one.data_centre == data_centre and _may_relay(one, now)
+    ]
+    if me:
+        places.append(_place(me, bandwidth))
+    return [name for _, _, name in sorted(places)[:RELAYS]]
+
+
+def _place(name: str, bandwidth: float) -> tuple[float, int, str]:
+    """Return the place in the order of relays: wide links first, else spread over names."""
+    return -bandwidth, zlib.crc32(name.encode()), name
+
+
+def wants(known: abc.Mapping[str, Peer], now: float) -> list[Peer]:
+    """Return the entries that this one relays for."""
+    return [one for one in known.values() if now - one.wanted_at <= SILENT_SECONDS]
+
+
 def hear(
     known: dict[str, Peer], found: peer_message.Pulse, word: knowledge.Knowledge, now: float
-) -> None:
+) -> Peer:
     """Take in a regular message, and what it proves about the configuration in force."""
     peer = known.get(found.sender)
     if peer is None or peer.address != found.address:
-        peer = known[found.sender] = Peer(found.sender, found.address, now)
+        peer = Peer(found.sender, found.address, found.data_centre, found.bandwidth, now)
+        known[found.sender] = peer
     peer.known_at = now
     peer.heard_at = now
+    peer.asked_at = None
     peer.pulse = found
+    if found.wants_relay:
+        peer.wanted_at = now
+    word.store_at = max(word.store_at, now - found.store_age)
     if found.version == word.version and found.echoed_at > 0:
         # The sender wrote this after it had read what was sent here at ``echoed_at``.
         knowledge.confirm(word, found.echoed_at - found.confirmed_age)
+    return peer
 
 
-def list_live(known: abc.Mapping[str, Peer], now: float) -> list[Peer]:
-    """Return the entries that were heard lately."""
-    return [
-        one
-        for one in known.values()
-        if one.pulse is not None
-        and not one.pulse.is_stopping
-        and now - one.heard_at <= SILENT_SECONDS
+def add_up(parts: abc.Iterable[abc.Iterable[peer_message.HeadLoad]]) -> dict[str, int]:
+    """Return the sum of loads by head."""
+    total: dict[str, int] = {}
+    for part in parts:
+        for load in part:
+            total[load.head] = total.get(load.head, 0) + load.in_flight
+    return total
+
+
+def local_loads(
+    known: abc.Mapping[str, Peer], data_centre: str, own: abc.Mapping[str, int], now: float
+) -> dict[str, int]:
+    """Return the loads of a data centre, as far as this relay hears its entries."""
+    told = [
+        one.pulse.loads
+        for one in wants(known, now)
+        if one.pulse is not None and one.data_centre == data_centre
     ]
+    total = add_up(told)
+    for head, in_flight in own.items():
+        total[head] = total.get(head, 0) + in_flight
+    return total
 
 
-def add_up_loads(known: abc.Mapping[str, Peer], now: float) -> dict[str, int]:
-    """Return the requests that the other entries have at each head."""
-    total: dict[str, int] = {}
-    for one in list_live(known, now):
-        for load in one.pulse.loads if one.pulse is not None else ():
-            total[load.head] = total.get(load.head, 0) + load.in_flight
+def all_loads(
+    known: abc.Mapping[str, Peer], data_centre: str, local: abc.Mapping[str, int], now: float
+) -> dict[str, int]:
+    """Return the loads of all data centres, each as its best heard relay tells them."""
+    total = dict(local)
+    for other in {one.data_centre for one in known.values()} - {data_centre}:
+        for name in choose_relays(known, other, now):
+            pulse = known[name].pulse
+            if pulse is None or not is_heard(known[name], now):
+                continue
+            for load in pulse.local_loads:
+                total[load.head] = total.get(load.head, 0) + load.in_flight
+            break
     return total
 
 
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -10,28 +10,31 @@
     boot_clock,
     config_task,
     heads_task,
+    lease,
     peer_message,
     peers,
     settings,
 )
+from galenavane.gateway import peers_telling as telling
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
 ENTRIES_KIND = "galenavane-entries"
-PULSE_SECONDS = 0.1
-"""With few entries: a head gets about one request in this time from all of them."""
-PULSE_PEER_SECONDS = 0.008
-"""Added for each peer, so that messages of all entries together grow no faster than they do."""
+PULSE_SECONDS = 0.12
+"""A head gets about one request in this time, so its load is known to about one request."""
+PULSE_PEER_SECONDS = 0.002
+"""Added for each entry that this one talks to; a message costs some 0.1 ms of processor time."""
 LIST_SECONDS = 3.0
-STORE_SILENT_SECONDS = 1.6
-"""Older words of the store are replaced by those of peers."""
+FIRST_LIST_SECONDS = 0.5
+MAX_AGE_SECONDS = 1e6
 
 
 class Listed(msgspec.Struct, frozen=True):
     """Where an entry hears the others."""
 
     address: str
-    incarnation: str
+    data_centre: str
+    bandwidth: float
 
 
 def own_address(gw: states.Gateway) -> str:
@@ -49,12 +52,12 @@
         if found.is_ok():
             for one in found.ok:
                 _learn(gw, one.name, one.value)
-        wait = LIST_SECONDS if is_listed and gw.peers else 0.5
+        wait = LIST_SECONDS if is_listed and gw.peers else FIRST_LIST_SECONDS
         await trio.sleep(wait * (0.8 + 0.4 * gw.rng.random()))
 
 
 async def _list_own(gw: states.Gateway) -> bool:
-    value = Listed(own_address(gw), gw.incarnation)
+    value = Listed(own_address(gw), gw.data_centre, gw.cfg.get(settings.BANDWIDTH))
     made = await gw.store.create(ENTRIES_KIND, gw.name, value)
     if made.is_ok():
         return True
@@ -71,53 +74,93 @@
         return
     now = boot_clock.now()
     known = gw.peers.get(name)
-    is_silent = known is None or now - known.heard_at > peers.SILENT_SECONDS
+    is_silent = known is None or not peers.is_heard(known, now)
     if known is None or (is_silent and known.address != found.address):
-        gw.peers[name] = peers.Peer(name, found.address, now)
+        gw.peers[name] = peers.Peer(name, found.address, found.data_centre, found.bandwidth, now)
 
 
 async def run_pulses(gw: states.Gateway) -> None:
-    """Tell the others regularly what this entry knows and has under way."""
+    """Tell relays, and those that this entry relays for, what it knows and has under way."""
     while True:
         now = boot_clock.now()
-        for one in list(gw.peers.values()):
-            gw.transport.send(one.address, peer_message.encode(_make_pulse(gw, one, now)))
+        asked = telling.choose_asked(gw, now)
+        told = {one.name for one in peers.wants(gw.peers, now)}
+        local = peers.local_loads(gw.peers, gw.data_centre, own_loads(gw), now)
+        total = peers.all_loads(gw.peers, gw.data_centre, local, now)
+        for name in asked | told:
+            peer = gw.peers[name]
+            if name in asked:
+                peers.ask(peer, now)
+            pulse = _make_pulse(gw, peer, name in asked, local, total, now)
+            gw.transport.send(peer.address, peer_message.encode(pulse))
+        gw.told_loads = own_loads(gw)
         _ask_if_behind(gw, now)
-        await trio.sleep(PULSE_SECONDS + PULSE_PEER_SECONDS * len(gw.peers))
+        await trio.sleep(PULSE_SECONDS + PULSE_PEER_SECONDS * len(asked | told))
 
 
-def _make_pulse(gw: states.Gateway, to: peers.Peer, now: float) -> peer_message.Pulse:
+def own_loads(gw: states.Gateway) -> dict[str, int]:
+    """Return the requests of this entry by head."""
+    return {head: len(one.reads) for head, one in gw.heads.items() if one.reads}
+
+
+def _make_pulse(
+    gw: states.Gateway,
+    to: peers.Peer,
+    is_asked: bool,
+    local: dict[str, int],
+    total: dict[str, int],
+    now: float,
+) -> peer_message.Pulse:
     word = gw.knowledge
-    loads = [
-        peer_message.HeadLoad(head, len(one.reads)) for head, one in gw.heads.items() if one.reads
-    ]
+    is_near = to.data_centre == gw.data_centre
     return peer_message.Pulse(
         sender=gw.name,
+        data_centre=gw.data_centre,
         address=own_address(gw),
+        bandwidth=gw.cfg.get(settings.BANDWIDTH),
         incarnation=gw.incarnation,
+        wants_relay=is_asked,
         sent_at=now,
         echoed_at=to.pulse.sent_at if to.pulse is not None else 0.0,
         version=word.version,
-        confirmed_age=min(now - word.confirmed_at, 1e6),
-        store_age=min(now - word.store_at, 1e6),
+        confirmed_age=min(now - word.confirmed_at, MAX_AGE_SECONDS),
+        store_age=min(now - word.store_at, MAX_AGE_SECONDS),
         revision=gw.registry.revision,
-        token=gw.steward.token if gw.steward is not None else 0,
+        token=gw.holder.token,
+        token_age=min(now - gw.holder.seen_at, MAX_AGE_SECONDS),
         is_stopping=gw.is_stopping,
-        loads=loads,
+        loads=_list_loads(own_loads(gw)),
+        local_loads=[] if is_near else _list_loads(local),
+        all_loads=_list_loads(total) if is_near else [],
     )
 
 
+def _list_loads(loads: dict[str, int]) -> list[peer_message.HeadLoad]:
+    return [peer_message.HeadLoad(head, in_flight) for head, in_flight in loads.items()]
+
+
 def _ask_if_behind(gw: states.Gateway, now: float) -> None:
-    """Ask the entry with the freshest word, while the store doesn't answer this one."""
-    if now - gw.knowledge.store_at < STORE_SILENT_SECONDS:
-        return
-    live = [one for one in peers.list_live(gw.peers, now) if one.pulse is not None]
-    ahead = [one for one in live if one.pulse is not None and _is_ahead(gw, one.pulse)]
+    """Ask an entry that is ahead, unless the store tells this one itself."""
+    ahead = [
+        one
+        for one in gw.peers.values()
+        if one.pulse is not None and peers.is_heard(one, now) and _is_ahead(gw, one.pulse)
+    ]
     if not ahead:
+        gw.behind_since = now
+        return
+    if now - gw.behind_since < BEHIND_SECONDS:
         return
-    best = max(ahead, key=lambda one: (one.pulse.revision if one.pulse else 0))
+    best = max(ahead, key=lambda one: one.pulse.revision if one.pulse else 0)
     ask = peer_message.Ask(gw.name, own_address(gw), gw.knowledge.version, gw.registry.revision)
     gw.transport.send(best.address, peer_message.encode(ask))
+    gw.behind_since = now + ASK_SECONDS
+
+
+ASK_SECONDS = 1.0
+"""A whole list is large; it is asked for again only when it surely was lost."""
+BEHIND_SECONDS = 0.3
+"""Changes are told as they come; one that did not come by then was lost."""
 
 
 def _is_ahead(gw: states.Gateway, pulse: peer_message.Pulse) -> bool:
@@ -135,24 +178,21 @@
 
 
 def _hear(gw: states.Gateway, found: peer_message.Message) -> None:
-    now = boot_clock.now()
     match found:
         case peer_message.Pulse():
-            _hear_pulse(gw, found, now)
+            _hear_pulse(gw, found, boot_clock.now())
         case peer_message.Ask():
             _answer(gw, found)
         case peer_message.Config():
             # Without an echo nothing is known of its age, so it confirms nothing by itself.
-            config_task.take_config(gw, found.raw, float("-inf"), found.sender)
+            if config_task.take_config(gw, found.raw, float("-inf"), found.sender):
+                telling.tell_config(gw)
         case peer_message.Targets():
-            registry.replace(gw.registry, found.targets, found.revision, trio.current_time())
-            gw.wake_control()
+            _take_targets(gw, found)
+        case peer_message.TargetDelta():
+            _take_delta(gw, found)
         case peer_message.Stall():
-            key = group.Key(found.group, found.epoch)
-            gw.stalls.append((found.service, key, tuple(found.missing)))
-            gw.wake_control()
-            if found.missing:
-                heads_task.hear_still(gw, found.head, key)
+            _hear_stall(gw, found)
 
 
 def _hear_pulse(gw: states.Gateway, found: peer_message.Pulse, now: float) -> None:
@@ -160,6 +200,41 @@
     if known is None or now - known.heard_at > peers.SILENT_SECONDS:
         events.log("peer.met", peer=found.sender)
     peers.hear(gw.peers, found, gw.knowledge, now)
+    lease.note_holder(gw.holder, found.token, now - found.token_age)
+
+
+def _take_targets(gw: states.Gateway, found: peer_message.Targets) -> None:
+    gone = registry.replace(gw.registry, found.targets, found.revision, trio.current_time())
+    for one in gone:
+        events.log("target.gone", target=one, source=found.sender)
+    gw.wake_control()
+
+
+def _take_delta(gw: states.Gateway, found: peer_message.TargetDelta) -> None:
+    """Take in changes that follow on what is known; a gap is asked for later."""
+    known = gw.registry.revision
+    is_old = found.to_revision < known or (found.to_revision == known and not found.gone)
+    if known == 0 or found.from_revision > known or is_old:
+        return
+    now = trio.current_time()
+    for one in found.changed:
+        registry.put(gw.registry, one)
+    for name in found.gone:
+        if registry.remove(gw.registry, name, now):
+            events.log("target.gone", target=name, source=found.sender)
+    gw.registry.revision = found.to_revision
+    gw.wake_control()
+
+
+def _hear_stall(gw: states.Gateway, found: peer_message.Stall) -> None:
+    key = group.Key(found.group, found.epoch)
+    is_news = gw.note_told_stall(key)
+    gw.stalls.append((found.service, key, tuple(found.missing)))
+    gw.wake_control()
+    if found.missing:
+        heads_task.hear_still(gw, found.head, key)
+    if is_news:
+        telling.tell_stall(gw, found)
 
 
 def _answer(gw: states.Gateway, found: peer_message.Ask) -> None:
--- a/src/galenavane/gateway/settings.py
+++ b/src/galenavane/gateway/settings.py
@@ -15,6 +15,9 @@
 READINESS = _S("entry", "readiness", addresses.parse, None, "IP:port", "Where the balancer asks.")
 HOST = _S("entry", "host", setting.parse_text, None, "IP", "Address of this instance.")
 PEER_PORT = _S("entry", "peer_port", setting.parse_count, None, "", "First port for other entries.")
+BANDWIDTH = _S(
+    "entry", "bandwidth", setting.parse_number, 0.0, "Mbit/s", "Of this instance's own link."
+)
 STORE = _S("store", "address", addresses.parse, None, "IP:port", "The platform's store.")
 GRACE = _S(
     "stop", "grace", setting.parse_number, 8.0, "seconds", "From the stop signal to the kill."
@@ -47,6 +50,7 @@
     READINESS,
     HOST,
     PEER_PORT,
+    BANDWIDTH,
     STORE,
     GRACE,
     REVOKE,
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -26,6 +26,9 @@
 from galenavane.peer import transport
 from galenavane.route import head_watch, send_budget
 
+TOLD_STALL_SECONDS = 1.0
+"""The same news from several entries is passed on once."""
+
 
 @dataclasses.dataclass(slots=True)
 class Head:
@@ -45,6 +48,7 @@
     """The state of one entry process.
 
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
+    :ivar told_loads: requests of this entry by head, as last told to relays.
     :ivar verifying: groups said to stand still, while their members are checked.
     :ivar is_stopping: whether the process was told to stop.
     :ivar is_closing: whether answers close their connections.
@@ -56,6 +60,7 @@
         "_groups",
         "_groups_at",
         "active",
+        "behind_since",
         "budgets",
         "calls",
         "cfg",
@@ -63,6 +68,7 @@
         "data_centre",
         "dialect",
         "heads",
+        "holder",
         "incarnation",
         "is_closing",
         "is_stopping",
@@ -80,6 +86,8 @@
         "steward",
         "store",
         "suspects",
+        "told_loads",
+        "told_stalls",
         "transport",
         "verifying",
     )
@@ -108,7 +116,11 @@
         self.registry = registry.Registry()
         self.peers: dict[str, peers.Peer] = {}
         self.lease = lease.Lease(f"{self.name}/{incarnation}")
+        self.holder = lease.Holder()
         self.steward: steward.Steward | None = None
+        self.behind_since = float("-inf")
+        self.told_loads: dict[str, int] = {}
+        self.told_stalls: dict[group.Key, float] = {}
         self.stalls: list[tuple[str, group.Key, tuple[str, ...]]] = []
         self.verifying: set[group.Key] = set()
         self.heads: dict[str, Head] = {}
@@ -155,7 +167,38 @@
 
     def entries(self) -> int:
         """Return how many entries serve, this one included."""
-        return 1 + len(peers.list_live(self.peers, boot_clock.now()))
+        return 1 + len(self.peers)
+
+    def own_relays(self, now: float) -> list[str]:
+        """Return the relays of this entry's data centre, first choice first."""
+        bandwidth = self.cfg.get(settings.BANDWIDTH)
+        return peers.choose_relays(self.peers, self.data_centre, now, self.name, bandwidth)
+
+    def loads(self) -> dict[str, int]:
+        """Return the requests of all entries by head, this one's as they are now."""
+        now = boot_clock.now()
+        here = self.own_relays(now)
+        first = next((self.peers[one] for one in here if one in self.peers), None)
+        own = {head: len(one.reads) for head, one in self.heads.items() if one.reads}
+        if self.name in here or first is None or first.pulse is None:
+            local = peers.local_loads(self.peers, self.data_centre, own, now)
+            return peers.all_loads(self.peers, self.data_centre, local, now)
+        total = peers.add_up([first.pulse.all_loads])
+        for head in {*own, *self.told_loads}:
+            change = own.get(head, 0) - self.told_loads.get(head, 0)
+            total[head] = max(own.get(head, 0), total.get(head, 0) + change)
+        return total
+
+    def note_told_stall(self, key: group.Key) -> bool:
+        """Take in that a group is told to stand still; return whether it is news."""
+        now = trio.current_time()
+        is_news = now - self.told_stalls.get(key, float("-inf")) > TOLD_STALL_SECONDS
+        if is_news:
+            self.told_stalls = {
+                one: at for one, at in self.told_stalls.items() if now - at <= TOLD_STALL_SECONDS
+            }
+            self.told_stalls[key] = now
+        return is_news
 
     def may_use_keys(self) -> bool:
         """Whether keys of the configuration in force may be used now."""
--- a/src/galenavane/gateway/targets_task.py
+++ b/src/galenavane/gateway/targets_task.py
@@ -7,8 +7,8 @@
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
-from galenavane.fleet import registry
-from galenavane.gateway import object_store
+from galenavane.fleet import registry, target
+from galenavane.gateway import boot_clock, object_store, peer_message, peers_telling
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
@@ -25,6 +25,11 @@
     revision = 0
     answered_at = trio.current_time()
     while True:
+        if gw.registry.revision > 0 and not peers_telling.is_watcher(gw, boot_clock.now()):
+            revision = gw.registry.revision
+            answered_at = trio.current_time()
+            await trio.sleep(RETRY_SECONDS)
+            continue
         if revision == 0:
             found = await _list(gw, answered_at)
         else:
@@ -60,23 +65,39 @@
     now = trio.current_time()
     silent = now - answered_at - WATCH_SECONDS
     registry.note_return(gw.registry, silent, now)
-    for change in found.ok.changes:
-        _take(gw, change, now)
-    gw.registry.revision = max(gw.registry.revision, found.ok.revision)
+    gone = [change.id for change in found.ok.changes if _take(gw, change, now)]
     if found.ok.changes:
+        known = gw.registry.revision
+        gw.registry.revision = max(known, found.ok.revision)
         gw.wake_control()
+        changed = [one.target for one in found.ok.changes if one.target is not None]
+        _tell(gw, known, found.ok.revision, changed, gone)
     return expression.Ok(found.ok.revision)
 
 
-def _take(gw: states.Gateway, change: object_store.TargetChange, now: float) -> None:
+def _tell(
+    gw: states.Gateway,
+    from_revision: int,
+    to_revision: int,
+    changed: list[target.Target],
+    gone: list[str],
+) -> None:
+    delta = peer_message.TargetDelta(gw.name, from_revision, to_revision, changed, gone)
+    peers_telling.tell_delta(gw, delta)
+
+
+def _take(gw: states.Gateway, change: object_store.TargetChange, now: float) -> bool:
+    """Take in a change; return whether its target counts as gone."""
     if change.target is None:
-        if registry.remove(gw.registry, change.id, now):
+        is_gone = registry.remove(gw.registry, change.id, now)
+        if is_gone:
             _log_gone([change.id])
-        return
+        return is_gone
     known = gw.registry.targets.get(change.id)
     if known is None or known.is_leaving != change.target.is_leaving:
         events.log("target.seen", target=change.id, leaving=change.target.is_leaving)
     registry.put(gw.registry, change.target)
+    return False
 
 
 def _log_gone(ids: list[str]) -> None:
@@ -91,4 +112,5 @@
         gone = registry.expire(gw.registry, trio.current_time())
         if gone:
             _log_gone(gone)
+            _tell(gw, gw.registry.revision, gw.registry.revision, [], gone)
             gw.wake_control()
