--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -102,7 +102,7 @@
     for key in sorted(found):
         commands += _tend(state, found[key], now)
     commands = [one for one in commands if one.target.id in known.targets]
-    commands += _follow_forming(state, known, found, now)
+    commands += _follow_forming(state, known, found, constants, now)
     commands += _form(state, known, found, service, constants, now)
     _drop_finished(state, found)
     return commands
@@ -197,6 +197,7 @@
     state: Steward,
     known: registry.Registry,
     found: abc.Mapping[group.Key, group.Group],
+    constants: engine.Engine,
     now: float,
 ) -> list[group_command.Command]:
     commands: list[group_command.Command] = []
@@ -208,7 +209,7 @@
             del state.forming[key]
             state.doomed[key] = now
         else:
-            commands += _push(state, known, one, seen, now)
+            commands += _push(state, known, one, seen, constants, now)
     return commands
 
 
@@ -227,6 +228,7 @@
     known: registry.Registry,
     one: Forming,
     seen: group.Group | None,
+    constants: engine.Engine,
     now: float,
 ) -> list[group_command.Command]:
     """Repeat joins without effect, and open a group that is ready."""
@@ -237,11 +239,16 @@
     commands: list[group_command.Command] = []
     for member in one.members:
         listed = known.targets[member]
-        if _has_joined(listed, one.key):
+        what = ("join", member, one.key.epoch)
+        if _has_joined(listed, one.key) or what in state.sent or member in state.unreachable:
             continue
-        if _once(state, "join", listed, one.key.epoch, now):
-            join = group_command.Join(listed, one.key, one.model.name, one.members, False)
-            commands.append(join)
+        wait = formation.join_seconds(_make_free(known, listed), one.model)
+        is_load = wait >= one.model.load_seconds
+        if is_load and not _may_load(state, constants, now):
+            continue
+        state.sent[what] = now
+        join = group_command.Join(listed, one.key, one.model.name, one.members, is_load)
+        commands.append(join)
     return commands
 
 
@@ -272,11 +279,9 @@
         domain = formation.Domain(len(usable[name]), counts.get(name, {}), free)
         used: set[str] = set()
         for plan in formation.plan(domain, constants.models, fleet):
-            joins = _begin(state, known, plan, constants, now)
-            if joins:
-                commands += joins
-                used.update(one.id for one in plan.members)
-                fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
+            commands += _begin(state, known, plan, constants, now)
+            used.update(one.id for one in plan.members)
+            fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
         left = [one for one in free if one.target.id not in used]
         commands += _keep_standbys(state, usable[name], left, constants, now)
     return commands
@@ -346,27 +351,20 @@
     constants: engine.Engine,
     now: float,
 ) -> list[group_command.Command]:
-    """Order a group, unless its loads have to wait."""
+    """Order a group; members whose weights have to be loaded may have to wait their turn."""
     waits = [formation.join_seconds(_make_free(known, one), plan.model) for one in plan.members]
     loads = sum(wait >= plan.model.load_seconds for wait in waits)
-    if not _may_load(state, loads, constants, now):
-        return []
+    turn = loads / (constants.loads_per_second * load_budget.RATE_SHARE)
     key = _next_key(state, "group")
     ids = tuple(one.id for one in plan.members)
-    give_up_at = now + 2 * max(waits) + SLACK_SECONDS
-    state.forming[key] = Forming(key, plan.model, ids, give_up_at)
-    commands: list[group_command.Command] = []
-    for one, wait in zip(plan.members, waits, strict=True):
-        state.sent[("join", one.id, key.epoch)] = now
-        is_load = wait >= plan.model.load_seconds
-        commands.append(group_command.Join(one, key, plan.model.name, ids, is_load))
-    return commands
+    made = Forming(key, plan.model, ids, now + 2 * max(waits) + turn + SLACK_SECONDS)
+    state.forming[key] = made
+    return _push(state, known, made, None, constants, now)
 
 
-def _may_load(state: Steward, loads: int, constants: engine.Engine, now: float) -> bool:
-    if not state.is_loaded:
-        return True
-    return all(state.loads.spend(constants.loads_per_second, now) for _ in range(loads))
+def _may_load(state: Steward, constants: engine.Engine, now: float) -> bool:
+    """Whether one more load may begin now."""
+    return not state.is_loaded or state.loads.spend(constants.loads_per_second, now)
 
 
 def _next_key(state: Steward, kind: str) -> group.Key:
@@ -391,7 +389,7 @@
         model = formation.choose_standby(one, constants.models, members, standbys)
         wait = formation.join_seconds(one, model)
         is_load = wait >= model.load_seconds
-        if is_load and not _may_load(state, 1, constants, now):
+        if is_load and not _may_load(state, constants, now):
             continue
         key = _next_key(state, STANDBY_PREFIX.rstrip("-"))
         state.sent[("standby", one.target.id, 0)] = now
--- /dev/null
+++ b/tests/steps/fleet_registry.py
@@ -0,0 +1,115 @@
+"""Steps for the list of targets."""
+
+from __future__ import annotations
+
+import msgspec
+from behave import given, then, when
+
+from galenavane.catalog import engine
+from galenavane.fleet import group, registry, target
+from galenavane.net import address
+
+SERVICE = "llm"
+LARGE = engine.Model("large", 6, 0.67, 1.0, 16.0, 1.6)
+SMALL = engine.Model("small", 3, 0.33, 0.6, 12.0, 1.1)
+
+
+def make_engine(models=(LARGE, SMALL)):
+    """Build the constants that the deployments publish."""
+    return engine.Engine(
+        slots=13,
+        stride=6,
+        step_seconds=0.00645,
+        writer_seconds=0.0001934,
+        read_tokens_per_second=56_100.0,
+        loads_per_second=5.5,
+        form_seconds=0.3,
+        usual_prompt_tokens=1115.0,
+        usual_answer_tokens=152.0,
+        models=tuple(models),
+    )
+
+
+def make_target(name, domain="d0", membership=None, model="", staged=(), incarnation=1):
+    """Build a target of the model service."""
+    where = address.Address("10.0.0.1", 80)
+    return target.Target(
+        name, SERVICE, where, "dc", 13, False, domain, staged, model, membership, incarnation
+    )
+
+
+def make_member(rank, state=target.GroupState.READY):
+    """Build a member of the large model's group; the head is open."""
+    held = target.GroupState.OPEN if rank == 0 else state
+    return make_target(f"t{rank}", membership=target.Membership("g", 7, rank, held), model="large")
+
+
+@given("a list with the members of an open group")
+def list_group(context):
+    context.now = 100.0
+    context.registry = registry.Registry()
+    members = [make_member(rank) for rank in range(LARGE.size)]
+    registry.replace(context.registry, members, 50, context.now)
+
+
+@when("the entry of member {rank:d} goes missing")
+def lose_entry(context, rank):
+    registry.remove(context.registry, f"t{rank}", context.now)
+
+
+@when("member {rank:d} is listed as leaving")
+def list_leaving(context, rank):
+    leaving = msgspec.structs.replace(make_member(rank), is_leaving=True)
+    registry.put(context.registry, leaving)
+
+
+@when("member {rank:d} is listed again")
+def list_again(context, rank):
+    registry.put(context.registry, make_member(rank))
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.now += seconds
+    registry.expire(context.registry, context.now)
+
+
+@when("the store was silent for {seconds:g} s and is back")
+def return_store(context, seconds):
+    registry.note_return(context.registry, seconds, context.now)
+
+
+@when("a list that is older arrives without targets")
+def list_older(context):
+    registry.replace(context.registry, [], 49, context.now)
+
+
+def find_group(context):
+    """Assemble the group as an entry would."""
+    members = registry.members(context.registry)
+    return group.assemble(members, make_engine(), SERVICE)[group.Key("g", 7)]
+
+
+@then("the group is whole")
+def check_whole(context):
+    assert find_group(context).is_whole
+
+
+@then("the group is not whole")
+def check_not_whole(context):
+    assert not find_group(context).is_whole
+
+
+@then("the group serves")
+def check_serves(context):
+    assert find_group(context).is_serving
+
+
+@then("the group does not serve")
+def check_not_serving(context):
+    assert not find_group(context).is_serving
+
+
+@then("member {rank:d} can't be used for a new group")
+def check_unusable(context, rank):
+    assert f"t{rank}" not in context.registry.targets
