--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -283,6 +283,7 @@
             used.update(one.id for one in plan.members)
             fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
         left = [one for one in free if one.target.id not in used]
+        _make_room(state, name, found, domain, len(left), constants, now)
         commands += _keep_standbys(state, usable[name], left, constants, now)
     return commands
 
@@ -298,6 +299,32 @@
     return bool(groups) or now >= since + SETTLE_SECONDS
 
 
+def _make_room(
+    state: Steward,
+    name: str,
+    found: abc.Mapping[group.Key, group.Group],
+    domain: formation.Domain,
+    free: int,
+    constants: engine.Engine,
+    now: float,
+) -> None:
+    """Let one of several groups of a model end, for a model that its domain lacks."""
+    is_busy = any(key in state.closing or key in state.doomed for key in found)
+    if is_busy or state.forming:
+        return
+    for lacking in constants.models:
+        if domain.groups.get(lacking.name):
+            continue
+        for other in constants.models:
+            surplus = domain.groups.get(other.name, 0) - 1
+            if surplus < 1 or free + surplus * other.size < lacking.size:
+                continue
+            for key, one in found.items():
+                if one.domain == name and one.model == other.name and one.is_serving:
+                    state.closing[key] = now
+                    return
+
+
 def _find_usable(
     state: Steward, known: registry.Registry, service: str
 ) -> dict[str, list[target.Target]]:
--- a/tests/control/steward.feature
+++ b/tests/control/steward.feature
@@ -67,3 +67,7 @@
       | 6    |
       | 7    |
       | 8    |
+      | 10   |
+      | 55   |
+      | 56   |
+      | 92   |
