--- /dev/null
+++ b/tests/steps/gateway_knowledge.py
@@ -0,0 +1,90 @@
+"""Steps for the freshness of the configuration."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from galenavane.catalog import catalog, limits
+from galenavane.gateway import knowledge, peer_message, peers
+
+REVOKE_SECONDS = 5.0
+
+
+def make_catalog(version):
+    """Build an empty configuration."""
+    return catalog.Catalog(version, [], [], [], limits.Limits(16_384, 4_194_304, 3.0, 15.0))
+
+
+def make_pulse(**changes):
+    """Build a regular message of another entry."""
+    fields = {
+        "sender": "b",
+        "data_centre": "dc",
+        "address": "10.0.0.2:7",
+        "bandwidth": 100.0,
+        "incarnation": "x",
+        "wants_relay": False,
+        "sent_at": 1.0,
+        "echoed_at": 0.0,
+        "version": 0,
+        "confirmed_age": 0.0,
+        "store_age": 0.0,
+        "revision": 0,
+        "token": 0,
+        "token_age": 0.0,
+        "is_stopping": False,
+        "loads": [],
+        "local_loads": [],
+        "all_loads": [],
+    }
+    return peer_message.Pulse(**{**fields, **changes})
+
+
+@given("a configuration of version {version:d} confirmed at {at:g} s")
+def set_known(context, version, at):
+    context.word = knowledge.Knowledge()
+    knowledge.offer(context.word, make_catalog(version), b"", at)
+
+
+@when("the machine is suspended until {at:g} s")
+def suspend(context, at):
+    """Nothing happens while a machine is suspended, but its boot clock goes on."""
+
+
+@when(
+    "a peer with version {version:d} and an age of {age:g} s answers at {at:g} s "
+    "what was sent at {sent:g} s"
+)
+def hear_peer(context, version, age, at, sent):
+    pulse = make_pulse(version=version, confirmed_age=age, echoed_at=sent)
+    peers.hear({}, pulse, context.word, at)
+
+
+@when("version {version:d} is offered at {at:g} s")
+def offer(context, version, at):
+    knowledge.offer(context.word, make_catalog(version), b"", at)
+
+
+@then("at {at:g} s keys may be used")
+def check_usable(context, at):
+    assert knowledge.may_use_keys(context.word, REVOKE_SECONDS, at)
+
+
+@then("at {at:g} s keys may not be used")
+def check_unusable(context, at):
+    assert not knowledge.may_use_keys(context.word, REVOKE_SECONDS, at)
+
+
+@then("version {version:d} is in force")
+def check_version(context, version):
+    assert context.word.version == version
+
+
+@then("at {at:g} s a missing route does not exist")
+def check_complete(context, at):
+    assert knowledge.is_complete(context.word, at)
+
+
+@then("at {at:g} s a missing route may exist")
+def check_incomplete(context, at):
+    assert not knowledge.is_complete(context.word, at)
--- /dev/null
+++ b/tests/steps/route_head_watch.py
@@ -0,0 +1,76 @@
+"""Steps for the silence of heads."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from galenavane.route import head_watch
+
+STEP_SECONDS = 0.005
+Verdict = head_watch.Verdict
+
+
+@given("a head with {count:d} streams that send an event every {beat:d} ms")
+def make_head(context, count, beat):
+    context.now = 10.0
+    context.beat = beat / 1000
+    context.head = head_watch.Activity(context.beat)
+    context.verdicts = set()
+    for number in range(count):
+        head_watch.begin(context.head, str(number), 0.15, context.now)
+        head_watch.note_event(context.head, str(number), context.now)
+
+
+@when("{seconds:g} s pass with events")
+@when("{seconds:g} s passes with events")
+def run_events(context, seconds):
+    until = context.now + seconds
+    due = context.now + context.beat
+    while context.now < until:
+        context.now += STEP_SECONDS
+        if context.now >= due:
+            due += context.beat
+            for request in list(context.head.writers):
+                head_watch.note_event(context.head, request, context.now)
+        context.verdicts.add(head_watch.judge(context.head, context.now))
+
+
+@when("its streams fall silent")
+def fall_silent(context):
+    context.silent_at = context.now
+
+
+@when("a request with a prompt is sent")
+def send_request(context):
+    head_watch.begin(context.head, "new", 0.15, context.now)
+    context.silent_at = context.now
+
+
+@then("the head is never to be checked")
+def check_fine(context):
+    assert context.verdicts == {Verdict.FINE}, context.verdicts
+
+
+def find(context, wanted, seconds):
+    """Return after how long a verdict comes, or ``None``."""
+    for step in range(int(seconds / STEP_SECONDS) + 1):
+        at = context.silent_at + step * STEP_SECONDS
+        if head_watch.judge(context.head, at) is wanted:
+            return step * STEP_SECONDS
+    return None
+
+
+@then("its members are to be checked within {seconds:g} s")
+def check_checked(context, seconds):
+    assert find(context, Verdict.CHECK, seconds) is not None
+
+
+@then("its members are not to be checked within {seconds:g} s")
+def check_not_checked(context, seconds):
+    assert find(context, Verdict.CHECK, seconds) is None
+
+
+@then("it counts as still after {seconds:g} s whatever they answer")
+def check_still(context, seconds):
+    found = find(context, Verdict.STILL, seconds + 0.1)
+    assert found is not None and abs(found - seconds) < 0.02, found
