--- /dev/null
+++ b/tests/steps/platform_wire.py
@@ -0,0 +1,211 @@
+"""Steps for the adapter."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+
+import msgspec
+from behave import given, then, when
+
+from galenavane.fleet import target
+from galenavane.net import headers, message
+from galenavane.platform import wire_config, wire_request, wire_target
+from galenavane.serve import call as calls
+
+ROOT = pathlib.Path(__file__).resolve().parents[2] / "src" / "galenavane"
+NAMES = (
+    "attempt-id|deadline-ms|expect-replica|expect-version|replica-signature|replica-id|"
+    "not-executed|prompt-prefix|token-usage|weight-versions|request-priority|length-hint|"
+    "at-server|galenavane_boot|traffic_split|cold_remaining_ms|api_keys|backend|timeout_ms|"
+    "target_latency_ms|wait_ms|stale_ok|per_seq_ms|fencing_token"
+)
+
+
+def make_config(**route):
+    """Encode a configuration with one route."""
+    fields = {
+        "name": "r",
+        "hostname": "h.example",
+        "path_prefix": "/a/",
+        "kind": "idempotent",
+        "timeout_ms": 1000,
+        "backend": "s",
+    }
+    return {"version": 3, "routes": [{**fields, **route}], "services": [{"name": "s"}]}
+
+
+@given('a configuration with routes "{one}" and "{two}" of one host')
+def two_routes(context, one, two):
+    config = make_config(name=one, path_prefix=one)
+    config["routes"] += make_config(name=two, path_prefix=two)["routes"]
+    context.catalog = wire_config.decode(json.dumps(config).encode())
+
+
+@given('a configuration with a route of kind "{kind}"')
+def route_of_kind(context, kind):
+    context.catalog = wire_config.decode(json.dumps(make_config(kind=kind)).encode())
+
+
+@then('path "{path}" takes route "{name}"')
+def check_route(context, path, name):
+    assert context.catalog.find_route("h.example", path).name == name
+
+
+@then('path "{path}" takes no route')
+def check_no_route(context, path):
+    assert context.catalog.find_route("h.example", path) is None
+
+
+@then("its requests may not be sent again")
+def check_strict(context):
+    assert not context.catalog.find_route("h.example", "/a/x").may_repeat
+
+
+def make_entry(**changes):
+    """Build a member's entry as the platform stores it."""
+    group = {"name": "g", "epoch": 7, "rank": 1, "state": "ready"}
+    fields = {
+        "backend": "s",
+        "address": "10.0.0.1:80",
+        "zone": "dc",
+        "state": "ready",
+        "slots": 13,
+        "sequence": 4,
+        "domain": "dc-d0",
+        "staged": ["m"],
+        "models": [{"name": "m", "version": 1, "adapters": []}],
+        "group": group,
+        "born": 1700,
+        "novel": {"x": 1},
+    }
+    return {**fields, **changes}
+
+
+def decode_entry(entry):
+    """Decode an entry."""
+    return wire_target.decode_entry("t1", msgspec.Raw(json.dumps(entry).encode()))
+
+
+@then("an entry {what} is skipped")
+def check_skipped(context, what):
+    bad = {
+        "that is no JSON object": 5,
+        "without an address": {key: one for key, one in make_entry().items() if key != "address"},
+        "with an address that is a number": make_entry(address=5),
+        "with an unknown state": make_entry(state="sleeping"),
+        "with an unknown state of its group": make_entry(
+            group={"name": "g", "epoch": 7, "rank": 1, "state": "novel"}
+        ),
+    }
+    assert decode_entry(bad[what]) is None
+
+
+@then("a listed member is decoded with its group, model and start")
+def check_decoded(context):
+    found = decode_entry(make_entry())
+    assert found.membership == target.Membership("g", 7, 1, target.GroupState.READY)
+    assert (found.model, found.incarnation, found.domain) == ("m", 1700, "dc-d0")
+
+
+def take(context, *pairs):
+    """Decode a client's request with header fields."""
+    fields = headers.Headers([(b"host", b"h.example"), (b"attempt-id", b"77"), *pairs])
+    context.call = wire_request.decode(message.Request("POST", "/a/x?q=1", fields, b"body"))
+
+
+@given("a request with a key, an account, a deadline and an expected target of its own")
+def take_forged(context):
+    take(
+        context,
+        (b"authorization", b"Bearer secret"),
+        (b"tenant", b"other"),
+        (b"deadline-ms", b"99000"),
+        (b"expect-replica", b"t9"),
+        (b"request-priority", b"0"),
+    )
+    assert context.call.key == "secret"
+
+
+@given('a request with hop-by-hop fields and a field "{name}"')
+def take_hop_by_hop(context, name):
+    take(
+        context,
+        (b"connection", b"x-hop, keep-alive"),
+        (b"x-hop", b"1"),
+        (name.encode(), b"7"),
+    )
+
+
+@when('it is sent to target "{name}" for account "{account}" with {left:g} s left')
+def send(context, name, account, left):
+    context.sent = wire_request.target_headers(context.call, calls.Send(name, account, left, 0))
+
+
+@then('the target gets account "{account}", target "{name}" and {left:d} ms')
+def check_own(context, account, name, left):
+    assert context.sent.get("tenant") == account
+    assert context.sent.get("expect-replica") == name
+    assert context.sent.get("deadline-ms") == str(left)
+
+
+@then("it gets no key")
+def check_no_key(context):
+    assert not context.sent.get("authorization")
+    assert all(b"secret" not in value for _, value in context.sent.pairs)
+
+
+@then("it gets each of these once")
+def check_once(context):
+    names = [name for name, _ in context.sent.pairs]
+    assert len(names) == len(set(names)), names
+    assert b"request-priority" not in names
+
+
+@then('the target gets field "{name}"')
+def check_field(context, name):
+    assert context.sent.get(name) == "7"
+
+
+@then('it gets no field "{name}" and no field that it names')
+def check_no_hop(context, name):
+    assert not context.sent.get(name) and not context.sent.get("x-hop")
+
+
+@then("an answer with {head} is {meaning}")
+def check_answer(context, head, meaning):
+    take(context)
+    fields = {"attempt-id": "77", "replica-signature": "s"}
+    status = 200
+    if head.startswith("status"):
+        status = int(head.split()[1])
+    if "mark of a refusal" in head:
+        fields["not-executed"] = "1"
+    if "another request" in head:
+        fields["attempt-id"] = "78"
+    if "encoding" in head:
+        fields["content-encoding"] = "gzip"
+    found = headers.Headers()
+    for name, value in fields.items():
+        found.add(name, value)
+    answer = wire_request.read_answer(context.call, message.Response(status, found))
+    seen = {
+        "not run": answer.is_not_run,
+        "perhaps run": not answer.is_not_run,
+        "not this request's": not answer.is_own,
+        "not the target's own": not answer.is_signed,
+    }
+    assert seen[meaning]
+
+
+@then("no source outside the adapter holds one of the platform's names")
+def check_sources(context):
+    wanted = re.compile(rf"[\"'](?:{NAMES})[\"']", re.IGNORECASE)
+    found = [
+        f"{path.name}: {match.group()}"
+        for path in sorted(ROOT.rglob("*.py"))
+        if path.parent != ROOT / "platform"
+        for match in wanted.finditer(path.read_text(encoding="utf-8"))
+    ]
+    assert not found, found
