Go on with a stream whose group failed: count each send once

Cause: a send was counted when its head answered and again when it broke, so that a stream with two permitted targets was never resumed; the new scenarios of the whole path (a member dies, a head breaks off within an event) saw it. Also: a refusal without the request's id is taken for what it is, a store that is back is read at once rather than watched, and the message sockets are closed at the end (a test hung in their destruction).

--- a/src/galenavane/gateway/config_task.py
+++ b/src/galenavane/gateway/config_task.py
@@ -6,7 +6,6 @@
 import trio
 
 from galenavane.failure import code as codes
-from galenavane.failure import failure
 from galenavane.gateway import boot_clock, knowledge, object_store, peers_telling
 from galenavane.gateway import state as states
 from galenavane.observe import events
@@ -42,16 +41,11 @@
         if is_answered and found.error.code is not codes.Code.HISTORY_GONE:
             events.log("store.lost", code=found.error.code.name, text=found.error.message)
             is_answered = False
-        revision = _restart(found.error, revision)
+        # A read tells at once that the store is back; a watch would only when it ends.
+        revision = 0
         await trio.sleep(RETRY_SECONDS * (0.5 + gw.rng.random()))
 
 
-def _restart(error: failure.Failure, revision: int) -> int:
-    """Return the revision to go on from after a failure."""
-    is_lost = error.code in (codes.Code.HISTORY_GONE, codes.Code.OBJECT_DAMAGED)
-    return 0 if is_lost else revision
-
-
 def _take(gw: states.Gateway, found: object_store.Changes, sent_at: float) -> int:
     gw.knowledge.store_at = boot_clock.now()
     for one in found.objects:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -176,7 +176,6 @@
     try:
         return await _attempt(gw, exchange, stream, to, record, read)
     except stoppable.StoppedError:
-        stream.sends += 1
         return failure.Failure(codes.Code.TARGET_SILENT, "the group stands still", _Outcome.UNKNOWN)
     finally:
         head_watch.end(record.activity, request)
@@ -212,13 +211,13 @@
     try:
         left = stream.found.deadline - trio.current_time()
         send = calls.Send(head.id, stream.found.account, left, stream.last_event)
+        stream.sends += 1
         answer = await read.run(lambda: link.send(send))
         refused = await _check_head(gw, exchange, stream, to, link, answer)
         if refused is not None or (exchange.answered and not stream.is_started):
             return refused
         return await _relay(exchange, stream, record, read, link, answer)
     except transport_error.TransportError as exc:
-        stream.sends += 1
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await link.close()
@@ -236,18 +235,17 @@
     head = to.head
     assert head is not None
     if not answer.is_own:
-        stream.sends += 1
         return failure.Failure(
             codes.Code.WRONG_ANSWER, "the answer is to another request", _Outcome.UNKNOWN
         )
     if answer.is_not_run:
+        stream.sends -= 1
         stream.refusals += 1
         gw.suspect(head.id, REFUSED_SUSPECT_SECONDS)
         if answer.at_fault:
             gw.stalls.append((stream.found.service, to.key, (answer.at_fault,)))
             gw.wake_control()
         return failure.Failure(codes.Code.TARGET_REFUSED, f"status {answer.status}")
-    stream.sends += 1
     if answer.status == 200:
         if answer.is_signed:
             return None
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -54,6 +54,13 @@
 
 async def run(gw: states.Gateway, sink: log_sink.LogSink) -> None:
     """Serve until SIGTERM or SIGINT, then end what is in flight."""
+    try:
+        await _serve(gw, sink)
+    finally:
+        gw.transport.close()
+
+
+async def _serve(gw: states.Gateway, sink: log_sink.LogSink) -> None:
     cfg = gw.cfg
     events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
     async with trio.open_nursery() as nursery:
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -76,7 +76,8 @@
         status=head.status,
         headers=fields.end_to_end(),
         is_not_run=is_refusal,
-        is_own=fields.get(_ATTEMPT) == call.id,
+        # Refusals may lack the id; each request has a connection of its own.
+        is_own=fields.get(_ATTEMPT, call.id) == call.id,
         is_signed=bool(fields.get(_SIGNATURE)) and not is_encoded,
         is_last=b"close" in fields.get("connection").lower().encode(),
         at_fault=fields.get(_AT_FAULT),
--- /dev/null
+++ b/tests/steps/gateway_whole_path.py
@@ -0,0 +1,233 @@
+"""Steps of the whole path; collected first, and played in one run by the last one."""
+
+from __future__ import annotations
+
+import math
+
+import trio
+from behave import given, then, when
+from steps import platform_world
+
+SCENARIO_SECONDS = 30
+
+
+@given("a platform with {domains:d} domains of {size:d} targets, and an entry")
+def plan(context, domains, size):
+    """Begin to collect what the scenario does."""
+    context.played = []
+    context.world_size = (domains, size)
+
+
+@then("all of that is seen")
+def play(context):
+    """Run the collected steps against a fresh platform."""
+
+    async def main():
+        with trio.fail_after(SCENARIO_SECONDS):
+            async with trio.open_nursery() as nursery:
+                world = platform_world.World(nursery, context.folder)
+                await world.start(*context.world_size)
+                for step in context.played:
+                    await step(world)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def add(context):
+    """Return a decorator that plays a function in its turn."""
+    return context.played.append
+
+
+@when("a client asks for a stream of {count:d} events")
+def ask_stream(context, count):
+    context.take = []
+
+    @add(context)
+    async def step(world):
+        def take(seen):
+            for action in context.take:
+                action(world, seen)
+            return False
+
+        world.answer = await world.call("/model/x", count, take=take)
+
+
+@when("a member of its group dies after {count:d} events")
+def kill_member(context, count):
+    def action(world, seen):
+        if seen == count and not getattr(world, "killed", ""):
+            head = world.targets[world.arrivals[-1][0]]
+            world.killed = head.members[2]
+            world.targets[world.killed].kill()
+
+    context.take.append(action)
+
+
+@then("it gets events 1 to {count:d} and the end")
+def check_events(context, count):
+    @add(context)
+    async def step(world):
+        wanted = b"".join(b"id: %d\ndata: %d\n\n" % (one, one) for one in range(1, count + 1))
+        assert world.answer.status == 200 and world.answer.is_whole, world.answer
+        assert world.answer.body == wanted, world.answer.body
+
+
+@then('the target was told account "{account}" and no key')
+def check_account(context, account):
+    @add(context)
+    async def step(world):
+        fields = world.arrivals[-1][1]
+        assert fields.get("tenant") == account and not fields.get("authorization")
+
+
+@then("both domains serve again within {seconds:d} s")
+def check_again(context, seconds):
+    @add(context)
+    async def step(world):
+        await world.wait_serving(2, seconds)
+
+
+@when("heads break off within event {number:d} once")
+def break_heads(context, number):
+    @add(context)
+    async def step(world):
+        world.break_at = number
+
+
+@when("a client asks for a stream of {count:d} events and leaves after {leave:d}")
+def ask_and_leave(context, count, leave):
+    @add(context)
+    async def step(world):
+        await world.call("/model/x", count, take=lambda seen: seen >= leave)
+        world.client_left_at = trio.current_time()
+
+
+@then("its target notices within {seconds:g} s")
+def check_notices(context, seconds):
+    @add(context)
+    async def step(world):
+        with trio.fail_after(seconds):
+            while not world.left_at:
+                await trio.sleep(0.01)
+
+
+@when("plain targets close the connection after reading a request")
+def close_always(context):
+    set_fault(context, "always")
+
+
+@when("plain targets close the connection after reading a request once")
+def close_once(context):
+    set_fault(context, "once")
+
+
+@when("plain targets refuse")
+def refuse(context):
+    set_fault(context, "refuse")
+
+
+def set_fault(context, fault):
+    """Let plain targets fail from now on."""
+
+    @add(context)
+    async def step(world):
+        world.plain_fault = fault
+
+
+@when("a client places an order")
+def place_order(context):
+    @add(context)
+    async def step(world):
+        world.answer = await world.call("/order/x")
+
+
+@when("a client looks an order up")
+def look_up(context):
+    @add(context)
+    async def step(world):
+        world.answer = await world.call("/status/x", method="GET")
+
+
+@then("it is told {status:d}")
+def check_status(context, status):
+    @add(context)
+    async def step(world):
+        assert world.answer.status == status, world.answer
+
+
+@then("the order arrived once")
+def check_once(context):
+    @add(context)
+    async def step(world):
+        assert len(world.arrivals) == 1, world.arrivals
+
+
+@when("the configuration removes the key and adds a public route")
+def change_config(context):
+    @add(context)
+    async def step(world):
+        world.routes.append(world.route("/new/", "idempotent", "desk", public=True))
+        world.publish_config(["another"])
+
+
+async def expect(world, path, status, seconds):
+    """Call until the status is as wanted."""
+    found = math.nan
+    with trio.move_on_after(seconds):
+        while found != status:
+            found = (await world.call(path)).status
+            await trio.sleep(0.02)
+    assert found == status, found
+
+
+@then("within {seconds:d} s a client that places an order is told {status:d}")
+@then(
+    "when the store is back within {seconds:d} s a client that places an order is told {status:d}"
+)
+def check_order(context, seconds, status):
+    @add(context)
+    async def step(world):
+        world.store.is_away = False
+        await expect(world, "/order/x", status, seconds)
+
+
+@then("within {seconds:d} s a client on the public route is told {status:d}")
+def check_public(context, seconds, status):
+    @add(context)
+    async def step(world):
+        await expect(world, "/new/x", status, seconds)
+
+
+@when("the store is away for {seconds:d} s")
+def take_away(context, seconds):
+    @add(context)
+    async def step(world):
+        world.store.is_away = True
+        await trio.sleep(seconds)
+
+
+@then("a client that places an order is told {status:d} with a time to come back")
+def check_refused(context, status):
+    @add(context)
+    async def step(world):
+        found = await world.call("/order/x")
+        assert found.status == status and float(found.headers.get("retry-after")) > 0, found
+
+
+@when("a plain target is leaving")
+def let_leave(context):
+    @add(context)
+    async def step(world):
+        world.targets["p0"].is_leaving = True
+        world.targets["p0"].publish()
+        await trio.sleep(0.3)
+
+
+@then("{count:d} orders all go to the other one")
+def check_other(context, count):
+    @add(context)
+    async def step(world):
+        for _ in range(count):
+            assert (await world.call("/order/x")).status == 200
+        assert {name for name, _ in world.arrivals} == {"p1"}
--- /dev/null
+++ b/tests/steps/platform_world.py
@@ -0,0 +1,377 @@
+"""A small platform on loopback: its store, model targets and plain targets."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+import types
+
+import h11
+import trio
+
+from galenavane.config import settings as settings_files
+from galenavane.gateway import process, settings, state
+from galenavane.net import address, headers, keep_alive, message, tcp
+from galenavane.observe import log_sink
+from galenavane.peer import zmq_transport
+from galenavane.platform import store_client, wire_dialect
+
+HOST = "127.0.0.1"
+EVENT_SECONDS = 0.02
+KEY = "key-1"
+MODEL = "m0"
+
+
+class Store:
+    """Objects by kind and name, with revisions and watches."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects = {}
+        self.log = []
+        self.changed = trio.Event()
+        self.is_away = False
+
+    def put(self, kind, name, spec):
+        """Write an object, or delete it."""
+        self.revision += 1
+        kept = self.objects.setdefault(kind, {})
+        if spec is None:
+            gone = kept.pop(name)
+            self.log.append((self.revision, kind, gone, True))
+        else:
+            kept[name] = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+            self.log.append((self.revision, kind, kept[name], False))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def handle(self, exchange):
+        """Answer one call."""
+        if self.is_away:
+            await exchange.respond(message.Response(503))
+            return
+        path, _, query = exchange.request.target.partition("?")
+        words = dict(one.split("=") for one in query.split("&")) if query else {}
+        parts = path.split("/")[2:]
+        if exchange.request.method != "GET":
+            await self._write(exchange, parts)
+        elif "watch" in words:
+            await self._watch(exchange, parts[0], int(words["watch"]), int(words["wait_ms"]))
+        elif len(parts) == 2:
+            found = self.objects.get(parts[0], {}).get(parts[1])
+            await self._respond(exchange, found, 200 if found else 404)
+        else:
+            items = sorted(
+                self.objects.get(parts[0], {}).values(), key=lambda one: one["metadata"]["name"]
+            )
+            page = {"items": items, "has_more": False, "as_of": self.revision}
+            await self._respond(exchange, page)
+
+    async def _respond(self, exchange, value, status=200):
+        await exchange.respond(message.json_response(status, value))
+
+    async def _write(self, exchange, parts):
+        body = json.loads(exchange.request.body or b"null")
+        kind = parts[0]
+        name = parts[1] if len(parts) > 1 else body["metadata"]["name"]
+        known = self.objects.get(kind, {}).get(name)
+        wanted = body["metadata"].get("revision")
+        is_conflict = known is not None if exchange.request.method == "POST" else known is None
+        if is_conflict or (wanted is not None and wanted != known["metadata"]["revision"]):
+            await self._respond(exchange, known, 409 if known else 404)
+            return
+        self.put(kind, name, body["spec"])
+        await self._respond(exchange, self.objects[kind][name])
+
+    async def _watch(self, exchange, kind, revision, wait_ms):
+        def changes():
+            return [
+                {"object": found, "deleted": deleted}
+                for at, of, found, deleted in self.log
+                if at > revision and of == kind
+            ]
+
+        with trio.move_on_after(wait_ms / 1000):
+            while not changes():
+                await self.changed.wait()
+        await self._respond(exchange, {"events": changes(), "as_of": self.revision})
+
+
+class Target:
+    """One target of either service."""
+
+    def __init__(self, world, name, service, domain):
+        self.world = world
+        self.name = name
+        self.domain = domain
+        self.service = service
+        self.born = random.randrange(10**12)
+        self.group = None
+        self.members = ()
+        self.last_model = ""
+        self.staged = []
+        self.is_leaving = False
+        self.scope = trio.CancelScope()
+        self.where = ""
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Listen until killed."""
+        async with trio.open_nursery() as nursery:
+            self.scope = nursery.cancel_scope
+            found = await nursery.start(tcp.make().listen, address.Address(HOST, 0), self.handle)
+            self.where = str(found)
+            self.publish()
+            task_status.started()
+
+    def kill(self):
+        """End without a word; the entry lapses later."""
+        self.scope.cancel()
+        self.world.alive.discard(self.name)
+
+    def publish(self):
+        """Write the own entry."""
+        self.world.store.put("servers", self.name, self.describe())
+
+    def describe(self):
+        """Return the own entry."""
+        held = self.group if self.group and self.group["state"] != "joining" else None
+        models = [{"name": MODEL, "version": 1, "adapters": []}] if held else []
+        return {
+            "backend": self.service,
+            "address": self.where,
+            "zone": "dc",
+            "version": "v1",
+            "slots": 13,
+            "state": "draining" if self.is_leaving else "ready",
+            "sequence": 1,
+            "born": self.born,
+            "models": models,
+            "domain": self.domain,
+            "staged": self.staged,
+            "group": self.group,
+        }
+
+    async def handle(self, exchange):
+        """Answer one request or command."""
+        if exchange.request.path == "/order":
+            await self._obey(exchange, json.loads(exchange.request.body))
+        elif exchange.request.path == "/report":
+            await exchange.respond(message.json_response(200, {**self.describe(), "pace": 1.0}))
+        elif self.service == "llm":
+            await self._stream(exchange)
+        else:
+            await self._plain(exchange)
+
+    async def _obey(self, exchange, order):
+        own = (self.group["name"], self.group["epoch"]) if self.group else None
+        named = (order["group"], order["epoch"])
+        status = 202
+        if order["operation"] == "join":
+            rank = order["members"].index(self.name)
+            self.members = order["members"]
+            self.group = {"name": named[0], "epoch": named[1], "rank": rank, "state": "joining"}
+            self.world.nursery.start_soon(self._become, named, "ready", 0.05)
+        elif own != named:
+            status = 409
+        elif order["operation"] == "leave":
+            self.group = None
+        elif order["operation"] == "open":
+            self.world.nursery.start_soon(self._become, named, "open", 0.05)
+        else:
+            self.group["state"] = "ready"
+        self.publish()
+        await exchange.respond(message.Response(status))
+
+    async def _become(self, named, value, seconds):
+        await trio.sleep(seconds)
+        if self.group and (self.group["name"], self.group["epoch"]) == named:
+            self.group["state"] = value
+            self.staged = [MODEL]
+            if self.name in self.world.alive:
+                self.publish()
+
+    def _answer_headers(self, exchange):
+        fields = headers.Headers().add("attempt-id", exchange.request.headers.get("attempt-id"))
+        return fields.add("replica-signature", f"{self.name}.sig")
+
+    async def _plain(self, exchange):
+        self.world.arrivals.append((self.name, exchange.request.headers))
+        fault = self.world.plain_fault
+        if fault == "refuse":
+            await exchange.respond(
+                message.Response(503, headers.Headers().add("not-executed", "1"))
+            )
+            return
+        if fault:
+            if fault == "once":
+                self.world.plain_fault = ""
+            await exchange.conn.close()
+            return
+        fields = self._answer_headers(exchange)
+        await exchange.respond(message.Response(200, fields, b"done"))
+
+    async def _stream(self, exchange):
+        self.world.arrivals.append((self.name, exchange.request.headers))
+        first = int(exchange.request.headers.get("last-event-id") or 0) + 1
+        last = int(exchange.request.headers.get("token-usage").split(",")[1])
+        fields = self._answer_headers(exchange).add("content-type", "text/event-stream")
+        try:
+            for number in range(first, last + 1):
+                await trio.sleep(EVENT_SECONDS)
+                while not set(self.members) <= self.world.alive:
+                    await trio.sleep(EVENT_SECONDS)
+                event = b"id: %d\ndata: %d\n\n" % (number, number)
+                if number == self.world.break_at:
+                    self.world.break_at = 0
+                    await exchange.conn.stream.send_all(exchange.frame_chunk(fields, event[:5]))
+                    await exchange.conn.close()
+                    return
+                await exchange.conn.stream.send_all(exchange.frame_chunk(fields, event))
+            await exchange.end_stream()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.world.left_at.append(trio.current_time())
+
+
+class World:
+    """All of it, and one entry."""
+
+    def __init__(self, nursery, folder):
+        self.nursery = nursery
+        self.folder = folder
+        self.store = Store()
+        self.targets = {}
+        self.alive = set()
+        self.arrivals = []
+        self.left_at = []
+        self.break_at = 0
+        self.plain_fault = ""
+        self.version = 1
+        self.routes = [
+            self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
+            self.route("/order/", "non_idempotent", "desk"),
+            self.route("/status/", "idempotent", "desk", max_attempts=2),
+        ]
+
+    def route(self, prefix, kind, service, **changes):
+        """Build a route."""
+        return {
+            "name": prefix,
+            "hostname": "h.example",
+            "path_prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 8000,
+            "target_latency_ms": 300,
+            "backend": service,
+            "max_attempts": 1,
+            **changes,
+        }
+
+    def publish_config(self, keys):
+        """Write the configuration."""
+        self.version += 1
+        model = {"name": MODEL, "size": 5, "share": 1.0, "load_s": 1.0, "warm_s": 0.2}
+        engine = {"slots": 13, "stride": 1, "step_ms": 20, "models": [model]}
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": self.version,
+                "routes": self.routes,
+                "services": [{"name": "llm", "engine": engine}, {"name": "desk"}],
+                "limits": {},
+                "tenants": [{"name": "acme", "api_keys": keys}],
+            },
+        )
+
+    async def add_target(self, name, service, domain=""):
+        """Start a target."""
+        made = self.targets[name] = Target(self, name, service, domain)
+        self.alive.add(name)
+        await self.nursery.start(made.run)
+
+    async def start(self, domains, size):
+        """Start the platform and an entry, and wait until it serves."""
+        where = await self.nursery.start(
+            tcp.make().listen, address.Address(HOST, 0), self.store.handle
+        )
+        self.publish_config([KEY])
+        for domain in range(domains):
+            for number in range(size):
+                await self.add_target(f"t{domain}-{number}", "llm", f"d{domain}")
+        for number in range(2):
+            await self.add_target(f"p{number}", "desk")
+        self.entry = self._make_entry(where)
+        self.nursery.start_soon(process.run, self.entry, log_sink.LogSink(-1))
+        await self.wait_serving(domains, 10)
+
+    def _make_entry(self, where):
+        text = "[entry]\nname = e1\ndata_centre = dc\nhost = 127.0.0.1\n"
+        self.callers = address.Address(HOST, free_port())
+        text += f"callers = {self.callers}\nreadiness = {HOST}:{free_port()}\n"
+        text += f"peer_port = {free_port()}\n[store]\naddress = {where}\n"
+        path = self.folder / "entry.ini"
+        path.write_text(text)
+        cfg = settings_files.load(path, settings.ALL)
+        net = tcp.make()
+        store = store_client.make(keep_alive.make(net), cfg.get(settings.STORE))
+        peer_address = address.Address(HOST, cfg.get(settings.PEER_PORT))
+        messages = zmq_transport.make(peer_address)
+        return state.Gateway(cfg, "x", store, wire_dialect.make(), net, messages, random.Random(1))
+
+    def serving(self):
+        """Return the heads whose groups are whole and open."""
+        return [
+            one
+            for one in self.targets.values()
+            if one.group
+            and one.group["state"] == "open"
+            and one.name in self.alive
+            and set(one.members) <= self.alive
+        ]
+
+    async def wait_serving(self, count, seconds):
+        """Wait until so many groups serve."""
+        with trio.fail_after(seconds):
+            while len(self.serving()) < count or not self.entry.may_use_keys():
+                await trio.sleep(0.02)
+            await trio.sleep(0.1)
+
+    async def call(self, path, events=0, method="POST", take=None):
+        """Make one request and return its status, headers and body.
+
+        :param take: called with the number of events so far; returns whether to leave.
+        """
+        conn = await tcp.make().dial(self.callers, 1.0)
+        fields = [
+            (b"host", b"h.example"),
+            (b"attempt-id", b"%x" % random.getrandbits(64)),
+            (b"deadline-ms", b"8000"),
+            (b"authorization", b"Bearer " + KEY.encode()),
+            (b"content-length", b"0"),
+        ]
+        if events:
+            fields += [(b"model", MODEL.encode()), (b"token-usage", b"10,%d" % events)]
+        head = h11.Request(method=method, target=path, headers=fields)
+        await conn.send(head, h11.EndOfMessage())
+        found = await conn.read_response_head()
+        body = b""
+        while True:
+            part = await conn.next_event()
+            if not isinstance(part, h11.Data):
+                break
+            body += part.data
+            if take is not None and take(body.count(b"\n\n")):
+                break
+        await conn.close()
+        is_whole = isinstance(part, h11.EndOfMessage)
+        return types.SimpleNamespace(
+            status=found.status, headers=found.headers, body=body, is_whole=is_whole
+        )
+
+
+def free_port():
+    """Return a port that nobody listens on."""
+    with socket.socket() as found:
+        found.bind((HOST, 0))
+        return found.getsockname()[1]
