Load weights where they complete a group, and no more at once than the store serves

Now a further group of a model is formed only of targets that mostly hold its weights, and loads under way are bounded by what the weight store serves at once.

--- a/src/galenavane/catalog/engine.py
+++ b/src/galenavane/catalog/engine.py
@@ -33,6 +33,7 @@
     :ivar read_tokens_per_second: speed at which prompts are read.
     :ivar loads_per_second: loads from the weight store that may begin.
     :ivar usual_prompt_tokens: mean of all requests, as are the answer's.
+    :ivar loads_at_once: loads beyond these slow each other down.
     :ivar form_seconds: from the command to open a group until it serves.
     """
 
@@ -42,6 +43,7 @@
     writer_seconds: float
     read_tokens_per_second: float
     loads_per_second: float
+    loads_at_once: int
     form_seconds: float
     usual_prompt_tokens: float
     usual_answer_tokens: float
--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -63,27 +63,43 @@
 
 
 def plan(
-    domain: Domain, models: abc.Sequence[engine.Model], fleet_groups: abc.Mapping[str, int]
+    domain: Domain,
+    models: abc.Sequence[engine.Model],
+    fleet_groups: abc.Mapping[str, int],
+    max_loads: int,
 ) -> list[Plan]:
     """Return the groups to form, the model that the fleet lacks most first.
 
     :param fleet_groups: groups of each model in all domains.
+    :param max_loads: members of a further group of a model whose weights may have to be loaded.
+        Targets that hold the weights of one model are not worth loading another one, unless
+        the domain lacks it: those that wait for the weight store serve nobody.
     """
     free = list(domain.free)
     here = dict(domain.groups)
     everywhere = dict(fleet_groups)
     reserve = max(MIN_SPARES, round(domain.size * SPARE_SHARE))
     found: list[Plan] = []
-    while (model := _next_model(models, here, everywhere, len(free), reserve)) is not None:
-        free.sort(key=lambda one: (join_seconds(one, model), one.target.id))
-        members = free[: model.size]
-        free = free[model.size :]
+    left = list(models)
+    while (model := _next_model(left, here, everywhere, len(free), reserve)) is not None:
+        members, others = _choose_members(free, model)
+        loads = sum(join_seconds(one, model) >= model.load_seconds for one in members)
+        if here.get(model.name) and loads > max_loads:
+            left.remove(model)
+            continue
+        free = others
         found.append(Plan(model, tuple(one.target for one in members)))
         here[model.name] = here.get(model.name, 0) + 1
         everywhere[model.name] = everywhere.get(model.name, 0) + 1
     return found
 
 
+def _choose_members(free: abc.Sequence[Free], model: engine.Model) -> tuple[list[Free], list[Free]]:
+    """Return the targets that join soonest, and the others."""
+    ordered = sorted(free, key=lambda one: (join_seconds(one, model), one.target.id))
+    return ordered[: model.size], ordered[model.size :]
+
+
 def _next_model(
     models: abc.Sequence[engine.Model],
     here: abc.Mapping[str, int],
@@ -120,7 +136,16 @@
     return max(
         models,
         key=lambda one: (
+            _is_kept(free, one),
+            not members.get(one.name) and standbys.get(one.name, 0) < one.size,
             members.get(one.name, 0) / (1 + standbys.get(one.name, 0)),
             -join_seconds(free, one),
         ),
     )
+
+
+def _is_kept(free: Free, model: engine.Model) -> bool:
+    """Whether a target holds the model's weights already."""
+    return free.last_model == model.name or (
+        not free.last_model and model.name in free.target.staged
+    )
--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -19,6 +19,8 @@
 """Formations that one holder of the lease can number."""
 REPEAT_SECONDS = 0.5
 """Wait for a command's effect in the list before it is given again: some round trips."""
+MAX_GROUP_LOADS = 2
+"""Members of a further group that may load; the others stay spares of the model they hold."""
 UNREACHABLE_SECONDS = 4.5
 """The list drops a silent target after three heartbeats of 1.2 s; one still listed is back."""
 SLOW_SECONDS = 8.0
@@ -54,6 +56,7 @@
     :ivar closing: groups whose heads are told to finish, and since when.
     :ivar unreachable: targets that did not answer, and until when they are left out.
     :ivar first_seen: when groups of a former holder were first seen incomplete.
+    :ivar loading: targets that load weights, ``None`` until a new holder has looked.
     :ivar sizes: usable targets of each domain, and since when there are as many.
     :ivar is_loaded: whether loads are counted, which begins with the first request.
     """
@@ -69,6 +72,7 @@
     first_seen: dict[group.Key, float] = dataclasses.field(default_factory=dict)
     loads: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
     is_loaded: bool = False
+    loading: set[str] | None = None
     sizes: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
 
@@ -97,6 +101,7 @@
 ) -> list[group_command.Command]:
     """Return the commands to give now for one service."""
     _forget(state, now)
+    _follow_loads(state, known)
     found = group.assemble(registry.members(known), constants, service)
     commands: list[group_command.Command] = []
     for key in sorted(found):
@@ -114,6 +119,19 @@
     state.sent = {what: at for what, at in state.sent.items() if now < at + REPEAT_SECONDS}
 
 
+def _follow_loads(state: Steward, known: registry.Registry) -> None:
+    """Keep which targets load; those of a former holder are seen joining."""
+    joining = {
+        one.id
+        for one in known.targets.values()
+        if one.membership is not None and one.membership.state is target.GroupState.JOINING
+    }
+    waiting = {one for what, one, _ in state.sent if what in ("join", "standby")}
+    if state.loading is None:
+        state.loading = joining
+    state.loading &= joining | waiting
+
+
 def _drop_finished(state: Steward, found: abc.Mapping[group.Key, group.Group]) -> None:
     for kept in (state.doomed, state.closing, state.first_seen):
         for key in [one for one in kept if one not in found]:
@@ -244,7 +262,7 @@
             continue
         wait = formation.join_seconds(_make_free(known, listed), one.model)
         is_load = wait >= one.model.load_seconds
-        if is_load and not _may_load(state, constants, now):
+        if is_load and not _may_load(state, member, constants, now):
             continue
         state.sent[what] = now
         join = group_command.Join(listed, one.key, one.model.name, one.members, is_load)
@@ -278,7 +296,8 @@
         free = [_make_free(known, one) for one in usable[name] if _is_free(state, one)]
         domain = formation.Domain(len(usable[name]), counts.get(name, {}), free)
         used: set[str] = set()
-        for plan in formation.plan(domain, constants.models, fleet):
+        max_loads = MAX_GROUP_LOADS if state.is_loaded else len(usable[name])
+        for plan in formation.plan(domain, constants.models, fleet, max_loads):
             commands += _begin(state, known, plan, constants, now)
             used.update(one.id for one in plan.members)
             fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
@@ -381,7 +400,7 @@
     """Order a group; members whose weights have to be loaded may have to wait their turn."""
     waits = [formation.join_seconds(_make_free(known, one), plan.model) for one in plan.members]
     loads = sum(wait >= plan.model.load_seconds for wait in waits)
-    turn = loads / (constants.loads_per_second * load_budget.RATE_SHARE)
+    turn = loads * plan.model.load_seconds
     key = _next_key(state, "group")
     ids = tuple(one.id for one in plan.members)
     made = Forming(key, plan.model, ids, now + 2 * max(waits) + turn + SLACK_SECONDS)
@@ -389,9 +408,17 @@
     return _push(state, known, made, None, constants, now)
 
 
-def _may_load(state: Steward, constants: engine.Engine, now: float) -> bool:
+def _may_load(state: Steward, target_id: str, constants: engine.Engine, now: float) -> bool:
     """Whether one more load may begin now."""
-    return not state.is_loaded or state.loads.spend(constants.loads_per_second, now)
+    if not state.is_loaded:
+        return True
+    loading = state.loading if state.loading is not None else set()
+    if target_id not in loading and len(loading) >= constants.loads_at_once:
+        return False
+    if not state.loads.spend(constants.loads_per_second, now):
+        return False
+    loading.add(target_id)
+    return True
 
 
 def _next_key(state: Steward, kind: str) -> group.Key:
@@ -416,7 +443,7 @@
         model = formation.choose_standby(one, constants.models, members, standbys)
         wait = formation.join_seconds(one, model)
         is_load = wait >= model.load_seconds
-        if is_load and not _may_load(state, constants, now):
+        if is_load and not _may_load(state, one.target.id, constants, now):
             continue
         key = _next_key(state, STANDBY_PREFIX.rstrip("-"))
         state.sent[("standby", one.target.id, 0)] = now
--- a/src/galenavane/platform/wire_config.py
+++ b/src/galenavane/platform/wire_config.py
@@ -51,6 +51,7 @@
     per_seq_ms: float = 0.0
     read_per_s: float = 50_000.0
     loads_per_s: float = 1.0
+    loads_at_once: int = 4
     form_ms: float = 300.0
     usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_Model] = []
@@ -147,6 +148,7 @@
         writer_seconds=constants.per_seq_ms / 1000,
         read_tokens_per_second=constants.read_per_s,
         loads_per_second=constants.loads_per_s,
+        loads_at_once=constants.loads_at_once,
         form_seconds=constants.form_ms / 1000,
         usual_prompt_tokens=constants.usual.prompt,
         usual_answer_tokens=constants.usual.answer,
--- a/tests/steps/fleet_registry.py
+++ b/tests/steps/fleet_registry.py
@@ -23,6 +23,7 @@
         writer_seconds=0.0001934,
         read_tokens_per_second=56_100.0,
         loads_per_second=5.5,
+        loads_at_once=8,
         form_seconds=0.3,
         usual_prompt_tokens=1115.0,
         usual_answer_tokens=152.0,
