--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -20,6 +20,8 @@
 STORE_SILENT_SECONDS = 1.7
 """A watch of the configuration ends each second; without an answer for longer, the list of
 targets doesn't show the effect of commands, so targets are asked themselves."""
+SUMMARY_SECONDS = 1.0
+"""Two lines a second by the holder of the lease alone."""
 UNLISTED_SECONDS = 0.3
 """Between two checks of members whose entries lapsed; a silent one ends its group."""
 REPORT_SECONDS = 0.25
@@ -31,6 +33,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_run_reports, gw)
         nursery.start_soon(_run_unlisted, gw)
+        nursery.start_soon(_run_summary, gw)
         while True:
             changed = gw.changed
             _take_stalls(gw, nursery)
@@ -131,6 +134,42 @@
     return gw.groups(service, declared.engine).get(key)
 
 
+async def _run_summary(gw: states.Gateway) -> None:
+    """Log how many groups serve, so that a refusal can be traced to what was missing."""
+    while True:
+        await trio.sleep(SUMMARY_SECONDS)
+        catalog = gw.knowledge.catalog
+        for service in catalog.engine_services() if catalog is not None else ():
+            if service.engine is None:
+                continue
+            groups = gw.groups(service.name, service.engine).values()
+            for model in service.engine.models:
+                serving = sum(one.model == model.name and one.is_serving for one in groups)
+                gw.metrics.groups.set({"model": model.name}, serving)
+                if gw.steward is not None:
+                    _log_summary(gw, gw.steward, model.name, serving)
+
+
+def _log_summary(gw: states.Gateway, holder: steward.Steward, model: str, serving: int) -> None:
+    standbys = sum(
+        one.model == model
+        and one.membership is not None
+        and one.membership.group.startswith(steward.STANDBY_PREFIX)
+        for one in gw.registry.targets.values()
+    )
+    events.log(
+        "groups.state",
+        model=model,
+        serving=serving,
+        forming=sum(one.model.name == model for one in holder.forming.values()),
+        spares=standbys,
+        loading=len(holder.loading or ()),
+        targets=len(gw.registry.targets),
+        revision=gw.registry.revision,
+        token=holder.token,
+    )
+
+
 async def _run_unlisted(gw: states.Gateway) -> None:
     """Check members whose entries lapsed: one that answers is cut off from the store alone."""
     while True:
--- a/src/galenavane/gateway/gateway_metrics.py
+++ b/src/galenavane/gateway/gateway_metrics.py
@@ -16,6 +16,7 @@
         "ends",
         "first_event",
         "further_sends",
+        "groups",
         "in_flight",
         "knowledge_age",
         "lease_token",
@@ -45,6 +46,7 @@
         )
         self.store_calls = self._gauge("store_calls", "Calls of the store since the start.")
         self.peers = self._gauge("peers", "Other entries that are heard.")
+        self.groups = self._gauge("groups_serving", "Whole and open groups by model.")
         self.targets = self._gauge("targets", "Listed targets.")
         self.lease_token = self._gauge("lease_token", "Lease number while commanding, else 0.")
         self.dropped_lines = self._gauge("log_lines_dropped", "Log lines that were left out.")
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -75,6 +75,7 @@
             return full
         if not _may_send(gw, stream):
             return stream.worst or _no_group(gw)
+        _log_sent(gw, stream, to, in_flight)
         sent = await _send(gw, exchange, stream, to)
         if sent is None:
             return None
@@ -147,6 +148,21 @@
     )
 
 
+def _log_sent(gw: states.Gateway, stream: Stream, to: group.Group, in_flight: float) -> None:
+    head = to.head
+    events.log(
+        "request.sent",
+        request=stream.found.call.id,
+        target=head.id if head is not None else "",
+        group=to.key.name,
+        epoch=to.key.epoch,
+        in_flight=in_flight,
+        sends=stream.sends,
+        last_event=stream.last_event,
+        revision=gw.registry.revision,
+    )
+
+
 def _log_failed(gw: states.Gateway, stream: Stream, to: group.Group, sent: failure.Failure) -> None:
     events.log(
         "request.send_failed",
@@ -216,7 +232,7 @@
         refused = await _check_head(gw, exchange, stream, to, link, answer)
         if refused is not None or (exchange.answered and not stream.is_started):
             return refused
-        return await _relay(exchange, stream, record, read, link, answer)
+        return await _relay(gw, exchange, stream, record, read, link, answer)
     except transport_error.TransportError as exc:
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
@@ -263,6 +279,7 @@
 
 
 async def _relay(
+    gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: Stream,
     record: states.Head,
@@ -279,7 +296,11 @@
             return failure.Failure(codes.Code.TARGET_FAILED, str(exc), _Outcome.FAILED)
         if not whole:
             continue
-        head_watch.note_event(record.activity, request, trio.current_time())
+        now = trio.current_time()
+        head_watch.note_event(record.activity, request, now)
+        if not stream.is_started:
+            waited = now - stream.found.received_at
+            gw.metrics.first_event.observe({"model": stream.found.call.model}, waited)
         data = b""
         for event in whole:
             if event.number != stream.last_event + 1:
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -90,6 +90,14 @@
     sends: int,
 ) -> failure.Failure | None:
     gw.served[to.id] = gw.served.get(to.id, 0) + 1
+    events.log(
+        "request.sent",
+        request=found.call.id,
+        target=to.id,
+        in_flight=gw.served[to.id] - 1,
+        sends=sends,
+        revision=gw.registry.revision,
+    )
     try:
         result = await _attempt(gw, exchange, found, to, sends)
     finally:
