--- a/tests/fleet/registry.feature
+++ b/tests/fleet/registry.feature
@@ -9,7 +9,7 @@
   Scenario: A group whose member stays silent to the store alone goes on for some seconds
     Given a list with the members of an open group
     When the entry of member 3 goes missing
-    And 16 s pass
+    And 16 s go by on the list
     Then the group is not whole
 
   Scenario: A head whose entry is gone serves no more
@@ -27,9 +27,9 @@
     Given a list with the members of an open group
     When the store was silent for 3 s and is back
     And the entry of member 0 goes missing
-    And 1.5 s pass
+    And 1.5 s go by on the list
     Then the group serves
-    When 1 s pass
+    When 1 s go by on the list
     Then the group does not serve
 
   Scenario: An entry that is listed again in time was never gone
@@ -37,7 +37,7 @@
     When the store was silent for 3 s and is back
     And the entry of member 0 goes missing
     And member 0 is listed again
-    And 3 s pass
+    And 3 s go by on the list
     Then the group serves
 
   Scenario: An older list changes nothing
--- a/tests/steps/fleet_registry.py
+++ b/tests/steps/fleet_registry.py
@@ -69,7 +69,7 @@
     registry.put(context.registry, make_member(rank))
 
 
-@when("{seconds:g} s pass")
+@when("{seconds:g} s go by on the list")
 def pass_time(context, seconds):
     context.now += seconds
     registry.expire(context.registry, context.now)
