--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -226,7 +226,8 @@
         return failure.Failure(codes.Code.TARGET_UNREACHABLE, str(exc))
     try:
         left = stream.found.deadline - trio.current_time()
-        send = calls.Send(head.id, stream.found.account, left, stream.last_event)
+        is_resumed = stream.sends > 0
+        send = calls.Send(head.id, stream.found.account, left, stream.last_event, is_resumed)
         stream.sends += 1
         answer = await read.run(lambda: link.send(send))
         refused = await _check_head(gw, exchange, stream, to, link, answer)
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -21,6 +21,8 @@
 _AT_FAULT = "at-server"
 _PRIORITY = "request-priority"
 _BEARER = "bearer "
+_FIRST_TO_BE_ADMITTED = "0"
+"""Of 0 to 9; requests without the field have 5."""
 
 # Set by the system itself, whatever the client sent.
 _OWN = frozenset(
@@ -62,6 +64,8 @@
         fields.add(_ACCOUNT, send.account)
     if send.last_event:
         fields.add(_LAST_EVENT, str(send.last_event))
+    if send.is_resumed:
+        fields.add(_PRIORITY, _FIRST_TO_BE_ADMITTED)
     if call.body or call.method in ("POST", "PUT", "PATCH"):
         fields.add("content-length", str(len(call.body)))
     return fields
--- a/src/galenavane/serve/call.py
+++ b/src/galenavane/serve/call.py
@@ -41,9 +41,11 @@
     :ivar target_id: the only target that may run it.
     :ivar wait_seconds: time that is left.
     :ivar last_event: last event of the stream that the client has.
+    :ivar is_resumed: the client has waited at another target already.
     """
 
     target_id: str
     account: str
     wait_seconds: float
     last_event: int
+    is_resumed: bool = False
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -31,6 +31,11 @@
     And it gets no key
     And it gets each of these once
 
+  Scenario: A stream that goes on elsewhere is admitted first
+    Given a request with hop-by-hop fields and a field "X-Trace"
+    When it is sent on to target "t1" after event 4
+    Then the target gets priority 0 and event 4
+
   Scenario: Fields of one connection are not passed on, all others are
     Given a request with hop-by-hop fields and a field "X-Trace"
     When it is sent to target "t1" for account "acme" with 1.5 s left
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -143,6 +143,18 @@
     context.sent = wire_request.target_headers(context.call, calls.Send(name, account, left, 0))
 
 
+@when('it is sent on to target "{name}" after event {number:d}')
+def send_on(context, name, number):
+    found = calls.Send(name, "acme", 1.0, number, True)
+    context.sent = wire_request.target_headers(context.call, found)
+
+
+@then("the target gets priority {priority:d} and event {number:d}")
+def check_resumed(context, priority, number):
+    assert context.sent.get("request-priority") == str(priority)
+    assert context.sent.get("last-event-id") == str(number)
+
+
 @then('the target gets account "{account}", target "{name}" and {left:d} ms')
 def check_own(context, account, name, left):
     assert context.sent.get("tenant") == account
