--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import trio
 
@@ -70,7 +71,7 @@
         if picked is None:
             return stream.worst or _no_group(gw)
         to, in_flight = picked
-        full = _check_limit(gw, stream, to, in_flight)
+        full = _check_limit(gw, stream, in_flight)
         if full is not None:
             return full
         if not _may_send(gw, stream):
@@ -86,25 +87,29 @@
             return stream.worst
 
 
-def _check_limit(
-    gw: states.Gateway, stream: Stream, to: group.Group, in_flight: float
-) -> failure.Failure | None:
+def _check_limit(gw: states.Gateway, stream: Stream, in_flight: float) -> failure.Failure | None:
     """Refuse a new request that the least loaded head can't serve in time."""
-    model = stream.constants.find_model(to.model)
-    if model is None or stream.sends > 0:
-        return None
-    target_seconds = stream.found.route.latency_target_seconds
-    limit = head_capacity.limit(stream.constants, model, target_seconds)
-    if in_flight < limit:
+    model = stream.constants.find_model(stream.found.call.model)
+    limit = _limit(stream)
+    if model is None or stream.sends > 0 or in_flight < limit:
         return None
     wait = head_capacity.retry_seconds(stream.constants, model, in_flight - limit, gw.rng.random())
     return failure.Failure(
         codes.Code.QUEUE_FULL,
-        f"the least loaded of the model's groups has {in_flight:.0f} of {limit} requests",
+        f"the least loaded of the model's groups has {in_flight:.0f} of {limit:.0f} requests",
         retry_after_seconds=wait,
     )
 
 
+def _limit(stream: Stream) -> float:
+    """Return the requests that one head of the stream's model may have."""
+    model = stream.constants.find_model(stream.found.call.model)
+    if model is None:
+        return math.inf
+    target_seconds = stream.found.route.latency_target_seconds
+    return head_capacity.limit(stream.constants, model, target_seconds)
+
+
 def _choose(gw: states.Gateway, stream: Stream) -> tuple[group.Group, float] | None:
     told = gw.loads()
     candidates: dict[str, group.Group] = {}
@@ -120,7 +125,7 @@
         is_near = head.data_centre == gw.data_centre
         options.append(head_choice.Candidate(head.id, in_flight, is_near))
         candidates[head.id] = one
-    picked = head_choice.pick(options, stream.tried, gw.entries(), gw.rng)
+    picked = head_choice.pick(options, stream.tried, gw.entries(), _limit(stream), gw.rng)
     return (candidates[picked.head], picked.in_flight) if picked is not None else None
 
 
--- a/src/galenavane/route/head_choice.py
+++ b/src/galenavane/route/head_choice.py
@@ -33,15 +33,21 @@
 
 
 def pick(
-    candidates: abc.Sequence[Candidate], tried: abc.Set[str], entries: int, rng: random.Random
+    candidates: abc.Sequence[Candidate],
+    tried: abc.Set[str],
+    entries: int,
+    limit: float,
+    rng: random.Random,
 ) -> Candidate | None:
     """Return a little loaded head that the request has not been sent to.
 
     :param entries: entries that send to these heads.
+    :param limit: requests that a head may have; one that has as many is picked last.
     """
     left = [one for one in candidates if one.head not in tried]
     if not left:
         return None
+    left = [one for one in left if one.in_flight < limit] or left
     if entries > FEW_ENTRIES and len(left) > COMPARED:
         left = rng.sample(left, COMPARED)
     return min(left, key=lambda one: (_cost(one), rng.random()))
--- a/tests/steps/route_head_capacity.py
+++ b/tests/steps/route_head_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 
 from behave import given, then, when
@@ -41,7 +42,7 @@
             head_choice.Candidate(str(number), len(queue), True)
             for number, queue in enumerate(ends)
         ]
-        picked = head_choice.pick(options, set(), 6, rng)
+        picked = head_choice.pick(options, set(), 6, limit, rng)
         queue = ends[int(picked.head)]
         if is_limited and len(queue) >= limit:
             found.refused += 1
@@ -122,7 +123,7 @@
             told_at = now
             told = [len(queue) for queue in ends]
         options = [head_choice.Candidate(str(one), told[one], True) for one in range(heads)]
-        picked = head_choice.pick(options, set(), entries, rng)
+        picked = head_choice.pick(options, set(), entries, math.inf, rng)
         heapq.heappush(ends[int(picked.head)], now + stream_seconds)
         if now > 2 * stream_seconds:
             mean = sum(len(queue) for queue in ends) / heads
