--- a/src/galenavane/gateway/gateway_metrics.py
+++ b/src/galenavane/gateway/gateway_metrics.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from aioprometheus import collectors, renderer
+from aioprometheus import collectors
+
+from galenavane.observe import collecting
 
 FIRST_EVENT_BUCKETS_SECONDS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0)
 
@@ -30,36 +32,51 @@
 
     def __init__(self) -> None:
         self.registry = collectors.Registry()
-        self.ends = self._counter("requests_total", "Requests by kind, outcome and reason.")
-        self.further_sends = self._counter("further_sends_total", "Sends beyond the first.")
-        self.stalls = self._counter("stalls_total", "Heads found standing still.")
-        self.commands = self._counter("commands_total", "Commands to targets by result.")
-        self.first_event = self._histogram(
-            "first_event_seconds", "Time to the first event.", FIRST_EVENT_BUCKETS_SECONDS
+        self.ends = collecting.counter(
+            self.registry, "requests_total", "Requests by kind, outcome and reason."
         )
-        self.whole = self._histogram(
-            "answer_seconds", "Time to the whole answer.", FIRST_EVENT_BUCKETS_SECONDS
+        self.further_sends = collecting.counter(
+            self.registry, "further_sends_total", "Sends beyond the first."
         )
-        self.in_flight = self._gauge("requests_in_flight", "Requests being served.")
-        self.knowledge_age = self._gauge(
-            "configuration_age_seconds", "Since the configuration was last confirmed."
+        self.stalls = collecting.counter(
+            self.registry, "stalls_total", "Heads found standing still."
         )
-        self.store_calls = self._gauge("store_calls", "Calls of the store since the start.")
-        self.peers = self._gauge("peers", "Other entries that are heard.")
-        self.groups = self._gauge("groups_serving", "Whole and open groups by model.")
-        self.targets = self._gauge("targets", "Listed targets.")
-        self.lease_token = self._gauge("lease_token", "Lease number while commanding, else 0.")
-        self.dropped_lines = self._gauge("log_lines_dropped", "Log lines that were left out.")
-
-    def _counter(self, name: str, text: str) -> collectors.Counter:
-        return collectors.Counter(f"galenavane_{name}", text, registry=self.registry)
-
-    def _gauge(self, name: str, text: str) -> collectors.Gauge:
-        return collectors.Gauge(f"galenavane_{name}", text, registry=self.registry)
-
-    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> collectors.Histogram:
-        return collectors.Histogram(
-            f"galenavane_{name}", text, registry=self.registry, buckets=list(buckets)
+        self.commands = collecting.counter(
+            self.registry, "commands_total", "Commands to targets by result."
+        )
+        self.first_event = collecting.histogram(
+            self.registry,
+            "first_event_seconds",
+            "Time to the first event.",
+            FIRST_EVENT_BUCKETS_SECONDS,
+        )
+        self.whole = collecting.histogram(
+            self.registry,
+            "answer_seconds",
+            "Time to the whole answer.",
+            FIRST_EVENT_BUCKETS_SECONDS,
+        )
+        self.in_flight = collecting.gauge(
+            self.registry, "requests_in_flight", "Requests being served."
+        )
+        self.knowledge_age = collecting.gauge(
+            self.registry,
+            "configuration_age_seconds",
+            "Since the configuration was last confirmed.",
+        )
+        self.store_calls = collecting.gauge(
+            self.registry, "store_calls", "Calls of the store since the start."
+        )
+        self.peers = collecting.gauge(self.registry, "peers", "Other entries that are heard.")
+        self.groups = collecting.gauge(
+            self.registry, "groups_serving", "Whole and open groups by model."
+        )
+        self.targets = collecting.gauge(self.registry, "targets", "Listed targets.")
+        self.lease_token = collecting.gauge(
+            self.registry, "lease_token", "Lease number while commanding, else 0."
+        )
+        self.dropped_lines = collecting.gauge(
+            self.registry, "log_lines_dropped", "Log lines that were left out."
         )
 
 
@@ -70,5 +87,4 @@
 
 def render(found: GatewayMetrics) -> bytes:
     """Return the exposition text of all collectors."""
-    content, _ = renderer.render(found.registry, ["text/plain"])
-    return bytes(content)
+    return collecting.render(found.registry)
--- a/src/galenavane/gateway/settings.py
+++ b/src/galenavane/gateway/settings.py
@@ -34,14 +34,6 @@
 RETRY_SLACK = _S(
     "bounds", "retry_slack", setting.parse_number, 100.0, "", "Further sends beyond the ratio."
 )
-STALL = _S(
-    "bounds",
-    "stall",
-    setting.parse_number,
-    4.0,
-    "seconds",
-    "From a member's loss to a broken head.",
-)
 
 ALL: tuple[_S[typing.Any], ...] = (
     NAME,
@@ -57,5 +49,4 @@
     RETRY_RATIO,
     RETRY_WINDOW,
     RETRY_SLACK,
-    STALL,
 )
--- /dev/null
+++ b/src/galenavane/observe/collecting.py
@@ -0,0 +1,32 @@
+"""Collectors of metrics under the product's prefix."""
+
+from __future__ import annotations
+
+import typing
+
+from aioprometheus import collectors, renderer
+
+PREFIX = "galenavane_"
+
+
+def counter(registry: collectors.Registry, name: str, text: str) -> collectors.Counter:
+    """Return a new counter."""
+    return collectors.Counter(PREFIX + name, text, registry=registry)
+
+
+def gauge(registry: collectors.Registry, name: str, text: str) -> collectors.Gauge:
+    """Return a new gauge."""
+    return collectors.Gauge(PREFIX + name, text, registry=registry)
+
+
+def histogram(
+    registry: collectors.Registry, name: str, text: str, buckets: typing.Sequence[float]
+) -> collectors.Histogram:
+    """Return a new histogram."""
+    return collectors.Histogram(PREFIX + name, text, registry=registry, buckets=list(buckets))
+
+
+def render(registry: collectors.Registry) -> bytes:
+    """Return the exposition text of all collectors of a registry."""
+    content, _ = renderer.render(registry, ["text/plain"])
+    return bytes(content)
--- a/src/galenavane/observe/metrics.py
+++ b/src/galenavane/observe/metrics.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from aioprometheus import collectors, renderer
+from aioprometheus import collectors
+
+from galenavane.observe import collecting
 
 FIRST_TOKEN_BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5.0, 10.0)
 BETWEEN_TOKENS_BUCKETS_SECONDS = (0.01, 0.02, 0.03, 0.047, 0.07, 0.1, 0.2, 0.5, 1.0)
@@ -37,52 +39,79 @@
 
     def __init__(self) -> None:
         self.registry = collectors.Registry()
-        self.group_downtime = self._counter(
-            "group_downtime_seconds_total", "Time in which wanted groups could not serve."
-        )
-        self.stranded_time = self._counter(
-            "stranded_accelerator_seconds_total", "Time in which accelerators were idle."
-        )
-        self.groups_wanted = self._gauge("groups_wanted", "Groups that the preset asks for.")
-        self.groups_complete = self._gauge("groups_complete", "Groups that are complete.")
-        self.stranded_now = self._gauge("stranded_accelerators", "Accelerators that are idle now.")
-        self.requests = self._counter("requests_total", "Requests by outcome and result code.")
-        self.retries = self._counter("retries_total", "Further tries of requests at other targets.")
-        self.in_flight = self._gauge("requests_in_flight", "Callers' requests being served.")
-        self.first_token = self._histogram(
-            "first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_SECONDS
-        )
-        self.between_tokens = self._histogram(
+        self.group_downtime = collecting.counter(
+            self.registry,
+            "group_downtime_seconds_total",
+            "Time in which wanted groups could not serve.",
+        )
+        self.stranded_time = collecting.counter(
+            self.registry,
+            "stranded_accelerator_seconds_total",
+            "Time in which accelerators were idle.",
+        )
+        self.groups_wanted = collecting.gauge(
+            self.registry, "groups_wanted", "Groups that the preset asks for."
+        )
+        self.groups_complete = collecting.gauge(
+            self.registry, "groups_complete", "Groups that are complete."
+        )
+        self.stranded_now = collecting.gauge(
+            self.registry, "stranded_accelerators", "Accelerators that are idle now."
+        )
+        self.requests = collecting.counter(
+            self.registry, "requests_total", "Requests by outcome and result code."
+        )
+        self.retries = collecting.counter(
+            self.registry, "retries_total", "Further tries of requests at other targets."
+        )
+        self.in_flight = collecting.gauge(
+            self.registry, "requests_in_flight", "Callers' requests being served."
+        )
+        self.first_token = collecting.histogram(
+            self.registry,
+            "first_token_seconds",
+            "Time to the first token.",
+            FIRST_TOKEN_BUCKETS_SECONDS,
+        )
+        self.between_tokens = collecting.histogram(
+            self.registry,
             "between_tokens_seconds",
             "Mean time between the tokens of an answer.",
             BETWEEN_TOKENS_BUCKETS_SECONDS,
         )
-        self.lease_token = self._gauge("lease_token", "Fencing token while held, else 0.")
-        self.generation = self._gauge("configuration_generation", "Generation in force.")
-        self.configuration_age = self._gauge(
-            "configuration_age_seconds", "Time since the generation in force was taken in."
+        self.lease_token = collecting.gauge(
+            self.registry, "lease_token", "Fencing token while held, else 0."
         )
-        self.platform_age = self._gauge(
-            "platform_age_seconds", "Time since the platform last answered the list of instances."
+        self.generation = collecting.gauge(
+            self.registry, "configuration_generation", "Generation in force."
         )
-        self.peers = self._gauge("peers", "Other entries that are heard.")
-        self.peer_dropped = self._counter(
-            "peer_messages_dropped_total", "Damaged or unknown messages of other entries."
+        self.configuration_age = collecting.gauge(
+            self.registry,
+            "configuration_age_seconds",
+            "Time since the generation in force was taken in.",
         )
-        self.platform_calls = self._counter("platform_calls_total", "Calls of the platform.")
-        self.queue = self._gauge("queue_length", "Requests that wait for a group.")
-        self.memory = self._gauge("resident_memory_bytes", "Resident memory of this process.")
-        self.loop_lag = self._gauge("loop_lag_seconds", "How late the event loop last ran a timer.")
-
-    def _counter(self, name: str, text: str) -> collectors.Counter:
-        return collectors.Counter(f"galenavane_{name}", text, registry=self.registry)
-
-    def _gauge(self, name: str, text: str) -> collectors.Gauge:
-        return collectors.Gauge(f"galenavane_{name}", text, registry=self.registry)
-
-    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> collectors.Histogram:
-        return collectors.Histogram(
-            f"galenavane_{name}", text, registry=self.registry, buckets=list(buckets)
+        self.platform_age = collecting.gauge(
+            self.registry,
+            "platform_age_seconds",
+            "Time since the platform last answered the list of instances.",
+        )
+        self.peers = collecting.gauge(self.registry, "peers", "Other entries that are heard.")
+        self.peer_dropped = collecting.counter(
+            self.registry,
+            "peer_messages_dropped_total",
+            "Damaged or unknown messages of other entries.",
+        )
+        self.platform_calls = collecting.counter(
+            self.registry, "platform_calls_total", "Calls of the platform."
+        )
+        self.queue = collecting.gauge(
+            self.registry, "queue_length", "Requests that wait for a group."
+        )
+        self.memory = collecting.gauge(
+            self.registry, "resident_memory_bytes", "Resident memory of this process."
+        )
+        self.loop_lag = collecting.gauge(
+            self.registry, "loop_lag_seconds", "How late the event loop last ran a timer."
         )
 
 
@@ -93,5 +122,4 @@
 
 def render(found: Metrics) -> bytes:
     """Return the exposition text of all collectors."""
-    content, _ = renderer.render(found.registry, ["text/plain"])
-    return bytes(content)
+    return collecting.render(found.registry)
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
+import math
+
 from galenavane.net import headers as header_lists
 from galenavane.net import message
 from galenavane.serve import call as calls
 from galenavane.serve import target_answer
 
+# Id of a request; a repeat by the client has another one.
 _ATTEMPT = "attempt-id"
+# Time that is left, not a point in time.
 _DEADLINE = "deadline-ms"
+_NO_DEADLINE_MS = 60_000.0
+# Id of the only target that may run the request; others answer 421.
 _EXPECT = "expect-replica"
+# Name of the client account, for targets only; clients send the key.
 _ACCOUNT = "tenant"
 _KEY = "authorization"
 _MODEL = "model"
 _TOKENS = "token-usage"
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
+# Marks an answer's body as the target's own.
 _SIGNATURE = "replica-signature"
+# Marks a refusal: the request was not run and never will be.
 _NOT_RUN = "not-executed"
+# Id of the member because of which a head refuses.
 _AT_FAULT = "at-server"
 _PRIORITY = "request-priority"
 _BEARER = "bearer "
@@ -37,6 +47,7 @@
     prompt, _, answer = fields.get(_TOKENS).partition(",")
     key = fields.get(_KEY)
     is_bearer = key.lower().startswith(_BEARER)
+    wait = _number(fields.get(_DEADLINE))
     hint = _number(fields.get(_LENGTH_HINT))
     return calls.Call(
         id=fields.get(_ATTEMPT),
@@ -48,7 +59,7 @@
         model=fields.get(_MODEL),
         prompt_tokens=int(_number(prompt) or 0),
         answer_tokens=int(hint if hint is not None else _number(answer) or 0),
-        wait_seconds=(_number(fields.get(_DEADLINE)) or 60_000.0) / 1000,
+        wait_seconds=max(0.0, wait if wait is not None else _NO_DEADLINE_MS) / 1000,
         last_event=int(_number(fields.get(_LAST_EVENT)) or 0),
         headers=fields.end_to_end().without(_OWN),
         body=req.body,
@@ -83,13 +94,14 @@
         # Refusals may lack the id; each request has a connection of its own.
         is_own=fields.get(_ATTEMPT, call.id) == call.id,
         is_signed=bool(fields.get(_SIGNATURE)) and not is_encoded,
-        is_last=b"close" in fields.get("connection").lower().encode(),
         at_fault=fields.get(_AT_FAULT),
     )
 
 
 def _number(text: str) -> float | None:
+    """Return a finite number, or ``None`` for any other text."""
     try:
-        return float(text)
+        found = float(text)
     except ValueError:
         return None
+    return found if math.isfinite(found) else None
--- a/src/galenavane/serve/target_answer.py
+++ b/src/galenavane/serve/target_answer.py
@@ -14,7 +14,6 @@
     :ivar is_not_run: the target says that it did not run the request and never will.
     :ivar is_own: the answer is to this request and not to an earlier one.
     :ivar is_signed: the body that follows is the target's own.
-    :ivar is_last: the target closes the connection after it.
     :ivar at_fault: the member that a refusal names, or empty.
     """
 
@@ -23,5 +22,4 @@
     is_not_run: bool
     is_own: bool
     is_signed: bool
-    is_last: bool
     at_fault: str
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -55,3 +55,17 @@
 
   Scenario: Nothing outside the adapter knows the platform's names
     Then no source outside the adapter holds one of the platform's names
+
+  Scenario Outline: Numbers that are none are as if they were not sent
+    Given a request whose "<field>" is "<text>"
+    Then it is decoded with <seconds> s to wait and event <event>
+
+    Examples:
+      | field         | text | seconds | event |
+      | deadline-ms   | nan  | 60      | 0     |
+      | deadline-ms   | inf  | 60      | 0     |
+      | deadline-ms   | soon | 60      | 0     |
+      | deadline-ms   | 0    | 0       | 0     |
+      | deadline-ms   | 1500 | 1.5     | 0     |
+      | last-event-id | nan  | 60      | 0     |
+      | last-event-id | 7    | 60      | 7     |
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -221,3 +221,13 @@
         for match in wanted.finditer(path.read_text(encoding="utf-8"))
     ]
     assert not found, found
+
+
+@given('a request whose "{field}" is "{text}"')
+def take_number(context, field, text):
+    take(context, (field.encode(), text.encode()))
+
+
+@then("it is decoded with {seconds:g} s to wait and event {number:d}")
+def check_numbers(context, seconds, number):
+    assert (context.call.wait_seconds, context.call.last_event) == (seconds, number)
