--- a/src/galenavane/platform/store_client.py
+++ b/src/galenavane/platform/store_client.py
@@ -39,6 +39,7 @@
 
 
 class _Page(msgspec.Struct):
+    # The store's revision that the page shows; a watch goes on from it.
     as_of: int
     items: list[_Object] = []
     has_more: bool = False
@@ -50,6 +51,7 @@
 
 
 class _Events(msgspec.Struct):
+    # Events are complete up to this revision.
     as_of: int
     events: list[_Event] = []
 
--- a/src/galenavane/platform/wire_config.py
+++ b/src/galenavane/platform/wire_config.py
@@ -8,6 +8,7 @@
 
 
 class _Split(msgspec.Struct):
+    # Name of a service.
     backend: str
     weight: float
 
@@ -19,10 +20,12 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 1000.0
+    # Rank, 0 is most urgent.
     priority: int = 5
     # A route has either one service or several with weights.
     backend: str | None = None
     traffic_split: list[_Split] = []
+    # Targets that one request may be sent to, by the system and not by the client.
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
@@ -31,8 +34,11 @@
 class _Model(msgspec.Struct):
     name: str
     size: int
+    # Part of the work at the start.
     share: float = 1.0
+    # Factor on all times of the model's groups; smaller is faster.
     pace: float = 1.0
+    # From the weight store, and from the host's memory.
     load_s: float = 16.0
     warm_s: float = 2.0
 
@@ -45,13 +51,16 @@
 
 class _Engine(msgspec.Struct):
     slots: int
+    # Token steps between two events of a stream.
     stride: int = 1
     step_ms: float = 10.0
     # Added to a step for each request that is writing.
     per_seq_ms: float = 0.0
+    # Prompt tokens read a second.
     read_per_s: float = 50_000.0
     loads_per_s: float = 1.0
     loads_at_once: int = 4
+    # From the order to open until the group serves.
     form_ms: float = 300.0
     usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_Model] = []
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -27,13 +27,18 @@
     commands; neither is used.
     """
 
+    # Name of the service that the target belongs to.
     backend: str
     address: str
     zone: str
+    # "ready" also while a target can't serve; "draining" before it leaves.
     state: str
     slots: int = 1
+    # Fabric domain, unlike a name on the network.
     domain: str = ""
+    # Models whose weights the host keeps, whether or not they are in use.
     staged: list[str] = []
+    # Model of the last group; stays after the target has left it.
     models: list[_Model] = []
     group: _Group | None = None
     # Unix milliseconds of the target's start.
