Let hosts keep a second model's weights, and let no group wait for a load

Groups were ordered with members that had to load, so 11 that were ready served nobody meanwhile (in a fleet played without a network 44 of 130 targets), and the spares left in a domain held the wrong model. Ruled out: closing fewer groups at a time when many members leave (no effect in the played fleet, reverted); holding free targets for a model that lacks one or two (no effect, reverted). Change: before the first request each host stages the model that its target does not serve, later spares and members do as loads allow; a group is formed only of targets that hold its weights, the model with the least supply first; targets of groups that end are waited for; a domain gives up groups of a model for one that is lacking only as far as that evens the supply out. The steward's modules are split: state, care of groups, groups on their way, domains. Conclusion: what waits must be the load, not the group.

--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -38,11 +38,13 @@
 
     :ivar size: usable targets, in groups or free.
     :ivar groups: groups of each model that serve or are being formed.
+    :ivar coming: targets of groups that are ending, which are free in a moment.
     """
 
     size: int
     groups: abc.Mapping[str, int]
     free: abc.Sequence[Free]
+    coming: abc.Sequence[Free] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,60 +68,124 @@
     domain: Domain,
     models: abc.Sequence[engine.Model],
     fleet_groups: abc.Mapping[str, int],
-    max_loads: int,
+    may_wait: bool,
 ) -> list[Plan]:
     """Return the groups to form, the model that the fleet lacks most first.
 
     :param fleet_groups: groups of each model in all domains.
-    :param max_loads: members of a further group of a model whose weights may have to be loaded.
-        Targets that hold the weights of one model are not worth loading another one, unless
-        the domain lacks it: those that wait for the weight store serve nobody.
+    :param may_wait: whether groups may wait for members that load weights. Later they may not:
+        members that are ready would serve nobody meanwhile, so spares load on their own, and a
+        group is formed once enough targets hold its model's weights.
     """
     free = list(domain.free)
     here = dict(domain.groups)
     everywhere = dict(fleet_groups)
     reserve = max(MIN_SPARES, round(domain.size * SPARE_SHARE))
     found: list[Plan] = []
-    left = list(models)
-    while (model := _next_model(left, here, everywhere, len(free), reserve)) is not None:
-        members, others = _choose_members(free, model)
-        loads = sum(join_seconds(one, model) >= model.load_seconds for one in members)
-        if here.get(model.name) and loads > max_loads:
-            left.remove(model)
+    left = sorted(models, key=lambda one: (supply(one, everywhere), -one.size))
+    lacking: list[engine.Model] = []
+    while left:
+        model = left.pop(0)
+        is_first = not here.get(model.name)
+        able = _list_able(free, model, () if is_first else lacking, may_wait)
+        if is_first and len(able) < model.size:
+            lacking.append(model)
+            if len(able) + count_quick(domain.coming, model) >= model.size:
+                break
+        if len(able) < model.size or not (is_first or len(free) - model.size >= reserve):
             continue
-        free = others
+        members = _choose_members(able, model, models)
+        free = [one for one in free if one not in members]
         found.append(Plan(model, tuple(one.target for one in members)))
         here[model.name] = here.get(model.name, 0) + 1
         everywhere[model.name] = everywhere.get(model.name, 0) + 1
+        left = sorted(models, key=lambda one: (supply(one, everywhere), -one.size))
+        lacking = []
     return found
 
 
-def _choose_members(free: abc.Sequence[Free], model: engine.Model) -> tuple[list[Free], list[Free]]:
-    """Return the targets that join soonest, and the others."""
-    ordered = sorted(free, key=lambda one: (join_seconds(one, model), one.target.id))
-    return ordered[: model.size], ordered[model.size :]
+def _list_able(
+    free: abc.Sequence[Free],
+    model: engine.Model,
+    lacking: abc.Sequence[engine.Model],
+    may_wait: bool,
+) -> list[Free]:
+    """Return the targets that a group may be formed of.
 
+    :param lacking: models that the domain lacks; joining a group of another model than its last
+        one, a target gives their weights up.
+    """
+    if may_wait:
+        return list(free)
+    return [
+        one
+        for one in free
+        if one.last_model == model.name
+        or (is_quick(one, model) and not any(is_quick(one, other) for other in lacking))
+    ]
+
+
+def _choose_members(
+    free: abc.Sequence[Free], model: engine.Model, models: abc.Sequence[engine.Model]
+) -> list[Free]:
+    """Return the targets that join soonest, those that hold no other model first."""
+
+    def cost(one: Free) -> tuple[float, int, str]:
+        others = sum(is_quick(one, other) for other in models if other is not model)
+        return (join_seconds(one, model), others, one.target.id)
+
+    return sorted(free, key=cost)[: model.size]
+
+
+def is_quick(free: Free, model: engine.Model) -> bool:
+    """Whether a target joins a group of a model without a load."""
+    return join_seconds(free, model) < model.load_seconds
+
+
+def count_quick(free: abc.Iterable[Free], model: engine.Model) -> int:
+    """Return how many targets join a group of a model without a load."""
+    return sum(is_quick(one, model) for one in free)
+
+
+def count_held(members: abc.Iterable[Free]) -> int:
+    """Return how many targets could join a group of another model without a load."""
+    return sum(any(model != one.last_model for model in one.target.staged) for one in members)
 
-def _next_model(
+
+def supply(model: engine.Model, groups: abc.Mapping[str, int], change: int = 0) -> float:
+    """Return the targets that a model has, against its declared share.
+
+    :param change: groups that are added, or taken away when negative.
+    """
+    return (groups.get(model.name, 0) + change) * model.size / max(model.share, 1e-6)
+
+
+def find_surplus(
+    domain: Domain,
     models: abc.Sequence[engine.Model],
-    here: abc.Mapping[str, int],
-    everywhere: abc.Mapping[str, int],
-    free: int,
-    reserve: int,
-) -> engine.Model | None:
-    ordered = sorted(models, key=lambda one: (_supply(one, everywhere), -one.size))
-    first = [one for one in ordered if not here.get(one.name) and one.size <= free]
-    if first:
-        return first[0]
-    if any(not here.get(one.name) for one in models):
-        # What is free may yet complete the group that the domain lacks.
-        return None
-    return next((one for one in ordered if free - one.size >= reserve), None)
-
-
-def _supply(model: engine.Model, groups: abc.Mapping[str, int]) -> float:
-    """Return the targets that a model has, against its declared share."""
-    return groups.get(model.name, 0) * model.size / max(model.share, 1e-6)
+    fleet_groups: abc.Mapping[str, int],
+    members: abc.Mapping[str, abc.Sequence[abc.Sequence[Free]]],
+) -> tuple[str, int] | None:
+    """Return the model, and how many of its groups, that should end for one that is lacking.
+
+    :param members: members of each group of the domain that serves, by model; groups are taken
+        from the front.
+    """
+    ordered = sorted(models, key=lambda one: (supply(one, fleet_groups), -one.size))
+    for lacking in ordered:
+        if domain.groups.get(lacking.name):
+            continue
+        for other in reversed(ordered):
+            groups = members.get(other.name, ())
+            for count in range(1, len(groups)):
+                able = count_quick(domain.free, lacking)
+                able += sum(count_quick(one, lacking) for one in groups[:count])
+                left = supply(other, fleet_groups, -count)
+                is_needed = not fleet_groups.get(lacking.name)
+                is_needed = is_needed or supply(lacking, fleet_groups, 1) <= left
+                if able >= lacking.size and is_needed:
+                    return other.name, count
+    return None
 
 
 def choose_standby(
--- a/src/galenavane/control/group_command.py
+++ b/src/galenavane/control/group_command.py
@@ -42,4 +42,11 @@
     key: group.Key
 
 
-Command = Join | Open | Close | Leave
+class Stage(msgspec.Struct, frozen=True):
+    """Load a model's weights onto the host, beside all else that the target does."""
+
+    target: target.Target
+    model: str
+
+
+Command = Join | Open | Close | Leave | Stage
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from galenavane.control import group_command, steward
+from galenavane.control import group_command, steward, steward_state
 from galenavane.fleet import group, registry, target
 from galenavane.gateway import boot_clock, member_check
 from galenavane.gateway import state as states
@@ -43,11 +43,11 @@
                 await changed.wait()
 
 
-def _decide(gw: states.Gateway, holder: steward.Steward, nursery: trio.Nursery) -> None:
+def _decide(gw: states.Gateway, holder: steward_state.Steward, nursery: trio.Nursery) -> None:
     catalog = gw.knowledge.catalog
     if catalog is None:
         return
-    holder.is_loaded = holder.is_loaded or bool(gw.served)
+    holder.is_loaded = holder.is_loaded or bool(gw.served) or any(gw.loads().values())
     now = trio.current_time()
     for service in catalog.engine_services():
         if service.engine is None:
@@ -58,7 +58,7 @@
 
 
 async def _give(
-    gw: states.Gateway, holder: steward.Steward, command: group_command.Command
+    gw: states.Gateway, holder: steward_state.Steward, command: group_command.Command
 ) -> None:
     """Give one command; its effect is seen in the list of targets."""
     req = gw.dialect.command_request(command)
@@ -70,12 +70,14 @@
         result = str(response.status)
     except transport_error.TransportError as exc:
         result = exc.kind.value
+    key = None if isinstance(command, group_command.Stage) else command.key
     events.log(
         "command.given",
         command=type(command).__name__.lower(),
         target=command.target.id,
-        group=command.key.name,
-        epoch=command.key.epoch,
+        group=key.name if key is not None else "",
+        epoch=key.epoch if key is not None else 0,
+        model=getattr(command, "model", ""),
         token=holder.token,
         revision=gw.registry.revision,
         result=result,
@@ -150,11 +152,13 @@
                     _log_summary(gw, gw.steward, model.name, serving)
 
 
-def _log_summary(gw: states.Gateway, holder: steward.Steward, model: str, serving: int) -> None:
+def _log_summary(
+    gw: states.Gateway, holder: steward_state.Steward, model: str, serving: int
+) -> None:
     standbys = sum(
         one.model == model
         and one.membership is not None
-        and one.membership.group.startswith(steward.STANDBY_PREFIX)
+        and one.membership.group.startswith(steward_state.STANDBY_PREFIX)
         for one in gw.registry.targets.values()
     )
     events.log(
@@ -206,7 +210,7 @@
             gw.wake_control()
 
 
-def _under_command(gw: states.Gateway, holder: steward.Steward) -> list[target.Target]:
+def _under_command(gw: states.Gateway, holder: steward_state.Steward) -> list[target.Target]:
     ids = {member for one in holder.forming.values() for member in one.members}
     keys = set(holder.doomed) | set(holder.closing)
     for one in gw.registry.targets.values():
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -9,7 +9,7 @@
 
 from galenavane.catalog import engine
 from galenavane.config import settings as settings_types
-from galenavane.control import steward
+from galenavane.control import steward_state
 from galenavane.fleet import group, registry
 from galenavane.gateway import (
     boot_clock,
@@ -117,7 +117,7 @@
         self.peers: dict[str, peers.Peer] = {}
         self.lease = lease.Lease(f"{self.name}/{incarnation}")
         self.holder = lease.Holder()
-        self.steward: steward.Steward | None = None
+        self.steward: steward_state.Steward | None = None
         self.behind_since = float("-inf")
         self.told_loads: dict[str, int] = {}
         self.told_stalls: dict[group.Key, float] = {}
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -113,8 +113,8 @@
 
 class _Order(msgspec.Struct, omit_defaults=True):
     operation: str
-    group: str
-    epoch: int
+    group: str = ""
+    epoch: int = 0
     model: str | None = None
     members: tuple[str, ...] | None = None
     mode: str | None = None
@@ -122,14 +122,15 @@
 
 def encode_command(command: group_command.Command) -> bytes:
     """Return the body of an order."""
-    key = command.key
     match command:
-        case group_command.Join(model=model, members=members):
+        case group_command.Stage(model=model):
+            order = _Order("stage", model=model)
+        case group_command.Join(key=key, model=model, members=members):
             order = _Order("join", key.name, key.epoch, model=model, members=members)
-        case group_command.Open():
+        case group_command.Open(key=key):
             order = _Order("open", key.name, key.epoch)
-        case group_command.Close():
+        case group_command.Close(key=key):
             order = _Order("close", key.name, key.epoch, mode="pending")
-        case group_command.Leave():
+        case group_command.Leave(key=key):
             order = _Order("leave", key.name, key.epoch)
     return msgspec.json.encode(order)
--- /dev/null
+++ b/tests/steps/control_heavy_day.py
@@ -0,0 +1,163 @@
+"""Steps that play a heavy day on a fleet, and measure what its groups could serve.
+
+The day: a member of a group is lost about each second and never comes back, new targets without
+weights replace some of them, a tenth of all targets is cut off for some seconds, and a seventh
+leaves at once.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from behave import given, then, when
+from steps import control_steward, fleet_registry
+
+from galenavane.catalog import engine
+from galenavane.control import formation, staging, steward, steward_state
+from galenavane.fleet import group, registry
+
+DOMAINS = 6
+SIZE = 27
+MODELS = (
+    engine.Model("large", 12, 0.5, 1.0, 16.0, 1.6),
+    engine.Model("small", 6, 0.5, 0.6, 12.0, 1.1),
+)
+NEEDED = {"large": 3, "small": 8}
+"""Groups that the day's requests keep busy, by the engine's times."""
+NOTICED_SECONDS = 0.3
+LAPSE_SECONDS = 3.6
+DAY_SECONDS = 40.0
+LOST = [(2.3, 2), (5.7, 3), (9.1, 2), (11.1, 3), (14.6, 2), (17.7, 3), (21.3, 2), (23.4, 3)]
+ADDED = [(13.0, 2), (15.0, 3), (17.5, 2), (21.0, 3), (25.0, 2), (28.0, 3), (31.0, 2)]
+CUT = (12.0, 0.12, 5.6)
+LEAVING = (20.5, 0.14)
+
+
+def is_member(one):
+    """Whether a target is in a group that may serve."""
+    held = one.membership
+    return held is not None and not held.group.startswith(steward_state.STANDBY_PREFIX)
+
+
+def report(context, one):
+    """Let entries notice a member's silence."""
+    fleet = context.fleet
+    if is_member(one):
+        key = group.Key(one.membership.group, one.membership.epoch)
+        holder = context.steward
+
+        def tell():
+            steward.report_stall(holder, key, [one.id], fleet.now)
+
+        fleet._at(NOTICED_SECONDS, tell)
+
+
+def lose(context, rng, count):
+    """End members for good."""
+    fleet = context.fleet
+    members = sorted(one.id for one in fleet.alive.values() if is_member(one))
+    for name in rng.sample(members, count):
+        one = fleet.alive[name]
+        fleet.kill(name)
+        report(context, one)
+
+
+def add(context, rng, count):
+    """Start targets without weights."""
+    for _ in range(count):
+        domain = rng.randrange(DOMAINS)
+        context.fleet.add(f"new-{rng.getrandbits(40):x}", f"d{domain}")
+
+
+def cut(context, rng, share, seconds):
+    """Cut targets off; they go on with what they knew."""
+    fleet = context.fleet
+    for name in rng.sample(sorted(fleet.alive), int(share * len(fleet.alive))):
+        one = fleet.alive.pop(name)
+        report(context, one)
+
+        def lapse(name=name):
+            registry.remove(fleet.registry, name, fleet.now)
+
+        def come_back(one=one):
+            fleet.alive[one.id] = one
+            fleet._list(one.id)
+
+        fleet._at(LAPSE_SECONDS, lapse)
+        fleet._at(seconds, come_back)
+
+
+def let_leave(context, rng, share):
+    """Let targets say that they leave, and end some seconds later."""
+    fleet = context.fleet
+    for name in rng.sample(sorted(fleet.alive), int(share * len(fleet.alive))):
+        fleet._set(name, is_leaving=True)
+
+        def end(name=name):
+            if name in fleet.alive:
+                fleet.kill(name)
+
+        fleet._at(rng.uniform(5.0, 7.0), end)
+
+
+def play(context, seed):
+    """Play the day; return the mean share of the needed groups of each model that served."""
+    rng = random.Random(seed)
+    constants = fleet_registry.make_engine(MODELS)
+    constants = msgspec.structs.replace(constants, loads_per_second=14.0, loads_at_once=20)
+    control_steward.start(context, constants, DOMAINS, SIZE, seed)
+    control_steward.work(context, 14)
+    control_steward.begin_traffic(context)
+    began = context.fleet.now
+    plan = [(at, lose, (count,)) for at, count in LOST]
+    plan += [(at, add, (count,)) for at, count in ADDED]
+    plan += [(CUT[0], cut, CUT[1:]), (LEAVING[0], let_leave, LEAVING[1:])]
+    plan.sort(key=lambda one: one[0])
+    served = {model: [] for model in NEEDED}
+    while context.fleet.now < began + DAY_SECONDS:
+        while plan and context.fleet.now >= began + plan[0][0]:
+            _, act, args = plan.pop(0)
+            act(context, rng, *args)
+        control_steward.work(context, 0.5)
+        for model, needed in NEEDED.items():
+            served[model].append(min(1.0, len(context.fleet.serving(model)) / needed))
+    assert not context.fleet.violations, context.fleet.violations
+    return {model: sum(shares) / len(shares) for model, shares in served.items()}
+
+
+@given("two heavy days of a fleet of 162 targets")
+def plan_days(context):
+    context.seeds = (1, 2)
+
+
+@when("groups are formed at once and wait for members that load")
+def play_naive(context):
+    kept = (formation.plan, staging.find)
+
+    def plan(domain, models, fleet_groups, may_wait):
+        return kept[0](domain, models, fleet_groups, True)
+
+    formation.plan, staging.find = plan, lambda *_: []
+    try:
+        context.naive = [play(context, seed) for seed in context.seeds]
+    finally:
+        formation.plan, staging.find = kept
+
+
+@when("spares load, and groups are formed of targets that hold the weights")
+def play_present(context):
+    context.present = [play(context, seed) for seed in context.seeds]
+
+
+@then(
+    "at least {share:g} of what is needed serves of each model, and {gain:g} more than by waiting"
+)
+def compare(context, share, gain):
+    def mean(days, model):
+        return sum(day[model] for day in days) / len(days)
+
+    found = {model: mean(context.present, model) for model in NEEDED}
+    naive = {model: mean(context.naive, model) for model in NEEDED}
+    assert min(found.values()) >= share, found
+    assert min(found.values()) >= min(naive.values()) + gain, (found, naive)
