--- a/src/galenavane/control/domain_care.py
+++ b/src/galenavane/control/domain_care.py
@@ -5,7 +5,14 @@
 from collections import abc
 
 from galenavane.catalog import engine
-from galenavane.control import formation, group_command, group_forming, staging, steward_state
+from galenavane.control import (
+    demand,
+    formation,
+    group_command,
+    group_forming,
+    staging,
+    steward_state,
+)
 from galenavane.fleet import group, registry, target
 
 SETTLE_SECONDS = 0.6
@@ -23,6 +30,7 @@
     """Return the joins of new groups and spares, the domain with the fewest groups first."""
     usable = steward_state.find_usable(state, known, service)
     counts = _count_groups(state, known, found)
+    models = demand.weigh(state.demand, constants.models)
     fleet: dict[str, int] = {}
     for groups in counts.values():
         for model, number in groups.items():
@@ -43,13 +51,13 @@
         ]
         domain = formation.Domain(len(usable[name]), counts.get(name, {}), free, coming)
         used: set[str] = set()
-        for plan in formation.plan(domain, constants.models, fleet, not state.is_loaded):
+        for plan in formation.plan(domain, models, fleet, not state.is_loaded):
             commands += group_forming.begin(state, known, plan, constants, now)
             used.update(one.id for one in plan.members)
             fleet[plan.model.name] = fleet.get(plan.model.name, 0) + 1
         left = [one for one in free if one.target.id not in used]
         if not used and not coming:
-            _make_room(state, known, name, found, domain, fleet, constants, now)
+            _make_room(state, known, name, found, domain, fleet, models, now)
         commands += _keep_standbys(state, usable[name], left, constants, now)
     return commands
 
@@ -72,7 +80,7 @@
     found: abc.Mapping[group.Key, group.Group],
     domain: formation.Domain,
     fleet: abc.Mapping[str, int],
-    constants: engine.Engine,
+    models: abc.Sequence[engine.Model],
     now: float,
 ) -> None:
     """Let some of several groups of a model end, for a model that its domain lacks."""
@@ -87,7 +95,7 @@
     for groups in serving.values():
         groups.sort(key=lambda one: -formation.count_held(list_members(one)))
     members = {model: [list_members(one) for one in groups] for model, groups in serving.items()}
-    surplus = formation.find_surplus(domain, constants.models, fleet, members)
+    surplus = formation.find_surplus(domain, models, fleet, members)
     if surplus is not None:
         model, count = surplus
         for one in serving[model][:count]:
--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -15,10 +15,9 @@
 
 REJOIN_SECONDS = 0.2
 """Join of a target whose last group had the model, by the platform's protocol."""
-SPARE_SHARE = 0.11
-"""Part of a domain's targets kept as spares before a second group of a model is formed."""
-MIN_SPARES = 2
-"""One for each of two losses in a domain before the first replacement has loaded."""
+SPARES = 1
+"""Kept in a domain when further groups of a model are formed; the groups that lose a member
+leave spares themselves."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -80,7 +79,6 @@
     free = list(domain.free)
     here = dict(domain.groups)
     everywhere = dict(fleet_groups)
-    reserve = max(MIN_SPARES, round(domain.size * SPARE_SHARE))
     found: list[Plan] = []
     left = sorted(models, key=lambda one: (supply(one, everywhere), -one.size))
     lacking: list[engine.Model] = []
@@ -92,7 +90,7 @@
             lacking.append(model)
             if len(able) + count_quick(domain.coming, model) >= model.size:
                 break
-        if len(able) < model.size or not (is_first or len(free) - model.size >= reserve):
+        if len(able) < model.size or not (is_first or len(free) - model.size >= SPARES):
             continue
         members = _choose_members(able, model, models)
         free = [one for one in free if one not in members]
--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -11,6 +11,7 @@
 
 from galenavane.catalog import engine
 from galenavane.control import (
+    demand,
     domain_care,
     group_care,
     group_command,
@@ -49,6 +50,16 @@
     state.closing.setdefault(key, now)
 
 
+def note_load(
+    state: steward_state.Steward,
+    in_flight: abc.Mapping[str, float],
+    constants: engine.Engine,
+    now: float,
+) -> None:
+    """Take in the requests under way at the heads of each model."""
+    demand.note(state.demand, in_flight, constants, now)
+
+
 def decide(
     state: steward_state.Steward,
     known: registry.Registry,
--- a/src/galenavane/control/steward_state.py
+++ b/src/galenavane/control/steward_state.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from galenavane.catalog import engine
-from galenavane.control import formation, load_budget, staging
+from galenavane.control import demand, formation, load_budget, staging
 from galenavane.fleet import group, registry, target
 
 STANDBY_PREFIX = "standby-"
@@ -53,6 +53,7 @@
     is_loaded: bool = False
     is_first: bool = False
     loading: set[str] | None = None
+    demand: demand.Demand = dataclasses.field(default_factory=demand.Demand)
     staging: staging.Staging = dataclasses.field(default_factory=staging.Staging)
     sizes: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from galenavane.catalog import engine
 from galenavane.control import group_command, steward, steward_state
 from galenavane.fleet import group, registry, target
 from galenavane.gateway import boot_clock, member_check
@@ -52,11 +53,24 @@
     for service in catalog.engine_services():
         if service.engine is None:
             continue
+        steward.note_load(
+            holder, _count_load(gw, service.name, service.engine), service.engine, now
+        )
         commands = steward.decide(holder, gw.registry, service.name, service.engine, now)
         for command in commands:
             nursery.start_soon(_give, gw, holder, command)
 
 
+def _count_load(gw: states.Gateway, service: str, constants: engine.Engine) -> dict[str, float]:
+    """Return the requests under way at the heads of each model."""
+    told = gw.loads()
+    found: dict[str, float] = {}
+    for one in gw.groups(service, constants).values():
+        if one.head is not None:
+            found[one.model] = found.get(one.model, 0.0) + told.get(one.head.id, 0)
+    return found
+
+
 async def _give(
     gw: states.Gateway, holder: steward_state.Steward, command: group_command.Command
 ) -> None:
