Add a fault soak of real entry processes on the platform's wire

Four entries of two data centres run as processes of their own; the store and the targets are the stand-ins of the whole-path tests, each behind a loopback relay. Faults come from outside: processes killed, paused, stopped and restarted, targets killed, silent, slow, reset or leaving, the store away, silent, answering nobody, slow or without history, configurations and keys changed. Callers keep connections open. Checked: order and number of events, orders that run once, refusals that are true, removed keys, leaving targets, configurations that never go back, groups that are not robbed, and that every entry serves again within 10 s of the last fault. Clocks are not disturbed: the entries read only the time since boot, which nothing outside can set. The relay stand-in can lose answers only, for a cut in one direction.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 PY = PYTHONPATH=src $(VENV)/bin/python
 SEED ?= 1
 MINUTES ?= 1
+COUNT ?= 50
 
-.PHONY: demo test lint format type behave bench soak proof binary clean capacity
+.PHONY: demo fault-soak test lint format type behave bench soak proof binary clean capacity
 
 $(VENV)/ready: requirements.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -36,6 +37,9 @@
 soak: $(VENV)/ready
 	$(PY) -m galenavane.soak --seed $(SEED) --minutes $(MINUTES)
 
+fault-soak: $(VENV)/ready
+	PYTHONPATH=src:tests $(VENV)/bin/python -m fault_soak --count $(COUNT)
+
 proof: $(VENV)/ready
 	$(PY) -m galenavane.proof
 
--- a/src/galenavane/standin/link.py
+++ b/src/galenavane/standin/link.py
@@ -19,6 +19,7 @@
     :ivar cut: connections are reset and new ones are closed at once.
     :ivar silent: bytes are lost without a word, on new connections too.
     :ivar silence_open: connections open at this moment lose every byte for good.
+    :ivar lose_answers: bytes to the caller's side are lost, those from it arrive.
     :ivar cut_after_bytes: a connection is reset once it has carried so many bytes to the caller's
         side; 0 never.
     :ivar delay_seconds: added one way.
@@ -27,6 +28,7 @@
     cut: bool = False
     silent: bool = False
     silence_open: bool = False
+    lose_answers: bool = False
     cut_after_bytes: int = 0
     delay_seconds: float = 0.0
 
@@ -34,11 +36,12 @@
 class _Pair:
     """One relayed connection."""
 
-    __slots__ = ("back_bytes", "scope", "silent")
+    __slots__ = ("back_bytes", "is_back_lost", "scope", "silent")
 
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
         self.silent = False
+        self.is_back_lost = False
         self.back_bytes = 0
 
 
@@ -115,6 +118,9 @@
             if pair.silent or link.faults.silent:
                 pair.silent = True
                 continue
+            if is_back and (pair.is_back_lost or link.faults.lose_answers):
+                pair.is_back_lost = True
+                continue
             if is_back and _is_used_up(link, pair, len(data)):
                 pair.scope.cancel()
                 return
--- /dev/null
+++ b/tests/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real entry processes on loopback, disturbed from outside and checked while they serve."""
--- /dev/null
+++ b/tests/fault_soak/entry.py
@@ -0,0 +1,78 @@
+"""One entry as a process of its own."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from steps import platform_world
+
+from galenavane.net import address
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SETTINGS = """[entry]
+name = {name}
+data_centre = {place}
+host = 127.0.0.1
+callers = {callers}
+readiness = {readiness}
+peer_port = {peer_port}
+[store]
+address = {store}
+[stop]
+grace = 3
+[bounds]
+revoke = 5
+"""
+
+
+class Entry:
+    """The process, its addresses and how often it was started."""
+
+    def __init__(self, name: str, place: str, store: address.Address, folder: pathlib.Path) -> None:
+        self.name = name
+        self.folder = folder
+        self.lives = 0
+        self.is_paused = False
+        self.expected_exits: set[int] = set()
+        self.process: subprocess.Popen[bytes] | None = None
+        self.callers = address.Address(platform_world.HOST, platform_world.free_port())
+        self.readiness = address.Address(platform_world.HOST, platform_world.free_port())
+        self.path = folder / f"{name}.ini"
+        text = SETTINGS.format(
+            name=name,
+            place=place,
+            callers=self.callers,
+            readiness=self.readiness,
+            peer_port=platform_world.free_port(),
+            store=store,
+        )
+        self.path.write_text(text)
+
+    def start(self) -> None:
+        """Start the program, which appends to its log."""
+        self.lives += 1
+        env = {**os.environ, "GALENAVANE_BOOT": str(self.path), "PYTHONPATH": str(ROOT / "src")}
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            command = [sys.executable, "-m", "galenavane.platform"]
+            self.process = subprocess.Popen(command, stdout=log, stderr=log, env=env)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this soak started, if it lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.expected_exits.add(self.lives)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def has_ended_itself(self) -> bool:
+        """Whether the process ended though nobody told it to."""
+        ended = self.process is not None and self.process.poll() is not None
+        return ended and self.lives not in self.expected_exits
--- /dev/null
+++ b/tests/fault_soak/records.py
@@ -0,0 +1,38 @@
+"""What callers and targets saw."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """One request of a caller.
+
+    :ivar entry: name and life of the entry process that it went to.
+    :ivar status: 0 when there was no whole answer.
+    :ivar events: numbers of the events that came, for a stream.
+    :ivar expected: events of the whole stream.
+    """
+
+    attempt: str
+    kind: str
+    entry: str
+    began_at: float
+    key: str = ""
+    status: int = 0
+    is_whole: bool = False
+    events: list[int] = dataclasses.field(default_factory=list)
+    expected: int = 0
+    ended_at: float = 0.0
+    note: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """One request at a target, which runs it at once."""
+
+    attempt: str
+    target: str
+    account: str
+    at: float
