--- /dev/null
+++ b/src/galenavane/cli/check_settings.py
@@ -0,0 +1,25 @@
+"""``galenavane check-settings``."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+from galenavane.config import settings as settings_files
+from galenavane.gateway import settings
+
+
+def check_settings(*files: pathlib.Path) -> int:
+    """Check settings files of entries on a platform, and change nothing.
+
+    :param files: settings files as the platform renders them
+    """
+    wrong = 0
+    for path in files:
+        for one in settings_files.find_errors(path, settings.ALL):
+            wrong += 1
+            print(f"error {one.failure.code.value}: {one}", file=sys.stderr)
+    if wrong:
+        return 1
+    print(f"{len(files)} settings files: correct")
+    return 0
--- a/src/galenavane/config/settings.py
+++ b/src/galenavane/config/settings.py
@@ -117,17 +117,39 @@
     :raises failure.UserError: naming file, section and key.
     """
     parser = ini.read_file(path)
-    _check_known(path, parser, declared)
+    unknown = _find_unknown(path, parser, declared)
+    if unknown:
+        raise unknown[0]
     values = {(one.section, one.key): _read(path, parser, one) for one in declared}
     return Settings(values)
 
 
-def _check_known(path: pathlib.Path, parser: configparser.ConfigParser, declared: Declared) -> None:
+def find_errors(path: pathlib.Path, declared: Declared = ALL) -> list[failure.UserError]:
+    """Return all that is wrong with a settings file.
+
+    :param declared: the settings that it may have.
+    :raises failure.UserError: when the file can't be read at all.
+    """
+    parser = ini.read_file(path)
+    found = _find_unknown(path, parser, declared)
+    for one in declared:
+        try:
+            _read(path, parser, one)
+        except failure.UserError as exc:
+            found.append(exc)
+    return found
+
+
+def _find_unknown(
+    path: pathlib.Path, parser: configparser.ConfigParser, declared: Declared
+) -> list[failure.UserError]:
     known = {(one.section, one.key) for one in declared}
-    for section in parser.sections():
-        for key in parser[section]:
-            if (section, key) not in known:
-                raise _wrong(f'{path}: key "{key}" is not known in section "{section}"')
+    return [
+        _wrong(f'{path}: key "{key}" is not known in section "{section}"')
+        for section in parser.sections()
+        for key in parser[section]
+        if (section, key) not in known
+    ]
 
 
 def _read(
--- a/src/galenavane/run.py
+++ b/src/galenavane/run.py
@@ -11,6 +11,7 @@
 from galenavane.cli import (
     apply,
     check,
+    check_settings,
     completion,
     diff,
     entry,
@@ -33,6 +34,7 @@
 COMMANDS: dict[str, typing.Any] = {
     "entry": entry.entry,
     "check": check.check,
+    "check-settings": check_settings.check_settings,
     "diff": diff.diff,
     "apply": apply.apply,
     "preset": preset.preset,
--- /dev/null
+++ b/tests/cli/check_settings.feature
@@ -0,0 +1,14 @@
+Feature: Settings files are checked before a process needs them
+
+  Scenario: A correct file
+    Given a settings file of an entry on a platform
+    When it is checked
+    Then the command succeeds and says nothing is wrong
+
+  Scenario: Every error has a line of its own
+    Given a settings file of an entry on a platform
+    And its line "data_centre = dc" is missing
+    And its line "peer_port = 7000" reads "peer_port = high"
+    And its line "[stop]" reads "colour = red"
+    When it is checked
+    Then the command fails and names "data_centre", "peer_port" and "colour" on lines of their own
--- a/tests/cli/help.feature
+++ b/tests/cli/help.feature
@@ -9,6 +9,7 @@
       | command          |
       | entry            |
       | check            |
+      | check-settings   |
       | apply            |
       | preset           |
       | diff             |
