Give the soak's runs ports of their own, and print a taken address as one line

The log shows why: the soak took ports from the range that the kernel gives to connections, so one of another run held it while the entry was down.

--- a/src/galenavane/platform/__main__.py
+++ b/src/galenavane/platform/__main__.py
@@ -38,8 +38,21 @@
     eliot.add_destinations(sink)
     incarnation = uuid.uuid4().hex[:12]
     events.name_process(cfg.get(settings.NAME), cfg.get(settings.DATA_CENTRE), incarnation)
-    trio.run(_run, cfg, incarnation, sink)
-    return 0
+    errors: list[failure.UserError] = []
+    try:
+        trio.run(_run, cfg, incarnation, sink)
+    except* failure.UserError as group:
+        errors += _flatten(group)
+    for one in errors:
+        print(f"galenavane: error {one.failure.code.value}: {one}", file=sys.stderr)
+    return EXIT_USER_ERROR if errors else 0
+
+
+def _flatten(group: BaseExceptionGroup[failure.UserError]) -> list[failure.UserError]:
+    found: list[failure.UserError] = []
+    for one in group.exceptions:
+        found += _flatten(one) if isinstance(one, BaseExceptionGroup) else [one]
+    return found
 
 
 async def _run(cfg: settings_files.Settings, incarnation: str, sink: log_sink.LogSink) -> None:
--- a/tests/fault_soak/entry.py
+++ b/tests/fault_soak/entry.py
@@ -8,8 +8,7 @@
 import subprocess
 import sys
 
-from steps import platform_world
-
+from fault_soak import ports
 from galenavane.net import address
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -39,15 +38,15 @@
         self.is_paused = False
         self.expected_exits: set[int] = set()
         self.process: subprocess.Popen[bytes] | None = None
-        self.callers = address.Address(platform_world.HOST, platform_world.free_port())
-        self.readiness = address.Address(platform_world.HOST, platform_world.free_port())
+        self.callers = ports.free_address()
+        self.readiness = ports.free_address()
         self.path = folder / f"{name}.ini"
         text = SETTINGS.format(
             name=name,
             place=place,
             callers=self.callers,
             readiness=self.readiness,
-            peer_port=platform_world.free_port(),
+            peer_port=ports.free_address().port,
             store=store,
         )
         self.path.write_text(text)
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -6,7 +6,7 @@
 import trio
 from steps import platform_world
 
-from fault_soak import entry, records
+from fault_soak import entry, ports, records
 from galenavane.net import address, message, tcp
 from galenavane.standin import link
 
@@ -18,8 +18,8 @@
     """A loopback relay in front of one address."""
 
     def __init__(self) -> None:
-        self.listen = free_address()
-        self.control = free_address()
+        self.listen = ports.free_address()
+        self.control = ports.free_address()
 
     async def run(self, to: address.Address, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Relay until cancelled."""
@@ -146,8 +146,3 @@
         listed = self.store.objects["servers"].get(target.name)
         if listed is not None and listed["spec"]["born"] == born:
             self.store.put("servers", target.name, None)
-
-
-def free_address() -> address.Address:
-    """Return a loopback address that nobody listens on."""
-    return address.Address(platform_world.HOST, platform_world.free_port())
