Disturb one entry of the soak at a time, and parse the metrics page with Prometheus' own client

An entry that is being disturbed is now left to that fault; faults of different entries still overlap. The metrics page is read over loopback and parsed by prometheus-client's parser: requests, the histogram of first events, groups.

--- a/tests/fault_soak/entry.py
+++ b/tests/fault_soak/entry.py
@@ -35,7 +35,7 @@
         self.name = name
         self.folder = folder
         self.lives = 0
-        self.is_paused = False
+        self.is_busy = False
         self.expected_exits: set[int] = set()
         self.process: subprocess.Popen[bytes] | None = None
         self.callers = ports.free_address()
@@ -71,7 +71,10 @@
         if self.process is not None:
             self.process.wait()
 
+    def has_ended(self) -> bool:
+        """Whether the process is over."""
+        return self.process is not None and self.process.poll() is not None
+
     def has_ended_itself(self) -> bool:
         """Whether the process ended though nobody told it to."""
-        ended = self.process is not None and self.process.poll() is not None
-        return ended and self.lives not in self.expected_exits
+        return self.has_ended() and self.lives not in self.expected_exits
--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -9,6 +9,8 @@
 from fault_soak import fleet, plan
 from galenavane.standin import link
 
+GRACE_SECONDS = 4.0
+"""The entries' own grace time of 3 s, and a second to end."""
 CUT_SHARE = 0.34
 """Entries that a fault of the store's path hits, at least one."""
 
@@ -34,7 +36,7 @@
         return found[int(fault.draw * len(found))] if found else None
 
     def _entry(self, fault):
-        return self._pick([one for one in self.world.entries if not one.is_paused], fault)
+        return self._pick([one for one in self.world.entries if not one.is_busy], fault)
 
     def _target(self, fault, service="llm"):
         world = self.world
@@ -48,32 +50,34 @@
     async def _entry_kill(self, fault):
         found = self._entry(fault)
         if found is not None:
+            found.is_busy = True
             found.kill()
             await trio.sleep(fault.seconds / 3)
             found.start()
+            found.is_busy = False
 
     async def _entry_pause(self, fault):
         found = self._entry(fault)
         if found is not None:
-            found.is_paused = True
+            found.is_busy = True
             found.signal(signal.SIGSTOP)
             await trio.sleep(fault.seconds)
             found.signal(signal.SIGCONT)
-            found.is_paused = False
+            found.is_busy = False
 
     async def _entry_stop(self, fault):
         found = self._entry(fault)
         if found is None:
             return
-        life = found.lives
-        found.expected_exits.add(life)
+        found.is_busy = True
+        found.expected_exits.add(found.lives)
         found.signal(signal.SIGTERM)
-        with trio.move_on_after(4.0):
-            while found.process.poll() is None and found.lives == life:
+        with trio.move_on_after(GRACE_SECONDS):
+            while not found.has_ended():
                 await trio.sleep(0.05)
-        if found.lives == life:
-            found.kill()
-            found.start()
+        found.kill()
+        found.start()
+        found.is_busy = False
 
     async def _entry_reload(self, fault):
         found = self._entry(fault)
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -7,6 +7,13 @@
     And the target was told account "acme" and no key
     And all of that is seen
 
+  Scenario: The metrics page is understood by Prometheus' own client
+    Given a platform with 2 domains of 6 targets, and an entry
+    When a client asks for a stream of 8 events
+    And a client places an order
+    Then the metrics page shows 2 requests, a first event under 1 s and 2 groups
+    And all of that is seen
+
   Scenario: A member dies in the middle of a stream
     Given a platform with 2 domains of 6 targets, and an entry
     When a client asks for a stream of 60 events
--- a/tests/steps/gateway_whole_path.py
+++ b/tests/steps/gateway_whole_path.py
@@ -6,8 +6,11 @@
 
 import trio
 from behave import given, then, when
+from prometheus_client import parser
 from steps import platform_world
 
+from galenavane.net import keep_alive, message, tcp
+
 SCENARIO_SECONDS = 30
 
 
@@ -231,3 +234,25 @@
         for _ in range(count):
             assert (await world.call("/order/x")).status == 200
         assert {name for name, _ in world.arrivals} == {"p1"}
+
+
+@then("the metrics page shows {count:d} requests, a first event under 1 s and {groups:d} groups")
+def check_metrics(context, count, groups):
+    @add(context)
+    async def step(world):
+        await trio.sleep(1.1)
+        calls = keep_alive.make(tcp.make())
+        req = message.Request("GET", "/metrics")
+        found = await calls.send(world.readiness, req, 1.0, 1_000_000)
+        samples = {}
+        for family in parser.text_string_to_metric_families(found.body.decode()):
+            for one in family.samples:
+                samples.setdefault(one.name, []).append((one.labels, one.value))
+        assert sum(value for _, value in samples["galenavane_requests_total"]) == count, samples
+        quick = [
+            value
+            for labels, value in samples["galenavane_first_event_seconds_bucket"]
+            if labels["le"] in ("1.0", "1")
+        ]
+        assert sum(quick) == 1, samples["galenavane_first_event_seconds_bucket"]
+        assert sum(value for _, value in samples["galenavane_groups_serving"]) == groups, samples
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -308,7 +308,8 @@
     def _make_entry(self, where):
         text = "[entry]\nname = e1\ndata_centre = dc\nhost = 127.0.0.1\n"
         self.callers = address.Address(HOST, free_port())
-        text += f"callers = {self.callers}\nreadiness = {HOST}:{free_port()}\n"
+        self.readiness = address.Address(HOST, free_port())
+        text += f"callers = {self.callers}\nreadiness = {self.readiness}\n"
         text += f"peer_port = {free_port()}\n[store]\naddress = {where}\n"
         path = self.folder / "entry.ini"
         path.write_text(text)
