--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -24,6 +24,18 @@
   Scenario: A target's entry is understood, with fields that are new
     Then a listed member is decoded with its group, model and start
 
+  Scenario Outline: A command says no more than its order needs
+    When a target is told to <command>
+    Then the order's fields are "<fields>"
+
+    Examples:
+      | command        | fields                                    |
+      | stage a model  | model operation                           |
+      | join a group   | epoch group members model operation       |
+      | open a group   | epoch group operation                     |
+      | close a group  | epoch group mode operation                |
+      | leave a group  | epoch group operation                     |
+
   Scenario: What the client says of account, key and target is not passed on
     Given a request with a key, an account, a deadline and an expected target of its own
     When it is sent to target "t1" for account "acme" with 1.5 s left
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -9,7 +9,8 @@
 import msgspec
 from behave import given, then, when
 
-from galenavane.fleet import target
+from galenavane.control import group_command
+from galenavane.fleet import group, target
 from galenavane.net import headers, message
 from galenavane.platform import wire_config, wire_request, wire_target
 from galenavane.serve import call as calls
@@ -231,3 +232,22 @@
 @then("it is decoded with {seconds:g} s to wait and event {number:d}")
 def check_numbers(context, seconds, number):
     assert (context.call.wait_seconds, context.call.last_event) == (seconds, number)
+
+
+@when("a target is told to {words}")
+def encode(context, words):
+    one = decode_entry(make_entry())
+    key = group.Key("g", 7)
+    commands = {
+        "stage a model": group_command.Stage(one, "m"),
+        "join a group": group_command.Join(one, key, "m", ("t1", "t2"), False),
+        "open a group": group_command.Open(one, key),
+        "close a group": group_command.Close(one, key),
+        "leave a group": group_command.Leave(one, key),
+    }
+    context.order = json.loads(wire_target.encode_command(commands[words]))
+
+
+@then('the order\'s fields are "{fields}"')
+def check_fields(context, fields):
+    assert sorted(context.order) == fields.split(), context.order
