Judge whether a fleet is fresh only once its list is known

Found by reading, then shown: a new holder whose list of targets had not come took the fleet for one that never served, so that hosts which hold one model were all told to stage at once, without the bound on loads (11 of 11 in the scenario). Ruled out: the same for joins, which wait for targets anyway. Now the question waits for the first target.

--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -99,6 +99,9 @@
     }
     waiting = {one for what, one, _ in state.sent if what in ("join", "standby")}
     if state.loading is None:
+        if not known.targets:
+            # The list is not there yet; the fleet may have been serving for long.
+            return
         state.loading = joining
         state.is_first = all(one.membership is None for one in known.targets.values())
     state.loading &= joining | waiting
--- a/tests/control/steward.feature
+++ b/tests/control/steward.feature
@@ -25,6 +25,14 @@
     And the steward works for 6 s
     Then 1 group of "large" and 1 group of "small" serve
 
+  Scenario: A holder that knows no targets yet takes the fleet for a running one
+    Given a fleet of 1 domain with 11 targets
+    When the steward works for 8 s
+    And a steward takes over that has not seen the list yet
+    And hosts keep only the model that their targets serve
+    And the steward works for 1 s
+    Then no target was told to stage
+
   Scenario: A group is left alone while its head lets others wait
     Given a fleet of 1 domain with 11 targets
     When the steward works for 8 s
--- a/tests/steps/control_steward.py
+++ b/tests/steps/control_steward.py
@@ -310,6 +310,28 @@
     context.steward.is_loaded = is_loaded
 
 
+@when("a steward takes over that has not seen the list yet")
+def take_over_blind(context):
+    context.steward = steward_state.Steward(context.steward.token + 1)
+    fleet = context.fleet
+    steward.decide(
+        context.steward, registry.Registry(), fleet_registry.SERVICE, fleet.constants, fleet.now
+    )
+
+
+@when("hosts keep only the model that their targets serve")
+def forget_second(context):
+    for one in list(context.fleet.alive.values()):
+        context.fleet._set(one.id, staged=(one.model,))
+    context.fleet.commands.clear()
+
+
+@then("no target was told to stage")
+def check_not_staged(context):
+    staged = [one for one in context.fleet.commands if isinstance(one, group_command.Stage)]
+    assert not staged, len(staged)
+
+
 @when("members die, commands are lost or late and holders change, by seed {seed:d}")
 def disturb(context, seed):
     rng = random.Random(seed)
