--- a/src/galenavane/control/domain_care.py
+++ b/src/galenavane/control/domain_care.py
@@ -49,7 +49,7 @@
             for one in usable[name]
             if steward_state.is_coming(state, one)
         ]
-        domain = formation.Domain(len(usable[name]), counts.get(name, {}), free, coming)
+        domain = formation.Domain(counts.get(name, {}), free, coming)
         used: set[str] = set()
         for plan in formation.plan(domain, models, fleet, not state.is_loaded):
             commands += group_forming.begin(state, known, plan, constants, now)
--- a/src/galenavane/control/formation.py
+++ b/src/galenavane/control/formation.py
@@ -35,12 +35,10 @@
 class Domain:
     """One fabric domain.
 
-    :ivar size: usable targets, in groups or free.
     :ivar groups: groups of each model that serve or are being formed.
     :ivar coming: targets of groups that are ending, which are free in a moment.
     """
 
-    size: int
     groups: abc.Mapping[str, int]
     free: abc.Sequence[Free]
     coming: abc.Sequence[Free] = ()
--- a/src/galenavane/control/steward.py
+++ b/src/galenavane/control/steward.py
@@ -22,8 +22,6 @@
 
 UNREACHABLE_SECONDS = 4.5
 """The list drops a silent target after three heartbeats of 1.2 s; one still listed is back."""
-SLOW_SECONDS = 8.0
-"""How long a target found slow is left out, before its pace is trusted again."""
 
 
 def report_stall(
@@ -41,15 +39,6 @@
     state.unreachable[target_id] = now + UNREACHABLE_SECONDS
 
 
-def report_slow(
-    state: steward_state.Steward, key: group.Key, members: abc.Iterable[str], now: float
-) -> None:
-    """Take in that members slow their group down."""
-    for one in members:
-        state.slow[one] = now + SLOW_SECONDS
-    state.closing.setdefault(key, now)
-
-
 def note_load(
     state: steward_state.Steward,
     in_flight: abc.Mapping[str, float],
@@ -84,7 +73,6 @@
 
 def _forget(state: steward_state.Steward, now: float) -> None:
     state.unreachable = {one: at for one, at in state.unreachable.items() if at > now}
-    state.slow = {one: at for one, at in state.slow.items() if at > now}
     state.sent = {
         what: at for what, at in state.sent.items() if now < at + steward_state.REPEAT_SECONDS
     }
--- a/src/galenavane/control/steward_state.py
+++ b/src/galenavane/control/steward_state.py
@@ -46,7 +46,6 @@
     doomed: dict[group.Key, float] = dataclasses.field(default_factory=dict)
     closing: dict[group.Key, float] = dataclasses.field(default_factory=dict)
     unreachable: dict[str, float] = dataclasses.field(default_factory=dict)
-    slow: dict[str, float] = dataclasses.field(default_factory=dict)
     sent: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
     first_seen: dict[group.Key, float] = dataclasses.field(default_factory=dict)
     loads: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
@@ -121,7 +120,7 @@
     """Return the targets that may be in groups, by domain."""
     found: dict[str, list[target.Target]] = {}
     for one in known.targets.values():
-        is_out = one.is_leaving or one.id in state.unreachable or one.id in state.slow
+        is_out = one.is_leaving or one.id in state.unreachable
         if one.service == service and not is_out and one.id not in known.held:
             found.setdefault(one.domain, []).append(one)
     return found
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -112,6 +112,7 @@
 
 
 class _Order(msgspec.Struct, omit_defaults=True):
+    # Staging concerns no group; what keeps its default is not sent.
     operation: str
     group: str = ""
     epoch: int = 0
