--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -105,7 +105,7 @@
         self.store = Store()
         self.ledger = []
         self.taken = []
-        self.leaving = {}
+        self.left = []
         self.revoked = {}
         self.keys = [platform_world.KEY, "key-2", "key-3"]
         self.entries = []
--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -122,10 +122,8 @@
         found.is_leaving = True
         found.publish()
         left_at = trio.current_time()
-        world.leaving[found.name] = left_at
         await trio.sleep(3.0 + 2 * fault.draw)
         # Only a head's own streams keep it; then it ends, and comes back as a new start.
-        del world.leaving[found.name]
         world.left.append((found.name, left_at, trio.current_time()))
         found.kill()
         await trio.sleep(0.2)
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -82,7 +82,6 @@
     broken: list[str] = []
     async with trio.open_nursery() as nursery:
         world = fleet.Fleet(nursery, folder)
-        world.left = []
         try:
             await world.start(DOMAINS, SIZE, PLACES)
             broken += await _wait_ready(world, START_SECONDS)
