Cut off servers that send bytes without end, and avoid them

Change: at most 8 informational responses, events up to 256 KiB searched once, a target whose bytes are no answer is avoided for 2 s and named in one log line.

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -262,8 +262,14 @@
         response_failure = await _check_response(gw, exchange, stream, group, target_conn, response)
         if response_failure is not None or (exchange.is_answered and not stream.is_started):
             return response_failure
-        return await _relay_stream(gw, exchange, stream, head_requests, read, target_conn, response)
+        relay_failure = await _relay_stream(
+            gw, exchange, stream, head_requests, read, target_conn, response
+        )
+        if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
+            target_exchange.avoid_malformed(gw, head, relay_failure.message)
+        return relay_failure
     except transport_error.TransportError as exc:
+        target_exchange.note_failure(gw, head, exc)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -159,6 +159,7 @@
             _Outcome.UNKNOWN,
         )
     except transport_error.TransportError as exc:
+        target_exchange.note_failure(gw, destination, exc)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
--- a/src/galenavane/gateway/target_exchange.py
+++ b/src/galenavane/gateway/target_exchange.py
@@ -9,6 +9,7 @@
 from galenavane.gateway import state as states
 from galenavane.net import headers as header_lists
 from galenavane.net import http_connection, message, transport_error
+from galenavane.observe import events
 from galenavane.serve import inbound_request, target_response
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -16,6 +17,8 @@
 SMALL_BODY_BYTES = 16_384
 """Fits into the socket's buffer, so that sending it does not wait for the target."""
 MAX_BODY_BYTES = 16_000_000
+MALFORMED_SUSPECT_SECONDS = 2.0
+"""How long a target is avoided after it sent bytes that are no answer."""
 
 
 class TargetExchange:
@@ -110,6 +113,20 @@
         await self._conn.close()
 
 
+def note_failure(
+    gw: states.Gateway, destination: target.Target, exc: transport_error.TransportError
+) -> None:
+    """Avoid a target that sent bytes that are no answer, or more of them than an answer has."""
+    if exc.kind in (transport_error.Kind.MALFORMED, transport_error.Kind.TOO_LARGE):
+        avoid_malformed(gw, destination, str(exc))
+
+
+def avoid_malformed(gw: states.Gateway, destination: target.Target, text: str) -> None:
+    """Avoid a target for a while because its bytes are no answer."""
+    events.log("target.malformed", target=destination.id, text=text)
+    gw.suspect(destination.id, MALFORMED_SUSPECT_SECONDS)
+
+
 async def connect(
     gw: states.Gateway, destination: target.Target, inbound: inbound_request.InboundRequest
 ) -> TargetExchange:
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -13,6 +13,8 @@
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
+MAX_INFORMATIONAL_RESPONSES = 8
+"""A server in trouble may send 1xx responses without end."""
 CLOCK_HEADER = b"x-galenavane-clock"
 _RESERVED_FIELDS = frozenset({b"host", b"content-length", b"transfer-encoding", CLOCK_HEADER})
 
@@ -132,7 +134,12 @@
         :raises TransportError: ``RESET`` or ``MALFORMED``.
         """
         event = await self.next_event()
+        skipped = 0
         while isinstance(event, h11.InformationalResponse):
+            skipped += 1
+            if skipped > MAX_INFORMATIONAL_RESPONSES:
+                text = f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
+                raise self._make_error(transport_error.Kind.MALFORMED, text)
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise self._make_error(
--- a/src/galenavane/serve/event_splitter.py
+++ b/src/galenavane/serve/event_splitter.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-MAX_EVENT_BYTES = 1_000_000
+MAX_EVENT_BYTES = 262_144
+"""Far above the size of an event; bounds what an unfinished one of each stream takes in memory."""
 _SEPARATOR = b"\n\n"
 
 
@@ -22,10 +23,11 @@
 class EventSplitter:
     """Buffers bytes until events are complete."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_searched")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._searched = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Buffer bytes and return the events that are now complete.
@@ -34,10 +36,13 @@
         """
         self._buffer += data
         events: list[Event] = []
-        while (end := self._buffer.find(_SEPARATOR)) >= 0:
+        while (end := self._buffer.find(_SEPARATOR, self._searched)) >= 0:
             event_bytes = bytes(self._buffer[: end + len(_SEPARATOR)])
             del self._buffer[: end + len(_SEPARATOR)]
+            self._searched = 0
             events.append(Event(_parse_id(event_bytes), event_bytes))
+        # Only the separator's first byte can be at the end of what was searched.
+        self._searched = max(0, len(self._buffer) - 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("a stream event is too large")
         return events
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -202,8 +202,31 @@
         fields = headers.Headers().add("attempt-id", exchange.request.headers.get("attempt-id"))
         return fields.add("replica-signature", f"{self.name}.sig")
 
+    async def _flood(self, exchange):
+        """Send bytes that are no answer, or more than one, until the entry closes."""
+        flood = self.world.flood
+        flood.target = flood.target or self.name
+        if flood.target != self.name:
+            return False
+        flood.requests += 1
+        stream = exchange.conn.stream
+        fields = [(name, value) for name, value in self._answer_headers(exchange).pairs]
+        head = b"HTTP/1.1 200 OK\r\n" + b"".join(b"%b: %b\r\n" % pair for pair in fields)
+        began_at = trio.current_time()
+        try:
+            await stream.send_all(flood.start.replace(b"HEAD", head))
+            while True:
+                if flood.pause_seconds:
+                    await trio.sleep(flood.pause_seconds)
+                await stream.send_all(flood.repeated)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            flood.seconds = trio.current_time() - began_at
+        return True
+
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        if self.world.flood and await self._flood(exchange):
+            return
         fault = self.world.plain_fault
         if fault == "refuse":
             await exchange.respond(
@@ -220,6 +243,8 @@
 
     async def _stream(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        if self.world.flood and await self._flood(exchange):
+            return
         first = int(exchange.request.headers.get("last-event-id") or 0) + 1
         last = int(exchange.request.headers.get("token-usage").split(",")[1])
         fields = self._answer_headers(exchange).add("content-type", "text/event-stream")
@@ -253,6 +278,7 @@
         self.left_at = []
         self.break_at = 0
         self.plain_fault = ""
+        self.flood = None
         self.version = 1
         self.routes = [
             self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
