Check the lease right before each command is sent

Cause: a holder that woke from a pause sent commands of its past for some 30 ms. It counted as the one that nobody can replace, since none of its peers counted as alive after the pause. Change: a holder that can't renew goes on only while it hears from peers without the store; the lease is checked on the clock that counts suspension after connecting and before the first byte.

--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -9,7 +9,7 @@
 from galenavane.catalog import engine
 from galenavane.control import controller, controller_state, group_command
 from galenavane.fleet import replica_group, target, target_registry
-from galenavane.gateway import boot_clock, member_check
+from galenavane.gateway import boot_clock, lease_task, member_check
 from galenavane.gateway import state as states
 from galenavane.net import transport_error
 from galenavane.observe import events
@@ -78,12 +78,16 @@
 async def _send_command(
     gw: states.Gateway, state: controller_state.ControllerState, command: group_command.Command
 ) -> None:
-    """Send one command; its effect shows in the list of targets."""
+    """Send one command, if the lease still allows it; its effect shows in the list of targets."""
     req = gw.codec.make_command_request(command)
     result = "unanswered"
     try:
         response = await gw.http_client.send(
-            command.target.address, req, COMMAND_TIMEOUT_SECONDS, MAX_RESPONSE_BYTES
+            command.target.address,
+            req,
+            COMMAND_TIMEOUT_SECONDS,
+            MAX_RESPONSE_BYTES,
+            is_allowed=lambda: lease_task.may_command(gw, state),
         )
         result = str(response.status)
     except transport_error.TransportError as exc:
--- a/src/galenavane/gateway/lease.py
+++ b/src/galenavane/gateway/lease.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import abc
 
 import msgspec
 
@@ -174,6 +175,22 @@
     return is_recorded_holder(state) and now < state.held_until
 
 
+def may_outlast(is_recorded: bool, peer_count: int, live_store_ages: abc.Sequence[float]) -> bool:
+    """Whether a holder that can't renew may go on, since nobody can claim the lease.
+
+    A holder that hears from none of its peers can't know that: it may have been paused while
+    another entry claimed the lease.
+
+    :param is_recorded: whether the lease as last seen names this entry as its holder.
+    :param peer_count: number of known other entries.
+    :param live_store_ages: for each of them that is heard from, seconds since the store answered
+        it.
+    """
+    if not is_recorded or (peer_count > 0 and not live_store_ages):
+        return False
+    return all(age > LEASE_SECONDS for age in live_store_ages)
+
+
 def make_release(state: LeaseState) -> Write | None:
     """Return the write that releases the lease.
 
--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -120,7 +120,7 @@
 def _start_or_stop_control(gw: states.Gateway) -> None:
     """Start the controller with a new lease, and stop it when another entry may hold the lease."""
     now = boot_clock.now()
-    is_held = lease.is_held(gw.lease, now) or _may_keep_control(gw, now)
+    is_held = lease.is_held(gw.lease, now) or _may_outlast_lease(gw, now)
     token = gw.lease.record.token
     if is_held:
         lease.record_holder_report(gw.holder_report, token, now)
@@ -133,16 +133,28 @@
         gw.controller_state = None
 
 
-def _may_keep_control(gw: states.Gateway, now: float) -> bool:
-    """Whether a holder that can't renew may keep control since no live peer can reach the store."""
-    if gw.controller_state is None or not lease.is_recorded_holder(gw.lease):
+def may_command(gw: states.Gateway, state: controller_state.ControllerState) -> bool:
+    """Whether a command that a controller decided may be sent now.
+
+    Asked immediately before each send, since the process may have been paused after the decision.
+    """
+    now = boot_clock.now()
+    if gw.controller_state is not state or gw.lease.record.token != state.token:
         return False
-    if gw.holder_report.token > gw.controller_state.token:
+    return lease.is_held(gw.lease, now) or _may_outlast_lease(gw, now)
+
+
+def _may_outlast_lease(gw: states.Gateway, now: float) -> bool:
+    """Whether a holder that can't renew may keep control since no live peer can reach the store."""
+    if gw.controller_state is None or gw.holder_report.token > gw.controller_state.token:
         return False
-    heartbeats = [peer.heartbeat for peer in gw.peers.values() if peers.is_alive(peer, now)]
-    return all(
-        heartbeat is None or heartbeat.store_age > lease.LEASE_SECONDS for heartbeat in heartbeats
-    )
+    live_store_ages = [
+        peer.heartbeat.store_age
+        for peer in gw.peers.values()
+        if peer.heartbeat is not None and peers.is_alive(peer, now)
+    ]
+    is_recorded = lease.is_recorded_holder(gw.lease)
+    return lease.may_outlast(is_recorded, len(gw.peers), live_store_ages)
 
 
 async def _release(gw: states.Gateway) -> None:
--- a/src/galenavane/net/connection_pool.py
+++ b/src/galenavane/net/connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 import h11
 import trio
 
@@ -32,25 +34,32 @@
         timeout_seconds: float,
         limit_bytes: int,
         reuse_share: float = 0.5,
+        is_allowed: abc.Callable[[], bool] | None = None,
     ) -> message.Response:
         """Send an idempotent request.
 
         :param reuse_share: share of the timeout that may be spent on a pooled connection; 1.0 for
             a request whose response is expected near the timeout.
-        :raises TransportError: with ``has_sent_bytes`` for this request.
+        :param is_allowed: called right before the first byte is sent; when it returns ``False``,
+            nothing is sent.
+        :raises TransportError: with ``has_sent_bytes`` for this request; ``NOT_ALLOWED`` if
+            sending it was not allowed.
         """
         started_at = trio.current_time()
         reused = self._take_idle(address)
         if reused is not None:
             reuse_seconds = timeout_seconds * reuse_share
             try:
-                return await self._exchange(reused, address, req, reuse_seconds, limit_bytes)
-            except transport_error.TransportError:
-                pass
+                return await self._exchange(
+                    reused, address, req, reuse_seconds, limit_bytes, is_allowed
+                )
+            except transport_error.TransportError as exc:
+                if exc.kind is transport_error.Kind.NOT_ALLOWED:
+                    raise
         deadline = started_at + timeout_seconds
         conn = await self._net.dial(address, max(0.0, deadline - trio.current_time()))
         remaining_seconds = max(0.0, deadline - trio.current_time())
-        return await self._exchange(conn, address, req, remaining_seconds, limit_bytes)
+        return await self._exchange(conn, address, req, remaining_seconds, limit_bytes, is_allowed)
 
     def _take_idle(self, address: addresses.Address) -> http_connection.HttpConnection | None:
         idle = self._idle.get(address)
@@ -63,9 +72,13 @@
         req: message.Request,
         timeout_seconds: float,
         limit_bytes: int,
+        is_allowed: abc.Callable[[], bool] | None,
     ) -> message.Response:
         is_returned = False
         try:
+            if is_allowed is not None and not is_allowed():
+                text = f"{address}: sending is no longer allowed"
+                raise transport_error.TransportError(transport_error.Kind.NOT_ALLOWED, False, text)
             with trio.fail_after(max(0.0, timeout_seconds)):
                 await conn.send_request(req, str(address))
                 response = await conn.read_response_head()
--- a/src/galenavane/net/transport_error.py
+++ b/src/galenavane/net/transport_error.py
@@ -13,6 +13,7 @@
     SILENT = "silent"
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
+    NOT_ALLOWED = "not_allowed"
 
 
 class TransportError(Exception):
--- a/tests/gateway/lease.feature
+++ b/tests/gateway/lease.feature
@@ -34,3 +34,13 @@
     And the entries run for 3 s
     Then exactly 1 entry holds the lease
     And its fencing token is the same
+
+  Scenario Outline: A holder that can't renew goes on only while nobody can claim the lease
+    Then with <peers> known peers, of which those heard from have store ages <ages>, it <result>
+
+    Examples:
+      | peers | ages    | result  |
+      | 0     | none    | goes on |
+      | 5     | none    | stops   |
+      | 5     | 3 4 3   | goes on |
+      | 5     | 3 0.5 3 | stops   |
--- a/tests/net/connection_pool.feature
+++ b/tests/net/connection_pool.feature
@@ -16,3 +16,11 @@
 
   Scenario: A request to a frozen target fails when its timeout has passed
     Then a request over a pooled connection to a frozen target fails with silent after 1 s
+
+  Scenario Outline: A request that is no longer allowed is not sent
+    Then a request that is not allowed any more is not sent over a <connection> connection
+
+    Examples:
+      | connection |
+      | new        |
+      | pooled     |
--- a/tests/steps/gateway_lease.py
+++ b/tests/steps/gateway_lease.py
@@ -133,3 +133,11 @@
 @then("the frozen entry does not hold the lease when it wakes")
 def check_frozen_entry(context):
     assert not lease.is_held(context.frozen.lease, context.now)
+
+
+@then("with {count:d} known peers, of which those heard from have store ages {ages}, it {result}")
+def check_outlast(context, count, ages, result):
+    live_ages = [float(age) for age in ages.split()] if ages != "none" else []
+    may_outlast = lease.may_outlast(True, count, live_ages)
+    assert may_outlast == (result == "goes on"), may_outlast
+    assert not lease.may_outlast(False, count, live_ages)
--- a/tests/steps/net_connection_pool.py
+++ b/tests/steps/net_connection_pool.py
@@ -110,3 +110,21 @@
         assert abs(trio.current_time() - before - TIMEOUT_SECONDS) < 0.01
 
     run_on_network(scenario)
+
+
+@then("a request that is not allowed any more is not sent over a {connection} connection")
+def call_not_allowed(context, connection):
+    async def scenario(network, target, pool, dialed):
+        if connection == "pooled":
+            await call(pool)
+        handled_before = len(dialed)
+        req = message.Request("GET", "/")
+        try:
+            await pool.send(WHERE, req, TIMEOUT_SECONDS, LIMIT_BYTES, is_allowed=lambda: False)
+        except transport_error.TransportError as exc:
+            assert exc.kind is transport_error.Kind.NOT_ALLOWED and not exc.has_sent_bytes
+        else:
+            raise AssertionError("the request was sent")
+        assert len(dialed) - handled_before == (1 if connection == "new" else 0)
+
+    run_on_network(scenario)
