Let one relay watch the store for the whole deployment

Cause: each data centre had a watcher, every entry called the store 13 times a second while it was away and listed all entries each 3 s; the holder of the lease deleted every entry that it did not hear from for 30 s, which are all but the relays. Planning 880 targets took 28.7 ms, most of it in looking for surplus groups in domains that lack no model and for targets in all forming groups. Change: the first relay of the first data centre watches, the others pass on and take over; ordinary entries call a silent store together as often as one relay; listings are rarer with size; only the first relay of a data centre deletes silent entries; those searches are skipped or done once.

--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import abc
 
 from galenavane.catalog import engine
 from galenavane.control import demand, formation, load_budget, staging
@@ -115,9 +116,19 @@
     return formation.Candidate(listed, last_model)
 
 
-def is_free(state: ControllerState, listed: target.Target) -> bool:
-    """Whether a target may be told to join a group: it is in none, or in a standby's own."""
-    if any(listed.id in forming.member_ids for forming in state.forming.values()):
+def find_forming_ids(state: ControllerState) -> frozenset[str]:
+    """Return the ids of the targets that were told to join groups being formed."""
+    return frozenset(
+        member_id for forming in state.forming.values() for member_id in forming.member_ids
+    )
+
+
+def is_free(forming_ids: abc.Set[str], listed: target.Target) -> bool:
+    """Whether a target may be told to join a group: it is in none, or in a standby's own.
+
+    :param forming_ids: targets that were told to join groups being formed.
+    """
+    if listed.id in forming_ids:
         return False
     membership = listed.membership
     return membership is None or membership.group.startswith(STANDBY_PREFIX)
--- a/src/galenavane/control/domain_control.py
+++ b/src/galenavane/control/domain_control.py
@@ -30,6 +30,7 @@
 ) -> list[group_command.Command]:
     """Return the joins for new groups and standbys, the domain with the fewest groups first."""
     usable = controller_state.find_usable(state, registry, service)
+    forming_ids = controller_state.find_forming_ids(state)
     counts = _count_groups(state, registry, groups_by_key)
     models = demand.adjust_shares(state.demand, constants.models)
     fleet_counts: dict[str, int] = {}
@@ -47,7 +48,7 @@
         free = [
             controller_state.make_candidate(registry, listed)
             for listed in usable[domain_name]
-            if controller_state.is_free(state, listed)
+            if controller_state.is_free(forming_ids, listed)
         ]
         soon_free = [
             controller_state.make_candidate(registry, listed)
@@ -95,6 +96,8 @@
     now: float,
 ) -> None:
     """Close surplus groups of one model to free members for a model that the domain lacks."""
+    if all(domain.group_counts.get(model.name) for model in models):
+        return
     serving: dict[str, list[replica_group.Group]] = {}
     for key, group in sorted(groups_by_key.items()):
         if group.domain == domain_name and group.is_serving and key not in state.dissolving:
@@ -155,7 +158,9 @@
     """
     staging.drop_finished(state.staging, registry, now)
     is_early = state.is_cold_start and not state.has_traffic
-    if not is_early and not state.has_traffic:
+    if not is_early and not (
+        state.has_traffic and staging.may_begin(state.staging, len(state.loading or ()), constants)
+    ):
         return []
     usable = [
         listed
@@ -166,8 +171,12 @@
     served = {
         name for name, model_counts in counts.items() if len(model_counts) == len(constants.models)
     }
+    forming_ids = controller_state.find_forming_ids(state)
     usable.sort(
-        key=lambda listed: (listed.domain in served, not controller_state.is_free(state, listed))
+        key=lambda listed: (
+            listed.domain in served,
+            not controller_state.is_free(forming_ids, listed),
+        )
     )
     commands: list[group_command.Command] = []
     for listed, model in staging.find_candidates(state.staging, registry, usable, constants.models):
--- a/src/galenavane/gateway/config_state.py
+++ b/src/galenavane/gateway/config_state.py
@@ -29,12 +29,14 @@
     :ivar confirmed_at: latest time at which this version was in force, according to the store
         or a peer.
     :ivar store_answered_at: latest time at which the store answered this entry or a peer.
+    :ivar own_answered_at: latest time at which the store answered this entry.
     """
 
     catalog: catalog.Catalog | None = None
     raw: bytes = b""
     confirmed_at: float = float("-inf")
     store_answered_at: float = float("-inf")
+    own_answered_at: float = float("-inf")
 
     @property
     def version(self) -> int:
@@ -66,6 +68,12 @@
     state.confirmed_at = max(state.confirmed_at, as_of)
 
 
+def record_store_answer(state: ConfigState, now: float) -> None:
+    """Record that the store answered this entry."""
+    state.store_answered_at = now
+    state.own_answered_at = now
+
+
 def may_use_keys(state: ConfigState, revoke_seconds: float, now: float) -> bool:
     """Whether the configuration was confirmed recently enough to accept its keys.
 
--- a/src/galenavane/gateway/config_task.py
+++ b/src/galenavane/gateway/config_task.py
@@ -10,10 +10,8 @@
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
-WATCH_SECONDS = 1.0
+WATCH_SECONDS = 0.5
 """Longest wait of one watch; a watch without changes confirms that the configuration is current."""
-RETRY_SECONDS = 0.15
-"""Mean delay after a failed call; short, so that a store that is back is noticed at once."""
 
 
 async def run(gw: states.Gateway) -> None:
@@ -47,11 +45,11 @@
             is_store_available = False
         # Once the store is back, a read returns at once, but a watch only when its wait ends.
         revision = 0
-        await trio.sleep(RETRY_SECONDS * (0.5 + gw.rng.random()))
+        await trio.sleep(peer_updates.choose_retry_seconds(gw) * (0.5 + gw.rng.random()))
 
 
 def _apply_changes(gw: states.Gateway, changes: object_store.ObjectChanges, sent_at: float) -> int:
-    gw.config_state.store_answered_at = boot_clock.now()
+    config_state.record_store_answer(gw.config_state, boot_clock.now())
     for obj in changes.objects:
         if obj.name == "main" and apply_config(gw, obj.value, sent_at, "store"):
             peer_updates.send_config(gw)
--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -31,6 +31,7 @@
     :ivar loads: requests of the sender.
     :ivar local_loads: requests of the sender's data centre, sent by relays to other data centres.
     :ivar all_loads: requests of all entries, sent by relays to subscribers in their data centre.
+    :ivar own_store_age: seconds since the store last answered the sender itself.
     """
 
     sender: str
@@ -51,6 +52,7 @@
     loads: list[HeadLoad]
     local_loads: list[HeadLoad]
     all_loads: list[HeadLoad]
+    own_store_age: float = float("inf")
 
 
 class SyncRequest(msgspec.Struct, frozen=True, tag="ask", array_like=True):
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -10,8 +10,11 @@
 MAX_STORE_AGE_SECONDS = 1.7
 """A relay's watch of the configuration ends each second; a relay whose last answer from the store
 is older is no help."""
-RELAY_CHECK_SECONDS = 0.3
+RELAY_CHECK_SECONDS = 0.15
 """Interval at which an entry checks that a relay still watches the store on its behalf."""
+RETRY_SECONDS = 0.15
+"""Mean delay of a relay after a failed call; short, so that a store that is back is noticed at
+once."""
 
 
 def choose_upstream_relays(gw: states.Gateway, now: float) -> set[str]:
@@ -31,7 +34,7 @@
     """Whether this entry watches the store itself, because no relay does so on its behalf."""
     for name in gw.choose_own_relays(now):
         if name == gw.name:
-            return True
+            return not peers.has_leading_relay(gw.peers, gw.data_centre, now)
         peer = gw.peers[name]
         is_fresh = peer.heartbeat is not None and peer.heartbeat.store_age <= MAX_STORE_AGE_SECONDS
         if peers.is_alive(peer, now) and is_fresh:
@@ -39,6 +42,38 @@
     return True
 
 
+def choose_retry_seconds(gw: states.Gateway) -> float:
+    """Return the mean delay after a failed call of the store.
+
+    While the store is down, the relays look for its return. The other entries of a data centre
+    call it together as often as one relay, in case that only the relays can't reach it.
+    """
+    now = boot_clock.now()
+    relay_names = gw.choose_own_relays(now)
+    if gw.name in relay_names or not any(
+        peers.is_alive(gw.peers[name], now) for name in relay_names
+    ):
+        return RETRY_SECONDS
+    near = sum(peer.data_centre == gw.data_centre for peer in gw.peers.values())
+    return RETRY_SECONDS * max(1, near)
+
+
+def forward_delta(gw: states.Gateway, delta: peer_message.TargetDelta) -> None:
+    """Pass changes that came from another data centre on to the subscribers in this one."""
+    now = boot_clock.now()
+    sender = gw.peers.get(delta.sender)
+    is_from_elsewhere = sender is not None and sender.data_centre != gw.data_centre
+    if not is_from_elsewhere or gw.choose_own_relays(now)[:1] != [gw.name]:
+        return
+    near = [
+        peer for peer in peers.find_subscribers(gw.peers, now) if peer.data_centre == gw.data_centre
+    ]
+    forwarded = peer_message.TargetDelta(
+        gw.name, delta.from_revision, delta.to_revision, delta.changed, delta.gone
+    )
+    _send(gw, forwarded, near)
+
+
 def send_config(gw: states.Gateway) -> None:
     """Send the configuration to this entry's subscribers."""
     update = peer_message.ConfigUpdate(gw.name, gw.config_state.raw)
--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -23,8 +23,13 @@
 """Shortest interval between heartbeats that carry no loads; several fit in the timeout."""
 RETRY_SECONDS = 5.0
 """Delay after which an entry that did not answer is tried again."""
-FORGET_SECONDS = 30.0
+SILENT_SECONDS = 30.0
+"""An entry that its data centre's first relay has not heard from for this long is gone: all
+entries of the data centre send heartbeats to that relay."""
+FORGET_SECONDS = 60.0
 """An entry that was neither listed nor heard from for this long is dropped."""
+LEAD_STORE_AGE_SECONDS = 1.0
+"""A relay that watches hears from the store twice a second, unless the store is slow."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +37,7 @@
     """Another entry; times are ``boot_clock`` times in seconds.
 
     :ivar bandwidth: of its own link, in Mbit/s.
-    :ivar last_known_at: when its address was first listed, or last received in a heartbeat.
+    :ivar last_known_at: when its address was last listed or received in a heartbeat.
     :ivar last_message_at: when its last heartbeat arrived.
     :ivar unanswered_since: when the first message since its last heartbeat was sent to it, ``None``
         for none.
@@ -204,6 +209,44 @@
     return total
 
 
+def has_leading_relay(peers: abc.Mapping[str, Peer], data_centre: str, now: float) -> bool:
+    """Whether the first relay of an earlier data centre watches the store for all.
+
+    One entry of the whole deployment watches the store: the first relay of the data centre whose
+    name comes first. The first relays of the others take its place, in the order of their names,
+    as soon as the store no longer answers it.
+
+    :param data_centre: data centre of this entry.
+    """
+    earlier = {peer.data_centre for peer in peers.values() if peer.data_centre < data_centre}
+    for other_data_centre in earlier:
+        for name in choose_relays(peers, other_data_centre, now)[:1]:
+            heartbeat = peers[name].heartbeat
+            if (
+                heartbeat is not None
+                and is_alive(peers[name], now)
+                and heartbeat.own_store_age <= LEAD_STORE_AGE_SECONDS
+            ):
+                return True
+    return False
+
+
+def find_silent(
+    peers: abc.Mapping[str, Peer], data_centre: str, first_relay_since: float, now: float
+) -> list[str]:
+    """Return the entries of this data centre that its first relay has not heard from for long.
+
+    :param first_relay_since: since when this entry has been the first relay.
+    """
+    if now - first_relay_since < SILENT_SECONDS:
+        return []
+    return [
+        name
+        for name, peer in peers.items()
+        if peer.data_centre == data_centre and now - peer.last_message_at > SILENT_SECONDS
+    ]
+
+
 def drop_expired(peers: dict[str, Peer], now: float) -> list[str]:
     """Drop entries that were neither listed nor heard from for long, and return their names."""
     expired = [name for name, peer in peers.items() if now - peer.last_known_at > FORGET_SECONDS]
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -25,7 +25,12 @@
 HEARTBEAT_PEER_SECONDS = 0.002
 """Added to the interval for each receiver; a message costs about 0.1 ms of processor time."""
 LIST_INTERVAL_SECONDS = 3.0
+LIST_ENTRY_SECONDS = 0.1
+"""Added to the interval for each known entry, so that all entries together make ten calls a second
+at most."""
 FIRST_LIST_INTERVAL_SECONDS = 0.5
+STALE_LISTING_SECONDS = 10.0
+"""A listing may be seconds old, so it may lack an entry that registered within this time."""
 MAX_AGE_SECONDS = 1e6
 
 
@@ -45,16 +50,21 @@
 async def run_listing(gw: states.Gateway) -> None:
     """List this entry in the store, and read the addresses of the others."""
     is_listed = False
+    registered_at = float("-inf")
     while True:
         if not is_listed:
             is_listed = await _register_own(gw)
+            registered_at = boot_clock.now()
         listing = await gw.store.list_objects(ENTRIES_KIND)
         if listing.is_ok():
             for stored in listing.ok:
                 _add_peer(gw, stored.name, stored.value)
-        delay_seconds = (
-            LIST_INTERVAL_SECONDS if is_listed and gw.peers else FIRST_LIST_INTERVAL_SECONDS
-        )
+            is_in_listing = any(stored.name == gw.name for stored in listing.ok)
+            is_stale = boot_clock.now() - registered_at < STALE_LISTING_SECONDS
+            is_listed = is_listed and (is_in_listing or is_stale)
+        delay_seconds = FIRST_LIST_INTERVAL_SECONDS
+        if is_listed and gw.peers:
+            delay_seconds = LIST_INTERVAL_SECONDS + LIST_ENTRY_SECONDS * len(gw.peers)
         await trio.sleep(delay_seconds * (0.8 + 0.4 * gw.rng.random()))
 
 
@@ -81,6 +91,8 @@
         gw.peers[name] = peers.make_peer(
             name, entry.address, entry.data_centre, entry.bandwidth, now
         )
+    else:
+        peer.last_known_at = now
 
 
 async def run_heartbeats(gw: states.Gateway) -> None:
@@ -150,6 +162,7 @@
         loads=_make_head_loads(count_own_loads(gw)),
         local_loads=[] if is_near else _make_head_loads(local_loads),
         all_loads=_make_head_loads(all_loads) if is_near else [],
+        own_store_age=min(now - known_config.own_answered_at, MAX_AGE_SECONDS),
     )
 
 
@@ -250,6 +263,7 @@
             events.log("target.gone", target=target_id, source=delta.sender)
     gw.registry.revision = delta.to_revision
     gw.wake_control()
+    peer_updates.forward_delta(gw, delta)
 
 
 def _handle_stall(gw: states.Gateway, report: peer_message.StallReport) -> None:
@@ -275,11 +289,18 @@
 
 
 async def run_peer_expiry(gw: states.Gateway) -> None:
-    """Drop entries that have been gone for long."""
+    """Drop entries that have been gone for long, and delete them from the store."""
+    first_relay_since: float | None = None
     while True:
         await trio.sleep(peers.PEER_TIMEOUT_SECONDS)
         now = boot_clock.now()
+        is_first_relay = gw.choose_own_relays(now)[:1] == [gw.name]
+        first_relay_since = (first_relay_since or now) if is_first_relay else None
+        if first_relay_since is not None:
+            silent = peers.find_silent(gw.peers, gw.data_centre, first_relay_since, now)
+            for name in silent:
+                events.log("peer.removed", peer=name)
+                gw.peers.pop(name)
+                await gw.store.delete(ENTRIES_KIND, name)
         for name in peers.drop_expired(gw.peers, now):
             events.log("peer.forgotten", peer=name)
-            if gw.controller_state is not None:
-                await gw.store.delete(ENTRIES_KIND, name)
--- a/src/galenavane/gateway/targets_task.py
+++ b/src/galenavane/gateway/targets_task.py
@@ -16,7 +16,6 @@
 """Bounds how long a dead connection stays unnoticed."""
 BATCH_DELAY_SECONDS = 0.015
 """Several members change at about the same time; after this delay, one watch returns them all."""
-RETRY_SECONDS = 0.15
 EXPIRY_INTERVAL_SECONDS = 0.2
 
 
@@ -42,7 +41,7 @@
         if result.error.code in (codes.Code.HISTORY_GONE, codes.Code.OBJECT_DAMAGED):
             events.log("targets.relist", code=result.error.code.name)
             revision = 0
-        await trio.sleep(RETRY_SECONDS * (0.5 + gw.rng.random()))
+        await trio.sleep(peer_updates.choose_retry_seconds(gw) * (0.5 + gw.rng.random()))
 
 
 async def _list_targets(
--- a/tests/gateway/peers.feature
+++ b/tests/gateway/peers.feature
@@ -21,3 +21,30 @@
 
   Scenario: Malformed messages are rejected
     Then malformed bytes are not decoded as a message
+
+  Scenario: Only loads travel at the full rate
+    Given 26 entries of data centre "a", two of them with wide links
+    Then an entry that sent its last heartbeats 0.15 s ago owes one to the first relay only
+    And the second relay owes its subscribers none, and the first one owes them one
+    And after 0.3 s each owes one to everybody
+    And entries of another data centre are owed one at any time
+
+  Scenario Outline: One relay of all data centres watches the store
+    Given data centres "a" to "e" whose first relays have store ages <ages>
+    Then the relays of <watching> watch the store
+
+    Examples:
+      | ages                | watching  |
+      | 0.2 0.2 0.2 0.2 0.2 | a         |
+      | 0.2 9 9 9 9         | a         |
+      | 9 0.2 9 9 9         | a b       |
+      | 9 9 9 0.2 9         | a b c d   |
+      | 9 9 9 9 9           | a b c d e |
+      | - 0.2 9 9 9         | b         |
+
+  Scenario: An entry is removed when its relay has not heard from it for long
+    Given a first relay that has heard from one entry of its data centre and not from another
+    Then 29 s later it removes none
+    And 31 s later it removes the silent one
+    And an entry that became the first relay 5 s ago removes none
+    And an entry of another data centre is not removed
--- a/tests/route/head_watch.feature
+++ b/tests/route/head_watch.feature
@@ -24,3 +24,18 @@
     When a request with a prompt is sent
     Then its members are not to be checked within 0.25 s
     And its members are to be checked within 0.5 s
+
+  Scenario Outline: A head stays healthy until its next evaluation is due
+    Given a head with <streams> streams that send an event every 50 ms
+    When a request with a prompt is sent
+    And its streams stop sending events
+    Then it is healthy until the next evaluation and not at it
+
+    Examples:
+      | streams |
+      | 0       |
+      | 3       |
+
+  Scenario: A head without requests is never due
+    Given a head with 0 streams that send an event every 50 ms
+    Then its next evaluation is never
--- a/tests/steps/gateway_peers.py
+++ b/tests/steps/gateway_peers.py
@@ -83,3 +83,96 @@
     assert peer_message.decode(encoded) == peer_message.SyncRequest("a", "b", 1, 2)
     for damaged in (b"", b"\xff\xff", encoded[:-1], b"\x91\xa3ask"):
         assert peer_message.decode(damaged) is None
+
+
+def is_due(context, sender, receiver, seconds, receiver_data_centre="a"):
+    """Whether an entry owes another one a heartbeat some seconds after the last one."""
+    peer = peers.make_peer(receiver, "", receiver_data_centre, 20.0, 0.0)
+    peer.heartbeat_sent_at = 1.0
+    relays = peers.choose_relays(context.peers, "a", 1.0)
+    return peers.is_heartbeat_due(peer, sender, "a", relays, 1.0 + seconds)
+
+
+@then("an entry that sent its last heartbeats 0.15 s ago owes one to the first relay only")
+def check_due_to_relays(context):
+    first, second = peers.choose_relays(context.peers, "a", 1.0)
+    assert is_due(context, "entry-3", first, 0.15)
+    assert not is_due(context, "entry-3", second, 0.15)
+
+
+@then("the second relay owes its subscribers none, and the first one owes them one")
+def check_due_to_subscribers(context):
+    first, second = peers.choose_relays(context.peers, "a", 1.0)
+    assert is_due(context, first, "entry-3", 0.15)
+    assert not is_due(context, second, "entry-3", 0.15)
+
+
+@then("after 0.3 s each owes one to everybody")
+def check_due_later(context):
+    first, second = peers.choose_relays(context.peers, "a", 1.0)
+    for sender, receiver in (("entry-3", second), (second, "entry-3"), (second, first)):
+        assert is_due(context, sender, receiver, 0.301)
+
+
+@then("entries of another data centre are owed one at any time")
+def check_due_elsewhere(context):
+    assert is_due(context, "entry-3", "elsewhere", 0.0, "b")
+
+
+@given('data centres "a" to "e" whose first relays have store ages {ages}')
+def make_first_relays(context, ages):
+    context.peers = {}
+    for data_centre, age in zip("abcde", ages.split(), strict=True):
+        if age == "-":
+            continue
+        heartbeat = gateway_config_state.make_heartbeat(
+            sender=f"relay-{data_centre}", data_centre=data_centre, own_store_age=float(age)
+        )
+        peers.handle_heartbeat(context.peers, heartbeat, config_state.ConfigState(), 10.0)
+
+
+@then("the relays of {watching} watch the store")
+def check_watching(context, watching):
+    alive = [peer.data_centre for peer in context.peers.values()]
+    seen = []
+    for data_centre in alive:
+        others = {
+            name: peer for name, peer in context.peers.items() if peer.data_centre != data_centre
+        }
+        if not peers.has_leading_relay(others, data_centre, 10.1):
+            seen.append(data_centre)
+    assert seen == watching.split(), seen
+
+
+@given("a first relay that has heard from one entry of its data centre and not from another")
+def make_relay_with_peers(context):
+    context.peers = {
+        name: peers.make_peer(name, "", data_centre, 20.0, 0.0)
+        for name, data_centre in (("heard", "a"), ("silent", "a"), ("elsewhere", "b"))
+    }
+
+
+def find_silent(context, first_relay_since, now):
+    """Return the entries that the relay of data centre "a" removes."""
+    context.peers["heard"].last_message_at = now - 0.2
+    return peers.find_silent(context.peers, "a", first_relay_since, now)
+
+
+@then("29 s later it removes none")
+def check_none_removed(context):
+    assert find_silent(context, 0.0, 29.0) == []
+
+
+@then("31 s later it removes the silent one")
+def check_silent_removed(context):
+    assert find_silent(context, 0.0, 31.0) == ["silent"]
+
+
+@then("an entry that became the first relay 5 s ago removes none")
+def check_new_relay(context):
+    assert find_silent(context, 26.0, 31.0) == []
+
+
+@then("an entry of another data centre is not removed")
+def check_elsewhere(context):
+    assert "elsewhere" not in find_silent(context, 0.0, 300.0)
--- a/tests/steps/route_head_watch.py
+++ b/tests/steps/route_head_watch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from behave import given, then, when
 
 from galenavane.route import head_watch
@@ -74,3 +76,20 @@
 def check_stalled(context, seconds):
     silence = find_verdict(context, Verdict.STALLED, seconds + 0.1)
     assert silence is not None and abs(silence - seconds) < 0.02, silence
+
+
+@then("it is healthy until the next evaluation and not at it")
+def check_next_evaluation(context):
+    due_at = head_watch.next_evaluation_at(context.head, context.silent_at)
+    assert due_at > context.silent_at
+    at = context.silent_at
+    while at < due_at:
+        assert head_watch.evaluate(context.head, at) is Verdict.HEALTHY, at
+        assert abs(head_watch.next_evaluation_at(context.head, at) - due_at) < 1e-9
+        at += STEP_SECONDS
+    assert head_watch.evaluate(context.head, due_at + 1e-9) is Verdict.CHECK
+
+
+@then("its next evaluation is never")
+def check_never_due(context):
+    assert head_watch.next_evaluation_at(context.head, context.now) == math.inf
