Keep a controller state for each service

Change: one state a service under one lease; loads and polls count the service's own targets. Result: a scenario of two services, whose ending groups and loads stay apart.

--- a/src/galenavane/control/controller.py
+++ b/src/galenavane/control/controller.py
@@ -68,7 +68,7 @@
 ) -> list[group_command.Command]:
     """Return the commands to send now for one service."""
     _drop_expired(state, now)
-    _update_loading(state, registry)
+    _update_loading(state, registry, service)
     groups_by_key = group_index.find_groups(registry.index, service, constants)
     commands: list[group_command.Command] = []
     for key in sorted(groups_by_key):
@@ -95,13 +95,15 @@
 
 
 def _update_loading(
-    state: controller_state.ControllerState, registry: target_registry.Registry
+    state: controller_state.ControllerState, registry: target_registry.Registry, service: str
 ) -> None:
     """Update which targets load weights; loads of a former holder show up as joining targets."""
     joining = {
         listed.id
         for listed in registry.targets.values()
-        if listed.membership is not None and listed.membership.state is target.GroupState.JOINING
+        if listed.service == service
+        and listed.membership is not None
+        and listed.membership.state is target.GroupState.JOINING
     }
     waiting = {target_id for kind, target_id, _ in state.sent_at if kind in ("join", "standby")}
     if state.loading is None:
--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -66,6 +66,26 @@
     domain_sizes: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Control:
+    """What the lease holder is doing for all services; they share the lease and nothing else.
+
+    :ivar token: number of the lease.
+    :ivar services: state by service name.
+    """
+
+    token: int
+    services: dict[str, ControllerState] = dataclasses.field(default_factory=dict)
+
+
+def find_service(control: Control, service: str) -> ControllerState:
+    """Return the state of a service, which is empty the first time."""
+    state = control.services.get(service)
+    if state is None:
+        state = control.services[service] = ControllerState(control.token)
+    return state
+
+
 def try_claim_command(
     state: ControllerState, kind: str, recipient: target.Target, epoch: int, now: float
 ) -> bool:
--- a/src/galenavane/fleet/group_index.py
+++ b/src/galenavane/fleet/group_index.py
@@ -44,7 +44,7 @@
 
 def add(index: GroupIndex, member: target.Target) -> None:
     """Add a target to the group that it reports."""
-    key = _get_key(member)
+    key = find_key(member)
     if key is None:
         return
     service_groups = index.services.setdefault(member.service, ServiceGroups())
@@ -54,7 +54,7 @@
 
 def discard(index: GroupIndex, member: target.Target) -> None:
     """Remove a target from the group that it reported."""
-    key = _get_key(member)
+    key = find_key(member)
     service_groups = index.services.get(member.service)
     if key is None or service_groups is None:
         return
@@ -67,7 +67,7 @@
 
 def list_fellows(index: GroupIndex, member: target.Target) -> abc.Collection[target.Target]:
     """Return the members of a target's group."""
-    key = _get_key(member)
+    key = find_key(member)
     service_groups = index.services.get(member.service)
     if key is None or service_groups is None:
         return ()
@@ -114,6 +114,7 @@
         service_groups.serving.setdefault(group.model, {})[key] = group
 
 
-def _get_key(member: target.Target) -> replica_group.Key | None:
+def find_key(member: target.Target) -> replica_group.Key | None:
+    """Return the key of the group that a target reports, ``None`` without one."""
     membership = member.membership
     return replica_group.Key(membership.group, membership.epoch) if membership else None
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -8,7 +8,7 @@
 
 from galenavane.catalog import engine
 from galenavane.control import controller, controller_state, group_command
-from galenavane.fleet import replica_group, target, target_registry
+from galenavane.fleet import group_index, replica_group, target, target_registry
 from galenavane.gateway import boot_clock, lease_task, member_check
 from galenavane.gateway import state as states
 from galenavane.net import transport_error
@@ -38,31 +38,31 @@
         while True:
             wakeup = gw.control_wakeup
             _start_stall_checks(gw, nursery)
-            if gw.controller_state is not None and not gw.is_stopping:
-                _start_commands(gw, gw.controller_state, nursery)
+            if gw.control is not None and not gw.is_stopping:
+                _start_commands(gw, gw.control, nursery)
             with trio.move_on_after(TICK_SECONDS):
                 await wakeup.wait()
 
 
 def _start_commands(
-    gw: states.Gateway, state: controller_state.ControllerState, nursery: trio.Nursery
+    gw: states.Gateway, control: controller_state.Control, nursery: trio.Nursery
 ) -> None:
     catalog = gw.config_state.catalog
     if catalog is None:
         return
-    state.has_traffic = (
-        state.has_traffic or bool(gw.target_in_flight) or any(gw.sum_head_loads().values())
-    )
+    has_traffic = bool(gw.target_in_flight) or any(gw.sum_head_loads().values())
     now = trio.current_time()
     for service in catalog.engine_services():
         if service.engine is None:
             continue
+        state = controller_state.find_service(control, service.name)
+        state.has_traffic = state.has_traffic or has_traffic
         controller.record_load(
             state, _count_load(gw, service.name, service.engine), service.engine, now
         )
         commands = controller.decide(state, gw.registry, service.name, service.engine, now)
         for command in commands:
-            nursery.start_soon(_send_command, gw, state, command)
+            nursery.start_soon(_send_command, gw, control, state, command)
 
 
 def _count_load(gw: states.Gateway, service: str, constants: engine.Engine) -> dict[str, float]:
@@ -76,7 +76,10 @@
 
 
 async def _send_command(
-    gw: states.Gateway, state: controller_state.ControllerState, command: group_command.Command
+    gw: states.Gateway,
+    control: controller_state.Control,
+    state: controller_state.ControllerState,
+    command: group_command.Command,
 ) -> None:
     """Send one command, if the lease still allows it; its effect shows in the list of targets."""
     req = gw.codec.make_command_request(command)
@@ -87,7 +90,7 @@
             req,
             COMMAND_TIMEOUT_SECONDS,
             MAX_RESPONSE_BYTES,
-            is_allowed=lambda: lease_task.may_command(gw, state),
+            is_allowed=lambda: lease_task.may_command(gw, control),
         )
         result = str(response.status)
     except transport_error.TransportError as exc:
@@ -112,7 +115,7 @@
 def _start_stall_checks(gw: states.Gateway, nursery: trio.Nursery) -> None:
     """Start one check for each group that entries report as stalled."""
     stalls, gw.pending_stalls = gw.pending_stalls, []
-    if gw.controller_state is None:
+    if gw.control is None:
         return
     for service, key, missing in stalls:
         if key not in gw.stalls_in_check:
@@ -127,17 +130,17 @@
     stalled_group = _find_group(gw, service, key)
     if (
         stalled_group is None
-        or gw.controller_state is None
-        or key in gw.controller_state.dissolving
+        or gw.control is None
+        or key in controller_state.find_service(gw.control, service).dissolving
     ):
         gw.stalls_in_check.discard(key)
         return
     # The entry that reported the stall has already tried twice.
     unreachable = await member_check.find_unreachable(gw, stalled_group.members, attempts=1)
     gw.stalls_in_check.discard(key)
-    state = gw.controller_state
-    if state is None:
+    if gw.control is None:
         return
+    state = controller_state.find_service(gw.control, service)
     # A member that this entry can reach is alive, whatever another entry reaches. A group without
     # an unreachable member is dissolved only if its head was reported silent for long, which is a
     # report without missing members.
@@ -177,8 +180,9 @@
             for model in service.engine.models:
                 serving = sum(group.model == model.name and group.is_serving for group in groups)
                 gw.metrics.groups.set({"model": model.name}, serving)
-                if gw.controller_state is not None:
-                    _log_summary(gw, gw.controller_state, model.name, serving)
+                if gw.control is not None:
+                    state = controller_state.find_service(gw.control, service.name)
+                    _log_summary(gw, state, model.name, serving)
 
 
 def _log_summary(
@@ -208,11 +212,10 @@
     while True:
         await trio.sleep(UNLISTED_CHECK_INTERVAL_SECONDS)
         unlisted = [unlisted_member.target for unlisted_member in gw.registry.unlisted.values()]
-        if gw.controller_state is None or not unlisted:
+        if gw.control is None or not unlisted:
             continue
         unreachable = await member_check.find_unreachable(gw, unlisted)
-        state = gw.controller_state
-        if state is None:
+        if gw.control is None:
             continue
         for member in unlisted:
             membership = member.membership
@@ -222,6 +225,7 @@
                     "member.lost", target=member.id, group=membership.group, epoch=membership.epoch
                 )
                 target_registry.drop_unlisted(gw.registry, member.id)
+                state = controller_state.find_service(gw.control, member.service)
                 controller.report_stalled_group(state, key, [member.id], trio.current_time())
                 gw.wake_control()
 
@@ -230,13 +234,13 @@
     """Poll targets whose groups are forming, dissolving or closing, while the store is silent."""
     while True:
         await trio.sleep(REPORT_INTERVAL_SECONDS)
-        state = gw.controller_state
+        control = gw.control
         if (
-            state is None
+            control is None
             or boot_clock.now() - gw.config_state.store_answered_at < STORE_TIMEOUT_SECONDS
         ):
             continue
-        polled_targets = _find_commanded_targets(gw, state)
+        polled_targets = _find_commanded_targets(gw, control)
         async with trio.open_nursery() as nursery:
             for polled_target in polled_targets:
                 nursery.start_soon(functools.partial(_poll_report, gw, polled_target))
@@ -245,14 +249,15 @@
 
 
 def _find_commanded_targets(
-    gw: states.Gateway, state: controller_state.ControllerState
+    gw: states.Gateway, control: controller_state.Control
 ) -> list[target.Target]:
-    target_ids = {member for forming in state.forming.values() for member in forming.member_ids}
-    keys = set(state.dissolving) | set(state.closing)
-    for listed_target in gw.registry.targets.values():
-        membership = listed_target.membership
-        if membership is not None and replica_group.Key(membership.group, membership.epoch) in keys:
-            target_ids.add(listed_target.id)
+    target_ids: set[str] = set()
+    for service, state in control.services.items():
+        target_ids |= controller_state.find_forming_ids(state)
+        keys = set(state.dissolving) | set(state.closing)
+        for listed_target in gw.registry.targets.values():
+            if listed_target.service == service and group_index.find_key(listed_target) in keys:
+                target_ids.add(listed_target.id)
     return [
         gw.registry.targets[target_id]
         for target_id in sorted(target_ids)
--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -32,7 +32,7 @@
         elif isinstance(action, lease.Write):
             await _write(gw, action)
         _start_or_stop_control(gw)
-        is_follower = gw.controller_state is None and _is_holder_alive(gw, boot_clock.now())
+        is_follower = gw.control is None and _is_holder_alive(gw, boot_clock.now())
         tick_seconds = FOLLOWER_TICK_SECONDS if is_follower else TICK_SECONDS
         await trio.sleep(tick_seconds * (0.7 + 0.6 * gw.rng.random()))
     await _release(gw)
@@ -124,29 +124,29 @@
     token = gw.lease.record.token
     if is_held:
         lease.record_holder_report(gw.holder_report, token, now)
-    if is_held and (gw.controller_state is None or gw.controller_state.token != token):
-        gw.controller_state = controller_state.ControllerState(token)
+    if is_held and (gw.control is None or gw.control.token != token):
+        gw.control = controller_state.Control(token)
         events.log("lease.gained", token=token)
         gw.wake_control()
-    elif not is_held and gw.controller_state is not None:
-        events.log("lease.ended", token=gw.controller_state.token, text="not renewed in time")
-        gw.controller_state = None
+    elif not is_held and gw.control is not None:
+        events.log("lease.ended", token=gw.control.token, text="not renewed in time")
+        gw.control = None
 
 
-def may_command(gw: states.Gateway, state: controller_state.ControllerState) -> bool:
+def may_command(gw: states.Gateway, control: controller_state.Control) -> bool:
     """Whether a command that a controller decided may be sent now.
 
     Asked immediately before each send, since the process may have been paused after the decision.
     """
     now = boot_clock.now()
-    if gw.controller_state is not state or gw.lease.record.token != state.token:
+    if gw.control is not control or gw.lease.record.token != control.token:
         return False
     return lease.is_held(gw.lease, now) or _may_outlast_lease(gw, now)
 
 
 def _may_outlast_lease(gw: states.Gateway, now: float) -> bool:
     """Whether a holder that can't renew may keep control since no live peer can reach the store."""
-    if gw.controller_state is None or gw.holder_report.token > gw.controller_state.token:
+    if gw.control is None or gw.holder_report.token > gw.control.token:
         return False
     live_store_ages = [
         peer.heartbeat.store_age
@@ -158,7 +158,7 @@
 
 
 async def _release(gw: states.Gateway) -> None:
-    gw.controller_state = None
+    gw.control = None
     action = lease.make_release(gw.lease)
     if action is not None:
         await gw.store.replace(LEASE_KIND, LEASE_NAME, action.record, action.revision)
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -156,7 +156,7 @@
     metrics.store_calls.set({}, gw.store.calls)
     metrics.peers.set({}, gw.count_entries() - 1)
     metrics.targets.set({}, len(gw.registry.targets))
-    metrics.lease_token.set({}, gw.controller_state.token if gw.controller_state is not None else 0)
+    metrics.lease_token.set({}, gw.control.token if gw.control is not None else 0)
     response = message.Response(200, body=gateway_metrics.render(metrics))
     response.headers.add("content-type", "text/plain; version=0.0.4")
     return response
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -50,7 +50,7 @@
 class Gateway:
     """The state of one entry process.
 
-    :ivar controller_state: state of the controller, ``None`` while this entry may not command.
+    :ivar control: state of the controller, ``None`` while this entry may not command.
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
     :ivar reported_loads: requests of this entry by head, as last sent to relays.
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
@@ -71,8 +71,8 @@
         "cfg",
         "codec",
         "config_state",
+        "control",
         "control_wakeup",
-        "controller_state",
         "data_centre",
         "heads",
         "holder_report",
@@ -124,7 +124,7 @@
         self.peers: dict[str, peers.Peer] = {}
         self.lease = lease.LeaseState(f"{self.name}/{incarnation}")
         self.holder_report = lease.HolderReport()
-        self.controller_state: controller_state.ControllerState | None = None
+        self.control: controller_state.Control | None = None
         self.behind_since = float("-inf")
         self.reported_loads: dict[str, int] = {}
         self.known_stalls: dict[replica_group.Key, float] = {}
--- a/tests/control/controller.feature
+++ b/tests/control/controller.feature
@@ -86,3 +86,9 @@
       | 55   |
       | 56   |
       | 92   |
+
+  Scenario: Two services under one holder keep what is being done apart
+    Given a holder of two services with one group of "large" each
+    When a group of each service stalls and both services are decided in turn
+    Then each service's group is still being dissolved
+    And the load of each service is smoothed over its own time
--- a/tests/steps/control_controller.py
+++ b/tests/steps/control_controller.py
@@ -440,3 +440,47 @@
     for model in ("large", "small"):
         domains = {group.domain for group in context.fleet.list_serving(model)}
         assert domains == {"d0", "d1"}, (model, domains)
+
+
+@given('a holder of two services with one group of "large" each')
+def make_two_services(context):
+    context.registry = target_registry.Registry()
+    context.control = controller_state.Control(3)
+    context.services = {"llm": 7, "second": 8}
+    for service, epoch in context.services.items():
+        for rank in range(fleet_target_registry.LARGE.size):
+            state = target.GroupState.OPEN if rank == 0 else target.GroupState.READY
+            membership = target.Membership("g", epoch, rank, state)
+            member = fleet_target_registry.make_target(
+                f"{service}-{rank}", membership=membership, model="large"
+            )
+            target_registry.put(context.registry, msgspec.structs.replace(member, service=service))
+
+
+@when("a group of each service stalls and both services are decided in turn")
+def stall_both(context):
+    constants = fleet_target_registry.make_engine()
+    for service, epoch in context.services.items():
+        state = controller_state.find_service(context.control, service)
+        controller.report_stalled_group(state, replica_group.Key("g", epoch), [], 100.0)
+    for now in (100.0, 100.2):
+        for service in context.services:
+            state = controller_state.find_service(context.control, service)
+            controller.record_load(state, {"large": 13.0}, constants, now)
+            controller.decide(state, context.registry, service, constants, now)
+
+
+@then("each service's group is still being dissolved")
+def check_both_dissolving(context):
+    for service, epoch in context.services.items():
+        state = controller_state.find_service(context.control, service)
+        assert list(state.dissolving) == [replica_group.Key("g", epoch)], state.dissolving
+
+
+@then("the load of each service is smoothed over its own time")
+def check_both_loads(context):
+    first, second = (
+        controller_state.find_service(context.control, service).demand.busy_targets["large"]
+        for service in context.services
+    )
+    assert first == second > 0, (first, second)
