Forget the choice of relays when a peer is dropped

Cause: the choice is kept for 50 ms, so a peer dropped meanwhile was looked up in vain, which would end the heartbeat task until it is restarted. Change: dropping a peer goes through the gateway's state, which drops the choice. Result: a scenario that fails without it; found by reading.

--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -247,9 +247,6 @@
     ]
 
 
-def drop_expired(peers: dict[str, Peer], now: float) -> list[str]:
-    """Drop entries that were neither listed nor heard from for long, and return their names."""
-    expired = [name for name, peer in peers.items() if now - peer.last_known_at > FORGET_SECONDS]
-    for name in expired:
-        del peers[name]
-    return expired
+def find_expired(peers: abc.Mapping[str, Peer], now: float) -> list[str]:
+    """Return the entries that were neither listed nor heard from for long."""
+    return [name for name, peer in peers.items() if now - peer.last_known_at > FORGET_SECONDS]
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -300,7 +300,8 @@
             silent = peers.find_silent(gw.peers, gw.data_centre, first_relay_since, now)
             for name in silent:
                 events.log("peer.removed", peer=name)
-                gw.peers.pop(name)
+                gw.drop_peer(name)
                 await gw.store.delete(ENTRIES_KIND, name)
-        for name in peers.drop_expired(gw.peers, now):
+        for name in peers.find_expired(gw.peers, now):
             events.log("peer.forgotten", peer=name)
+            gw.drop_peer(name)
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -185,6 +185,11 @@
             )
         return self._own_relays
 
+    def drop_peer(self, name: str) -> None:
+        """Forget another entry, which may have been chosen as a relay."""
+        self.peers.pop(name, None)
+        self._own_relays_until = float("-inf")
+
     def sum_head_loads(self) -> dict[str, int]:
         """Return the requests of all entries by head, with this entry's own as they are now."""
         now = boot_clock.now()
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -76,3 +76,9 @@
     When a plain target is leaving
     Then 20 orders all go to the other plain target
     And all these steps succeed
+
+  Scenario: A relay that is dropped is not chosen any more
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the entry chooses a relay with a wide link and drops it
+    Then it does not choose that relay again
+    And all these steps succeed
--- a/tests/steps/gateway_whole_path.py
+++ b/tests/steps/gateway_whole_path.py
@@ -9,6 +9,7 @@
 from prometheus_client import parser
 from steps import platform_world
 
+from galenavane.gateway import boot_clock, peers
 from galenavane.net import connection_pool, message, tcp
 
 SCENARIO_SECONDS = 30
@@ -259,3 +260,21 @@
         ]
         assert sum(buckets) == 1, samples["galenavane_first_event_seconds_bucket"]
         assert sum(value for _, value in samples["galenavane_groups_serving"]) == groups, samples
+
+
+@when("the entry chooses a relay with a wide link and drops it")
+def drop_relay(context):
+    @plan_step(context)
+    async def step(world):
+        now = boot_clock.now()
+        peer = peers.make_peer("wide", "127.0.0.1:1", "dc", 1e6, now)
+        world.entry.peers["wide"] = peer
+        assert world.entry.choose_own_relays(now + 1.0)[0] == "wide"
+        world.entry.drop_peer("wide")
+
+
+@then("it does not choose that relay again")
+def check_not_chosen(context):
+    @plan_step(context)
+    async def step(world):
+        assert world.entry.choose_own_relays(boot_clock.now() + 1.0) == ["e1"]
