Wake idle tasks of an entry half as often

Change: control ticks once a second at entries that command nothing, relays are checked 3 times a second, logs flushed 5 times, lapsed targets looked for twice while there are none, the lease twice at entries that are no relays. A relay counts as stale after 1.5 s, since its watch ends twice a second.

--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -15,6 +15,8 @@
 from galenavane.observe import events
 
 TICK_SECONDS = 0.2
+IDLE_TICK_SECONDS = 1.0
+"""Interval at an entry that does not hold the lease; it is woken when it gains it."""
 COMMAND_TIMEOUT_SECONDS = 0.5
 """Targets answer in milliseconds; a target that does not is sent the command again or left out."""
 MAX_RESPONSE_BYTES = 65_536
@@ -40,7 +42,7 @@
             _start_stall_checks(gw, nursery)
             if gw.control is not None and not gw.is_stopping:
                 _start_commands(gw, gw.control, nursery)
-            with trio.move_on_after(TICK_SECONDS):
+            with trio.move_on_after(TICK_SECONDS if gw.control is not None else IDLE_TICK_SECONDS):
                 await wakeup.wait()
 
 
--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -14,8 +14,10 @@
 LEASE_KIND = "galenavane-leases"
 LEASE_NAME = "control"
 TICK_SECONDS = 0.1
-FOLLOWER_TICK_SECONDS = 0.25
-"""Interval while another entry reports that it holds the lease."""
+CANDIDATE_TICK_SECONDS = 0.25
+"""Interval of a relay while another entry reports that it holds the lease."""
+FOLLOWER_TICK_SECONDS = 0.5
+"""The same of an entry that is no relay, which leaves the claim to the relays first."""
 
 
 async def run(gw: states.Gateway) -> None:
@@ -35,8 +37,9 @@
         elif isinstance(action, lease.Write):
             await _write(gw, action)
         _start_or_stop_control(gw)
-        is_follower = gw.control is None and _is_holder_alive(gw, boot_clock.now())
-        tick_seconds = FOLLOWER_TICK_SECONDS if is_follower else TICK_SECONDS
+        tick_seconds = TICK_SECONDS
+        if gw.control is None and is_holder_alive:
+            tick_seconds = CANDIDATE_TICK_SECONDS if is_candidate else FOLLOWER_TICK_SECONDS
         await trio.sleep(tick_seconds * (0.7 + 0.6 * gw.rng.random()))
     await _release(gw)
 
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -7,10 +7,10 @@
 
 REMOTE_RELAYS = 1
 """Relays used in each other data centre; traffic between data centres is paid for."""
-MAX_STORE_AGE_SECONDS = 1.7
-"""A relay's watch of the configuration ends each second; a relay whose last answer from the store
-is older is no help."""
-RELAY_CHECK_SECONDS = 0.15
+MAX_STORE_AGE_SECONDS = 1.5
+"""A relay that hears from the store twice a second, or from another relay that does, is current to
+within a second; one whose last answer from the store is older is no help."""
+RELAY_CHECK_SECONDS = 0.3
 """Interval at which an entry checks that a relay still watches the store on its behalf."""
 RETRY_SECONDS = 0.15
 """Mean delay of a relay after a failed call; short, so that a store that is back is noticed at
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -24,7 +24,7 @@
 from galenavane.net import http_server, message
 from galenavane.observe import events, log_sink
 
-FLUSH_INTERVAL_SECONDS = 0.1
+FLUSH_INTERVAL_SECONDS = 0.2
 BALANCER_DELAY_SECONDS = 2.6
 """The load balancer checks readiness once a second and removes an entry after two failed checks."""
 STOP_MARGIN_SECONDS = 0.4
--- a/src/galenavane/gateway/targets_task.py
+++ b/src/galenavane/gateway/targets_task.py
@@ -16,7 +16,9 @@
 """Bounds how long a dead connection stays unnoticed."""
 BATCH_DELAY_SECONDS = 0.015
 """Several members change at about the same time; after this delay, one watch returns them all."""
-EXPIRY_INTERVAL_SECONDS = 0.2
+EXPIRY_INTERVAL_SECONDS = 0.1
+IDLE_EXPIRY_INTERVAL_SECONDS = 0.5
+"""Interval while no target's record has lapsed; a lapsed one counts for two seconds or more."""
 
 
 async def run(gw: states.Gateway) -> None:
@@ -111,7 +113,8 @@
 async def run_expiry(gw: states.Gateway) -> None:
     """Drop targets that were not listed again after an outage of the store."""
     while True:
-        await trio.sleep(EXPIRY_INTERVAL_SECONDS)
+        has_lapsed = gw.registry.presumed_alive_until or gw.registry.unlisted
+        await trio.sleep(EXPIRY_INTERVAL_SECONDS if has_lapsed else IDLE_EXPIRY_INTERVAL_SECONDS)
         gone_ids = target_registry.expire(gw.registry, trio.current_time())
         if gone_ids:
             _log_gone(gone_ids)
