--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -21,8 +21,8 @@
 """Targets answer in milliseconds; a target that does not is sent the command again or left out."""
 MAX_RESPONSE_BYTES = 65_536
 STORE_TIMEOUT_SECONDS = 1.7
-"""The watch of the configuration ends each second. When the store is silent for longer, the list
-of targets does not show the effect of commands, so the targets themselves are polled."""
+"""The watch of the configuration ends twice a second. When the store is silent for much longer, the
+list of targets does not show the effect of commands, so the targets themselves are polled."""
 SUMMARY_INTERVAL_SECONDS = 1.0
 """Only the lease holder logs the summary: two lines a second."""
 UNLISTED_CHECK_INTERVAL_SECONDS = 0.3
