--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -1,10 +1,10 @@
 """Tracks the other entries, and chooses which of them act as relays.
 
 In each data centre a few entries are relays: they add up loads, and send updates and loads to the
-other entries of their data centre and to the relays of other data centres. One of all relays watches
-the store. Thus neither calls of the store nor messages grow with the square of the number of entries.
-All entries choose the relays by the same order of names, and an entry that hears from none of them
-watches the store itself.
+other entries of their data centre and to the relays of other data centres. One relay watches the
+store for all. Thus neither calls of the store nor messages grow with the square of the number of
+entries. All entries choose the relays by the same order of names, and an entry that hears from none
+of them watches the store itself.
 """
 
 from __future__ import annotations
