Log what a command to a target was decided on

Cause: command.given had the list's revision at the answer, neither the list's age nor the membership that the decision was based on, nor how long the answer took. Change: it logs the revision and the age of the list at the decision, the target's group and its state in that list, and the seconds until the answer.

--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -84,6 +84,9 @@
     command: group_command.Command,
 ) -> None:
     """Send one command, if the lease still allows it; its effect shows in the list of targets."""
+    decided_at = trio.current_time()
+    decided_revision = gw.registry.revision
+    list_age = boot_clock.now() - gw.config_state.store_answered_at
     req = gw.codec.make_command_request(command)
     result = "unanswered"
     try:
@@ -98,6 +101,7 @@
     except transport_error.TransportError as exc:
         result = exc.kind.value
     key = None if isinstance(command, group_command.Stage) else command.key
+    seen = command.target.membership
     events.log(
         "command.given",
         command=type(command).__name__.lower(),
@@ -106,7 +110,11 @@
         epoch=key.epoch if key is not None else 0,
         model=getattr(command, "model", ""),
         token=state.token,
-        revision=gw.registry.revision,
+        revision=decided_revision,
+        list_age=round(list_age, 3),
+        seen_group=seen.group if seen is not None else "",
+        seen_state=seen.state.value if seen is not None else "",
+        seconds=round(trio.current_time() - decided_at, 3),
         result=result,
     )
     gw.metrics.commands.inc({"command": type(command).__name__.lower(), "result": result})
