Make joins conditional on the target's state while others may be outstanding

Cause: a join without an answer may be carried out seconds later; the holder forgot it after 0.5 s. A successor's join of a free target was outstanding while an older join of its predecessor made the target a member of a group, which the successor opened; then its own join was carried out. Class: a write without a condition on the state that it was decided on. Second way: a formation went on sending its join to a member that was listed in another group by then. Change: a join names the number of commands that the target had accepted in the state that it was decided on (the target refuses it after any other command), unless the target has accepted an epoch of this holder and no join to it is outstanding. A formation with a member that is listed elsewhere is given up.

--- a/src/galenavane/control/controller.py
+++ b/src/galenavane/control/controller.py
@@ -68,6 +68,7 @@
 ) -> list[group_command.Command]:
     """Return the commands to send now for one service."""
     _drop_expired(state, now)
+    controller_state.prune_join_histories(state, registry)
     _update_loading(state, registry, service)
     groups_by_key = group_index.find_groups(registry.index, service, constants)
     commands: list[group_command.Command] = []
--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -6,12 +6,21 @@
 from collections import abc
 
 from galenavane.catalog import engine
-from galenavane.control import demand, formation, load_budget, staging
+from galenavane.control import (
+    demand,
+    formation,
+    group_command,
+    join_history,
+    load_budget,
+    staging,
+)
 from galenavane.fleet import replica_group, target, target_registry
 
 STANDBY_PREFIX = "standby-"
 EPOCH_BITS = 20
 """Low bits of an epoch, which number the formations of one lease holder."""
+MIN_KEPT_HISTORIES = 64
+"""Histories of joins are pruned once there are this many more than listed targets."""
 REPEAT_SECONDS = 0.5
 """Wait for a command's effect in the list before it is sent again: a few round trips."""
 
@@ -42,6 +51,7 @@
     :ivar unreachable_until: targets that did not answer, and until when they are not used.
     :ivar sent_at: recently sent commands by kind, target id and epoch.
     :ivar incomplete_since: when groups of a former holder were first seen incomplete.
+    :ivar joins: joins that were sent, by target id.
     :ivar load_budget: limits the rate of loads from the weight store.
     :ivar loading: targets that load weights; ``None`` until a new holder has seen the list.
     :ivar is_cold_start: whether no target was in a group when this holder first saw the list.
@@ -57,6 +67,7 @@
     unreachable_until: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_at: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
     incomplete_since: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
+    joins: dict[str, join_history.JoinHistory] = dataclasses.field(default_factory=dict)
     load_budget: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
     has_traffic: bool = False
     is_cold_start: bool = False
@@ -109,6 +120,54 @@
     return replica_group.Key(f"{kind}-{epoch:x}", epoch)
 
 
+def make_join(
+    state: ControllerState,
+    recipient: target.Target,
+    key: replica_group.Key,
+    model: engine.Model,
+    member_ids: tuple[str, ...],
+    needs_load: bool,
+) -> group_command.Join:
+    """Return a join, and record it as sent; ``record_join_end`` has to follow once it has ended."""
+    history = find_join_history(state, recipient)
+    is_conditional = not join_history.is_settled(history, state.token << EPOCH_BITS)
+    join_history.record_sent(history, key.epoch, is_conditional)
+    return group_command.Join(recipient, key, model.name, member_ids, needs_load, is_conditional)
+
+
+def find_join_history(state: ControllerState, listed: target.Target) -> join_history.JoinHistory:
+    """Return the history of a target's process, which is empty the first time."""
+    history = state.joins.get(listed.id)
+    if history is None or history.incarnation != listed.incarnation:
+        history = state.joins[listed.id] = join_history.JoinHistory(listed.incarnation)
+    return history
+
+
+def record_join_end(state: ControllerState, join: group_command.Join, is_accepted: bool) -> None:
+    """Record that a join was answered or not sent; one without an answer stays outstanding."""
+    history = find_join_history(state, join.target)
+    join_history.record_end(history, join.key.epoch, join.is_conditional)
+    if is_accepted:
+        join_history.record_accepted(history, join.key.epoch)
+
+
+def record_listed_join(state: ControllerState, listed: target.Target) -> None:
+    """Record the epoch that a target is listed with."""
+    if listed.membership is not None:
+        history = find_join_history(state, listed)
+        join_history.record_accepted(history, listed.membership.epoch)
+
+
+def prune_join_histories(state: ControllerState, registry: target_registry.Registry) -> None:
+    """Forget targets that are no longer listed; one that returns may have outstanding joins."""
+    if len(state.joins) > len(registry.targets) + MIN_KEPT_HISTORIES:
+        state.joins = {
+            target_id: history
+            for target_id, history in state.joins.items()
+            if target_id in registry.targets
+        }
+
+
 def is_standby(key: replica_group.Key) -> bool:
     """Whether a group is the one-member group of a standby, which never opens."""
     return key.name.startswith(STANDBY_PREFIX)
@@ -148,8 +207,11 @@
 
     :param forming_ids: targets that were told to join groups being formed.
     """
-    if listed.id in forming_ids:
-        return False
+    return listed.id not in forming_ids and is_unattached(listed)
+
+
+def is_unattached(listed: target.Target) -> bool:
+    """Whether a target is in no group that may serve: in none, or in a standby's own."""
     membership = listed.membership
     return membership is None or membership.group.startswith(STANDBY_PREFIX)
 
--- a/src/galenavane/control/domain_control.py
+++ b/src/galenavane/control/domain_control.py
@@ -225,7 +225,9 @@
         state.sent_at[("standby", candidate.target.id, 0)] = now
         standbys[model.name] = standbys.get(model.name, 0) + 1
         ids = (candidate.target.id,)
-        commands.append(group_command.Join(candidate.target, key, model.name, ids, needs_load))
+        commands.append(
+            controller_state.make_join(state, candidate.target, key, model, ids, needs_load)
+        )
     return commands
 
 
--- a/src/galenavane/control/formation_progress.py
+++ b/src/galenavane/control/formation_progress.py
@@ -48,6 +48,8 @@
     commands: list[group_command.Command] = []
     for key, forming_group in list(state.forming.items()):
         listed_group = groups_by_key.get(key)
+        for member in listed_group.members if listed_group is not None else ():
+            controller_state.record_listed_join(state, member)
         if listed_group is not None and listed_group.state is target.GroupState.OPEN:
             del state.forming[key]
         elif _has_failed(state, registry, forming_group, now):
@@ -70,6 +72,11 @@
         listed = registry.targets.get(member)
         if listed is None or listed.is_leaving or member in state.unreachable_until:
             return True
+        if not _has_joined(listed, forming_group.key) and not controller_state.is_unattached(
+            listed
+        ):
+            # It carried out an older join, whose group may be opened.
+            return True
     return False
 
 
@@ -105,10 +112,11 @@
         if needs_load and not controller_state.may_load(state, member, constants, now):
             continue
         state.sent_at[command_key] = now
-        join = group_command.Join(
+        join = controller_state.make_join(
+            state,
             listed,
             forming_group.key,
-            forming_group.model.name,
+            forming_group.model,
             forming_group.member_ids,
             needs_load,
         )
--- a/src/galenavane/control/group_command.py
+++ b/src/galenavane/control/group_command.py
@@ -12,6 +12,10 @@
 
     :ivar members: target ids by rank, the head first.
     :ivar needs_load: whether the target has to load the weights from the weight store.
+    :ivar is_conditional: whether it may be sent only with an expected command count, because the
+        target may still carry out other joins.
+    :ivar expected_count: number of commands that the target must have accepted before; with any
+        other number it refuses the join. ``None`` if it does not matter.
     """
 
     target: target.Target
@@ -19,6 +23,8 @@
     model: str
     members: tuple[str, ...]
     needs_load: bool
+    is_conditional: bool = False
+    expected_count: int | None = None
 
 
 class Open(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/galenavane/control/join_history.py
@@ -0,0 +1,73 @@
+"""Tracks the joins that a target may still carry out.
+
+A join without an answer may be carried out seconds later. The target then takes it even if it is a
+member of a serving group by now, unless it has accepted a join of a higher epoch before.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class JoinHistory:
+    """The joins that this holder of the lease sent to one process of a target.
+
+    :ivar incarnation: of the target's process, which forgets all epochs at its end.
+    :ivar accepted_epoch: highest epoch that the target is known to have accepted, 0 for none.
+    :ivar unconditional: number of unanswered joins by epoch, without those that the target refuses.
+    :ivar conditional: the same for joins that expect a command count. The target also refuses them
+        once it has accepted another join of their epoch, which changed the count.
+    """
+
+    incarnation: int
+    accepted_epoch: int = 0
+    unconditional: dict[int, int] = dataclasses.field(default_factory=dict)
+    conditional: dict[int, int] = dataclasses.field(default_factory=dict)
+
+
+def is_settled(history: JoinHistory, first_epoch: int) -> bool:
+    """Whether only a join that is sent from now on can change the target's group.
+
+    :param first_epoch: lowest epoch of this holder. A target that has accepted none of its epochs
+        may still carry out joins of former holders.
+    """
+    return history.accepted_epoch >= first_epoch and count_outstanding(history) == 0
+
+
+def count_outstanding(history: JoinHistory) -> int:
+    """Return how many joins of this holder the target may still carry out."""
+    return sum(history.unconditional.values()) + sum(history.conditional.values())
+
+
+def record_sent(history: JoinHistory, epoch: int, is_conditional: bool) -> None:
+    """Record that a join is sent."""
+    counts = history.conditional if is_conditional else history.unconditional
+    counts[epoch] = counts.get(epoch, 0) + 1
+
+
+def record_end(history: JoinHistory, epoch: int, is_conditional: bool) -> None:
+    """Record that one join was answered or was not sent at all, so it has no further effect."""
+    counts = history.conditional if is_conditional else history.unconditional
+    remaining = counts.get(epoch, 0) - 1
+    if remaining > 0:
+        counts[epoch] = remaining
+    else:
+        counts.pop(epoch, None)
+
+
+def record_accepted(history: JoinHistory, epoch: int) -> None:
+    """Record that the target accepted an epoch, so that it refuses all lower ones."""
+    if epoch <= history.accepted_epoch:
+        return
+    history.accepted_epoch = epoch
+    history.unconditional = {
+        sent_epoch: number
+        for sent_epoch, number in history.unconditional.items()
+        if sent_epoch >= epoch
+    }
+    history.conditional = {
+        sent_epoch: number
+        for sent_epoch, number in history.conditional.items()
+        if sent_epoch > epoch
+    }
--- a/src/galenavane/gateway/codec.py
+++ b/src/galenavane/gateway/codec.py
@@ -6,7 +6,7 @@
 
 from galenavane.catalog import catalog
 from galenavane.control import group_command
-from galenavane.fleet import target
+from galenavane.fleet import target, target_report
 from galenavane.net import headers, message
 from galenavane.serve import inbound_request, target_response
 
@@ -41,10 +41,9 @@
 
     def decode_report(
         self, listed_target: target.Target, body: bytes
-    ) -> tuple[target.Target, float] | None:
+    ) -> target_report.TargetReport | None:
         """Decode a target's report on itself.
 
         :param listed_target: the target as listed.
-        :returns: the target as reported and its pace, where over 1 is slow, or ``None`` if the
-            report is malformed.
+        :returns: ``None`` if the report is malformed.
         """
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -7,9 +7,9 @@
 import trio
 
 from galenavane.catalog import engine
-from galenavane.control import controller, controller_state, group_command
+from galenavane.control import controller, controller_state
 from galenavane.fleet import group_index, replica_group, target, target_registry
-from galenavane.gateway import boot_clock, lease_task, member_check
+from galenavane.gateway import boot_clock, command_sender, member_check
 from galenavane.gateway import state as states
 from galenavane.net import transport_error
 from galenavane.observe import events
@@ -17,9 +17,6 @@
 TICK_SECONDS = 0.2
 IDLE_TICK_SECONDS = 1.0
 """Interval at an entry that does not hold the lease; it is woken when it gains it."""
-COMMAND_TIMEOUT_SECONDS = 0.5
-"""Targets answer in milliseconds; a target that does not is sent the command again or left out."""
-MAX_RESPONSE_BYTES = 65_536
 STORE_TIMEOUT_SECONDS = 1.7
 """The watch of the configuration ends twice a second. When the store is silent for much longer, the
 list of targets does not show the effect of commands, so the targets themselves are polled."""
@@ -64,7 +61,7 @@
         )
         commands = controller.decide(state, gw.registry, service.name, service.engine, now)
         for command in commands:
-            nursery.start_soon(_send_command, gw, control, state, command)
+            nursery.start_soon(command_sender.send, gw, control, state, command)
 
 
 def _count_load(gw: states.Gateway, service: str, constants: engine.Engine) -> dict[str, float]:
@@ -77,51 +74,6 @@
     return counts
 
 
-async def _send_command(
-    gw: states.Gateway,
-    control: controller_state.Control,
-    state: controller_state.ControllerState,
-    command: group_command.Command,
-) -> None:
-    """Send one command, if the lease still allows it; its effect shows in the list of targets."""
-    decided_at = trio.current_time()
-    decided_revision = gw.registry.revision
-    list_age = boot_clock.now() - gw.config_state.store_answered_at
-    req = gw.codec.make_command_request(command)
-    result = "unanswered"
-    try:
-        response = await gw.http_client.send(
-            command.target.address,
-            req,
-            COMMAND_TIMEOUT_SECONDS,
-            MAX_RESPONSE_BYTES,
-            is_allowed=lambda: lease_task.may_command(gw, control),
-        )
-        result = str(response.status)
-    except transport_error.TransportError as exc:
-        result = exc.kind.value
-    key = None if isinstance(command, group_command.Stage) else command.key
-    seen = command.target.membership
-    events.log(
-        "command.given",
-        command=type(command).__name__.lower(),
-        target=command.target.id,
-        group=key.name if key is not None else "",
-        epoch=key.epoch if key is not None else 0,
-        model=getattr(command, "model", ""),
-        token=state.token,
-        revision=decided_revision,
-        list_age=round(list_age, 3),
-        seen_group=seen.group if seen is not None else "",
-        seen_state=seen.state.value if seen is not None else "",
-        seconds=round(trio.current_time() - decided_at, 3),
-        result=result,
-    )
-    gw.metrics.commands.inc({"command": type(command).__name__.lower(), "result": result})
-    if result == transport_error.Kind.NOT_CONNECTED.value:
-        controller.report_unreachable(state, command.target.id, trio.current_time())
-
-
 def _start_stall_checks(gw: states.Gateway, nursery: trio.Nursery) -> None:
     """Start one check for each group that entries report as stalled."""
     stalls, gw.pending_stalls = gw.pending_stalls, []
@@ -277,16 +229,8 @@
 
 async def _poll_report(gw: states.Gateway, polled_target: target.Target) -> None:
     try:
-        response = await gw.http_client.send(
-            polled_target.address,
-            gw.codec.make_report_request(),
-            COMMAND_TIMEOUT_SECONDS,
-            MAX_RESPONSE_BYTES,
-        )
+        report = await command_sender.read_report(gw, polled_target)
     except transport_error.TransportError:
         return
-    report = (
-        gw.codec.decode_report(polled_target, response.body) if response.status == 200 else None
-    )
     if report is not None:
-        target_registry.put(gw.registry, report[0])
+        target_registry.put(gw.registry, report.target)
--- a/src/galenavane/net/round_trip.py
+++ b/src/galenavane/net/round_trip.py
@@ -24,12 +24,13 @@
 
     :param is_allowed: called after connecting, right before the first byte is sent; when it
         returns ``False``, nothing is sent.
-    :raises TransportError: with ``has_sent_bytes`` for this request.
+    :raises TransportError: with ``has_sent_bytes`` for this request; ``NOT_ALLOWED`` if sending it
+        was not allowed.
     """
     conn = await net.dial(address, min(timeout_seconds, connect_seconds))
     try:
         if is_allowed is not None and not is_allowed():
-            kind = transport_error.Kind.NOT_CONNECTED
+            kind = transport_error.Kind.NOT_ALLOWED
             raise transport_error.TransportError(
                 kind, False, f"{address}: sending is no longer allowed"
             )
--- a/src/galenavane/platform/wire_codec.py
+++ b/src/galenavane/platform/wire_codec.py
@@ -4,7 +4,7 @@
 
 from galenavane.catalog import catalog
 from galenavane.control import group_command
-from galenavane.fleet import target
+from galenavane.fleet import target, target_report
 from galenavane.gateway import codec
 from galenavane.net import headers, message
 from galenavane.platform import wire_config, wire_request, wire_target
@@ -37,9 +37,7 @@
     def make_report_request(self) -> message.Request:
         return message.Request("GET", "/report")
 
-    def decode_report(
-        self, known: target.Target, body: bytes
-    ) -> tuple[target.Target, float] | None:
+    def decode_report(self, known: target.Target, body: bytes) -> target_report.TargetReport | None:
         return wire_target.decode_report(known, body)
 
 
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from galenavane.control import group_command
-from galenavane.fleet import target
+from galenavane.fleet import target, target_report
 from galenavane.net import address
 
 
@@ -23,8 +23,8 @@
 class ListedTarget(msgspec.Struct):
     """A target in the platform's list.
 
-    The platform's field ``sequence`` is not decoded. It counts heartbeats here, but commands in a
-    report.
+    The platform's field ``sequence`` is not decoded. It counts heartbeats here, but accepted
+    commands in a report.
     """
 
     # Name of the target's service.
@@ -51,6 +51,9 @@
     A ``pace`` above 1 means that the target is slow.
     """
 
+    # Number of commands that its process has accepted.
+    sequence: int | None = None
+
     domain: str = ""
     staged: list[str] = []
     models: list[_Model] = []
@@ -87,11 +90,11 @@
     )
 
 
-def decode_report(known: target.Target, body: bytes) -> tuple[target.Target, float] | None:
+def decode_report(known: target.Target, body: bytes) -> target_report.TargetReport | None:
     """Decode a target's report.
 
-    :returns: the known target updated from the report, and its pace; ``None`` when the report is
-        invalid.
+    :param known: the target as known before.
+    :returns: ``None`` when the report is invalid.
     """
     try:
         report = msgspec.json.decode(body, type=TargetReport)
@@ -106,7 +109,7 @@
         membership=membership,
         incarnation=report.born,
     )
-    return updated, report.pace
+    return target_report.TargetReport(updated, report.pace, report.sequence)
 
 
 def _decode_group(group: _Group | None) -> target.Membership | None:
@@ -123,6 +126,8 @@
     model: str | None = None
     members: tuple[str, ...] | None = None
     mode: str | None = None
+    # Value of "sequence" in the target's report; any other one makes the target refuse.
+    expected: int | None = None
 
 
 def encode_command(command: group_command.Command) -> bytes:
@@ -131,7 +136,14 @@
         case group_command.Stage(model=model):
             order = _Order("stage", model=model)
         case group_command.Join(key=key, model=model, members=members):
-            order = _Order("join", key.name, key.epoch, model=model, members=members)
+            order = _Order(
+                "join",
+                key.name,
+                key.epoch,
+                model=model,
+                members=members,
+                expected=command.expected_count,
+            )
         case group_command.Open(key=key):
             order = _Order("open", key.name, key.epoch)
         case group_command.Close(key=key):
--- a/tests/control/controller.feature
+++ b/tests/control/controller.feature
@@ -87,6 +87,37 @@
       | 56   |
       | 92   |
 
+  Scenario Outline: A join that is carried out late takes no target out of a serving group
+    Given a fleet of 2 domains with 12 targets
+    When targets die, holders end seconds before their successors, and joins are late, by seed <seed>
+    Then no group opened before all of its members were ready
+    And no target joined a group while it was in another that served
+    And after 40 s without faults every domain serves both models
+
+    Examples:
+      | seed |
+      | 53   |
+      | 64   |
+      | 151  |
+      | 188  |
+      | 203  |
+      | 251  |
+      | 332  |
+      | 504  |
+      | 565  |
+      | 699  |
+      | 758  |
+      | 930  |
+
+  Scenario: A new holder's first join of a target is conditional, and later ones are not
+    Given a fleet of 1 domain with 11 targets
+    When the controller runs for 8 s
+    And another controller takes over
+    And a member of the group of "large" dies and is reported
+    And the controller runs for 3 s
+    Then all joins of members that the new holder had not told to join before were conditional
+    And there were joins of both kinds after another member of "large" died
+
   Scenario: Two services under one holder keep what is being done apart
     Given a holder of two services with one group of "large" each
     When a group of each service stalls and both services are decided in turn
--- /dev/null
+++ b/tests/control/join_history.feature
@@ -0,0 +1,37 @@
+Feature: Joins that a target may still carry out
+
+  Scenario Outline: A target is settled once nothing but a new join can change its group
+    Given a target that <past>, under a holder whose epochs begin at 100
+    Then the target is <result>
+
+    Examples:
+      | past                                                                  | result      |
+      | was told nothing                                                      | not settled |
+      | accepted 101                                                          | settled     |
+      | accepted 57                                                           | not settled |
+      | accepted 101, was sent 102                                            | not settled |
+      | accepted 101, was sent 102, refused 102                               | settled     |
+      | accepted 101, was sent 102, accepted 103                              | settled     |
+      | was sent 101, was sent 101, answered 101                              | not settled |
+      | was sent 101, was sent 101, answered 101, accepted 102                | settled     |
+      | was sent 101, was sent 102, answered 102                              | settled     |
+      | was sent 102, was sent 101, answered 101                              | not settled |
+      | was sent 101, was sent 101 with a count, answered 101 with a count    | not settled |
+      | was sent 101 with a count, was sent 101 with a count, accepted 101    | settled     |
+      | was sent 102 with a count, accepted 101                               | not settled |
+      | accepted 101, was sent 101 with a count                               | not settled |
+      | accepted 101, was sent 102, restarted                                 | not settled |
+
+  Scenario Outline: A join is confirmed only by a report of the state that it was decided on
+    Given a join of a target that was listed <listed>
+    When the target reports that it is <reported>
+    Then the join is <result>
+
+    Examples:
+      | listed                | reported                          | result                       |
+      | in no group           | in no group, with 4 commands      | sent with 4 expected commands |
+      | in the group s        | in the group s, with 5 commands   | sent with 5 expected commands |
+      | in no group           | in the group s, with 5 commands   | not sent                     |
+      | in the group s        | in no group, with 5 commands      | not sent                     |
+      | in no group           | in no group after a restart       | not sent                     |
+      | in no group           | in no group, with no count        | not sent                     |
--- /dev/null
+++ b/tests/gateway/commands.feature
@@ -0,0 +1,15 @@
+Feature: Commands that an entry sends to targets, over loopback
+
+  Scenario: The first join of each target is conditional on the commands that it has accepted
+    Given a platform with 2 domains of 6 targets, and an entry
+    Then each target's first join expects that it has accepted no command
+    And all these steps succeed
+
+  Scenario: A join that is carried out late doesn't take a target out of its group
+    Given a platform with 2 domains of 6 targets, and an entry
+    When a spare carries out its next 2 joins late, without an answer
+    And a member of the spare's domain dies
+    Then both domains serve again within 5 s
+    And the late joins have changed nothing
+    And the spare is still in a serving group
+    And all these steps succeed
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -29,12 +29,16 @@
     Then the command's fields are "<fields>"
 
     Examples:
-      | command        | fields                                    |
-      | stage a model  | model operation                           |
-      | join a group   | epoch group members model operation       |
-      | open a group   | epoch group operation                     |
-      | close a group  | epoch group mode operation                |
-      | leave a group  | epoch group operation                     |
+      | command                       | fields                                       |
+      | stage a model                 | model operation                              |
+      | join a group                  | epoch group members model operation          |
+      | join a group after 4 commands | epoch expected group members model operation |
+      | open a group                  | epoch group operation                        |
+      | close a group                 | epoch group mode operation                   |
+      | leave a group                 | epoch group operation                        |
+
+  Scenario: A target's report is decoded with the number of commands that it has accepted
+    Then a report with and without a sequence has 4 and no commands
 
   Scenario: The client's values for account, key and target are not forwarded
     Given a request that sets a key, an account, a deadline and an expected target
--- a/tests/steps/control_controller.py
+++ b/tests/steps/control_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import random
 
@@ -10,8 +11,13 @@
 from steps import fleet_target_registry
 
 from galenavane.catalog import engine
-from galenavane.control import controller, controller_state, group_command
-from galenavane.fleet import replica_group, target, target_registry
+from galenavane.control import (
+    controller,
+    controller_state,
+    group_command,
+    join_confirmation,
+)
+from galenavane.fleet import replica_group, target, target_registry, target_report
 
 TICK_SECONDS = 0.05
 LIST_SECONDS = 0.02
@@ -20,6 +26,10 @@
 LOAD_WINDOW_SECONDS = 5.0
 LOAD_OVERAGE = 1.1
 LOAD_SLACK = 3
+LONGEST_DELAY_SECONDS = 12.0
+REPORT_SECONDS = 0.4
+CONFIRM_SECONDS = 0.1
+CONFIRM_ATTEMPTS = 6
 
 
 class Fleet:
@@ -35,6 +45,8 @@
         self.highest_epochs = {}
         self.due_actions = []
         self.sequence = itertools.count()
+        self.command_counts = {}
+        self.history = {}
         self.member_ids = {}
         self.ready_ids = {}
         self.load_times = []
@@ -42,11 +54,14 @@
         self.violations = []
         self.commands = []
         self.loss_rate = 0.0
+        self.late_share = 0.5
         self.has_traffic = False
 
     def add(self, name, domain, staged=()):
         """Start a target."""
         self.alive[name] = fleet_target_registry.make_target(name, domain, staged=staged)
+        self.command_counts[name] = 0
+        self._note_state(name)
         self._publish_record(name)
 
     def kill(self, name):
@@ -66,8 +81,19 @@
 
     def _update_record(self, name, **changes):
         self.alive[name] = msgspec.structs.replace(self.alive[name], **changes)
+        self._note_state(name)
         self._publish_record(name)
 
+    def _note_state(self, name):
+        state = (self.now, self.alive[name], self.command_counts[name])
+        self.history.setdefault(name, []).append(state)
+
+    def report(self, name):
+        """Return a target's report on itself, which is as old as on the platform."""
+        past = [state for state in self.history[name] if state[0] <= self.now - REPORT_SECONDS]
+        _, record, count = past[-1] if past else self.history[name][0]
+        return target_report.TargetReport(record, 1.0, count)
+
     def step(self):
         """Advance the time by one tick and run the actions that are due."""
         self.now += TICK_SECONDS
@@ -81,35 +107,69 @@
         """Carry out a command, unless it is lost or delayed."""
         self.commands.append(command)
         name = command.target.id
+        if isinstance(command, group_command.Join):
+            self._deliver_join(holder, command, CONFIRM_ATTEMPTS)
+            return
         if name not in self.alive:
             controller.report_unreachable(holder, name, self.now)
             return
         if self.rng.random() < self.loss_rate:
-            if self.rng.random() < 0.5:
-                self._run_after(self.rng.uniform(2, 12), lambda: self._obey(command))
+            if self.rng.random() < self.late_share:
+                self._run_after(
+                    self.rng.uniform(2, LONGEST_DELAY_SECONDS), lambda: self._obey(command)
+                )
             return
         self._obey(command)
 
+    def _deliver_join(self, holder, join, attempts):
+        """Carry out a join as the sender of commands does, by a report where it is conditional."""
+        name = join.target.id
+        if name not in self.alive:
+            controller_state.record_join_end(holder, join, is_accepted=False)
+            controller.report_unreachable(holder, name, self.now)
+            return
+        confirmed = join
+        if join.is_conditional:
+            confirmed = join_confirmation.confirm(join, self.report(name))
+        if confirmed is None and attempts > 1:
+            again = functools.partial(self._deliver_join, holder, join, attempts - 1)
+            self._run_after(CONFIRM_SECONDS, again)
+        elif confirmed is None:
+            controller_state.record_join_end(holder, join, is_accepted=False)
+        elif self.rng.random() >= self.loss_rate:
+            controller_state.record_join_end(holder, join, self._obey(confirmed))
+        elif self.rng.random() < self.late_share:
+            delay = self.rng.uniform(2, LONGEST_DELAY_SECONDS)
+            self._run_after(delay, lambda: self._obey(confirmed))
+
     def _obey(self, command):
+        """Carry out a command; return whether the target accepted it."""
         record = self.alive.get(command.target.id)
         if record is None:
-            return
+            return False
         if isinstance(command, group_command.Stage):
+            self._count_command(record.id)
             self._stage_weights(record, command.model)
-            return
+            return True
         key = (command.key.name, command.key.epoch)
         membership = record.membership
         own_key = (membership.group, membership.epoch) if membership is not None else None
         if isinstance(command, group_command.Join):
-            self._join(record, key, command)
-        elif own_key != key:
-            return
-        elif isinstance(command, group_command.Leave):
+            return self._join(record, key, command)
+        if own_key != key:
+            return False
+        self._count_command(record.id)
+        if isinstance(command, group_command.Leave):
             self._update_record(record.id, membership=None, model="")
         elif isinstance(command, group_command.Open):
             self._open(record, key)
         elif isinstance(command, group_command.Close):
             self._close(record, key)
+        return True
+
+    def _count_command(self, name):
+        self.command_counts[name] += 1
+        self._note_state(name)
 
     def _set_group_state(self, record, state):
         self._update_record(
@@ -151,11 +211,14 @@
         return model.load_seconds
 
     def _join(self, record, key, command):
-        if key[1] < self.highest_epochs.get(record.id, 0) or (
-            record.membership and key == self._get_key(record)
-        ):
-            return
+        if key[1] < self.highest_epochs.get(record.id, 0):
+            return False
+        if record.membership and key == self._get_key(record):
+            return True
+        if command.expected_count not in (None, self.command_counts[record.id]):
+            return False
         self._check_not_serving(record)
+        self.command_counts[record.id] += 1
         self.highest_epochs[record.id] = key[1]
         self.member_ids[key] = command.members
         model = self.constants.find_model(command.model)
@@ -172,6 +235,7 @@
         self._run_after(
             join_seconds, lambda: self._mark_ready(record.id, key, model, holds_weights)
         )
+        return True
 
     def _get_key(self, record):
         return (record.membership.group, record.membership.epoch)
@@ -184,7 +248,7 @@
         head = self.alive.get(member_ids[0])
         if head is None or head.membership is None or self._get_key(head) != self._get_key(record):
             return
-        if head.membership.state is target.GroupState.OPEN:
+        if head.membership.state in (target.GroupState.OPEN, target.GroupState.CLOSING):
             self.violations.append(f"{record.id} taken from {self._get_key(record)}")
 
     def _mark_ready(self, name, key, model, holds_weights):
@@ -375,17 +439,50 @@
         run_for(context, rng.uniform(0.5, 3))
         if rng.random() < 0.4:
             take_over(context)
-        victim = rng.choice(sorted(context.fleet.alive))
-        domain = context.fleet.alive[victim].domain
-        membership = context.fleet.alive[victim].membership
-        context.fleet.kill(victim)
-        if membership is not None and rng.random() < 0.7:
-            key = replica_group.Key(membership.group, membership.epoch)
-            controller.report_stalled_group(context.controller, key, [victim], context.fleet.now)
-        context.fleet.add(f"{domain}-new{number}", domain)
+        kill_any(context, rng, number)
+    context.fleet.loss_rate = 0.0
+
+
+@when(
+    "targets die, holders end seconds before their successors, and joins are late, by seed {seed:d}"
+)
+def disturb_with_late_commands(context, seed):
+    rng = random.Random(seed)
+    context.fleet.rng = random.Random(seed + 1000)
+    run_for(context, 8)
+    begin_traffic(context)
+    context.fleet.loss_rate = 0.6
+    context.fleet.late_share = 1.0
+    for number in range(12):
+        run_for(context, rng.uniform(0.5, 3))
+        if rng.random() < 0.5:
+            change_holder(context, rng.uniform(0.5, 5))
+        kill_any(context, rng, number)
+    run_for(context, LONGEST_DELAY_SECONDS)
     context.fleet.loss_rate = 0.0
 
 
+def change_holder(context, gap_seconds):
+    """End the holder, and start its successor after a while without a holder."""
+    former, context.controller = context.controller, None
+    run_for(context, gap_seconds)
+    context.controller = former
+    take_over(context)
+    run_for(context, 0.1)
+
+
+def kill_any(context, rng, number):
+    """End a target, whose group's stall is mostly reported, and start another one."""
+    victim = rng.choice(sorted(context.fleet.alive))
+    domain = context.fleet.alive[victim].domain
+    membership = context.fleet.alive[victim].membership
+    context.fleet.kill(victim)
+    if membership is not None and rng.random() < 0.7:
+        key = replica_group.Key(membership.group, membership.epoch)
+        controller.report_stalled_group(context.controller, key, [victim], context.fleet.now)
+    context.fleet.add(f"{domain}-new{number}", domain)
+
+
 @then('{large:d} group of "large" and {small:d} group of "small" serve')
 @then('{large:d} group of "large" and {small:d} groups of "small" serve')
 def check_serving(context, large, small):
@@ -417,6 +514,34 @@
     assert len(loaded) == len(set(loaded)), sorted(loaded)
 
 
+def list_joins(context):
+    """Return the joins of the current holder."""
+    first_epoch = context.controller.token << controller_state.EPOCH_BITS
+    return [
+        command
+        for command in context.fleet.commands
+        if isinstance(command, group_command.Join) and command.key.epoch >= first_epoch
+    ]
+
+
+@then("all joins of members that the new holder had not told to join before were conditional")
+def check_first_joins(context):
+    first_joins = {}
+    for join in list_joins(context):
+        first_joins.setdefault(join.target.id, join)
+    assert first_joins
+    assert all(join.is_conditional for join in first_joins.values()), first_joins
+
+
+@then('there were joins of both kinds after another member of "{model}" died')
+def check_later_joins(context, model):
+    context.fleet.commands.clear()
+    kill_member(context, model)
+    run_for(context, 3)
+    kinds = {join.is_conditional for join in list_joins(context)}
+    assert kinds == {False, True}, kinds
+
+
 @then("no group opened before all of its members were ready")
 @then("no target joined a group while it was in another that served")
 def check_violations(context):
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -245,6 +245,9 @@
     commands = {
         "stage a model": group_command.Stage(member, "m"),
         "join a group": group_command.Join(member, key, "m", ("t1", "t2"), False),
+        "join a group after 4 commands": group_command.Join(
+            member, key, "m", ("t1", "t2"), False, is_conditional=True, expected_count=4
+        ),
         "open a group": group_command.Open(member, key),
         "close a group": group_command.Close(member, key),
         "leave a group": group_command.Leave(member, key),
@@ -252,6 +255,15 @@
     context.order = json.loads(wire_target.encode_command(commands[words]))
 
 
+@then("a report with and without a sequence has {count:d} and no commands")
+def check_command_count(context, count):
+    listed = decode_entry(make_entry())
+    body = make_entry(sequence=count, pace=1.0)
+    assert wire_target.decode_report(listed, json.dumps(body).encode()).command_count == count
+    del body["sequence"]
+    assert wire_target.decode_report(listed, json.dumps(body).encode()).command_count is None
+
+
 @then('the command\'s fields are "{fields}"')
 def check_fields(context, fields):
     assert sorted(context.order) == fields.split(), context.order
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -18,6 +18,7 @@
 from galenavane.platform import store_client, wire_codec
 
 HOST = "127.0.0.1"
+LATE_SECONDS = 1.5
 EVENT_SECONDS = 0.02
 KEY = "key-1"
 MODEL = "m0"
@@ -111,6 +112,10 @@
         self.born = random.randrange(10**12)
         self.group = None
         self.highest_epoch = 0
+        self.command_count = 0
+        self.orders = []
+        self.late_joins = 0
+        self.late_statuses = []
         self.members = ()
         self.last_model = ""
         self.staged = []
@@ -147,7 +152,7 @@
             "version": "v1",
             "slots": 13,
             "state": "draining" if self.is_leaving else "ready",
-            "sequence": 1,
+            "sequence": self.command_count,
             "born": self.born,
             "models": models,
             "domain": self.domain,
@@ -158,7 +163,14 @@
     async def handle(self, exchange):
         """Handle one request or command."""
         if exchange.request.path == "/order":
-            await self._execute_command(exchange, json.loads(exchange.request.body))
+            order = json.loads(exchange.request.body)
+            self.orders.append(order)
+            if order["operation"] == "join" and self.late_joins > 0:
+                self.late_joins -= 1
+                self.world.nursery.start_soon(self._carry_out_late, order)
+                await trio.sleep(LATE_SECONDS)
+                return
+            await self._execute_command(exchange, order)
         elif exchange.request.path == "/report":
             await exchange.respond(message.json_response(200, {**self.describe(), "pace": 1.0}))
         elif self.service == "llm":
@@ -166,12 +178,25 @@
         else:
             await self._plain(exchange)
 
+    async def _carry_out_late(self, order):
+        """Carry out a command that gets no answer."""
+        await trio.sleep(LATE_SECONDS)
+
+        async def respond(response):
+            self.late_statuses.append(response.status)
+
+        await self._execute_command(types.SimpleNamespace(respond=respond), order)
+
     async def _execute_command(self, exchange, order):
         current_key = (self.group["name"], self.group["epoch"]) if self.group else None
         order_key = (order["group"], order["epoch"])
         status = 202
         if order["operation"] == "join" and order["epoch"] < self.highest_epoch:
             status = 412
+        elif order["operation"] == "join" and current_key == order_key:
+            status = 200
+        elif order.get("expected", self.command_count) != self.command_count:
+            status = 409
         elif order["operation"] == "join":
             self.highest_epoch = order["epoch"]
             rank = order["members"].index(self.name)
@@ -191,6 +216,7 @@
             self.world.nursery.start_soon(self._become, order_key, "open", 0.05)
         else:
             self.group["state"] = "ready"
+        self.command_count += status == 202
         self.publish()
         await exchange.respond(message.Response(status))
 
