Go on with the controller's state when a lapsed lease is renewed

Cause: a holder whose lease lapsed dropped its state. When its renewal succeeded after all, it started anew under the same token: its epochs began again below those of its own outstanding joins, which it no longer knew. Change: the state is kept while the lease has lapsed, and used again if the token is the same, since nobody else can have held the lease meanwhile. With another token a new state is made. Evidence: the first new scenario of lease.feature fails without the change (the next formation has number 1).

--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -36,7 +36,7 @@
             await _read(gw)
         elif isinstance(action, lease.Write):
             await _write(gw, action)
-        _start_or_stop_control(gw)
+        start_or_stop_control(gw)
         tick_seconds = TICK_SECONDS
         if gw.control is None and is_holder_alive:
             tick_seconds = CANDIDATE_TICK_SECONDS if is_candidate else FOLLOWER_TICK_SECONDS
@@ -123,7 +123,7 @@
         return lease.LeaseRecord("", 0, 0)
 
 
-def _start_or_stop_control(gw: states.Gateway) -> None:
+def start_or_stop_control(gw: states.Gateway) -> None:
     """Start the controller with a new lease, and stop it when another entry may hold the lease."""
     now = boot_clock.now()
     is_held = lease.is_held(gw.lease, now) or _may_outlast_lease(gw, now)
@@ -131,14 +131,25 @@
     if is_held:
         lease.record_holder_report(gw.holder_report, token, now)
     if is_held and (gw.control is None or gw.control.token != token):
-        gw.control = controller_state.Control(token)
-        events.log("lease.gained", token=token)
+        gw.control = _resume_or_make_control(gw, token)
         gw.wake_control()
     elif not is_held and gw.control is not None:
         events.log("lease.ended", token=gw.control.token, text="not renewed in time")
+        gw.lapsed_control = gw.control
         gw.control = None
 
 
+def _resume_or_make_control(gw: states.Gateway, token: int) -> controller_state.Control:
+    """Return the state of a controller, which goes on if its lease was renewed after it lapsed.
+
+    It then still knows its epochs, and which of its commands may yet be carried out.
+    """
+    lapsed, gw.lapsed_control = gw.lapsed_control, None
+    is_resumed = lapsed is not None and lapsed.token == token
+    events.log("lease.gained", token=token, is_resumed=is_resumed)
+    return lapsed if lapsed is not None and is_resumed else controller_state.Control(token)
+
+
 def may_command(gw: states.Gateway, control: controller_state.Control) -> bool:
     """Whether a command that a controller decided may be sent now.
 
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -51,6 +51,7 @@
     """The state of one entry process.
 
     :ivar control: state of the controller, ``None`` while this entry may not command.
+    :ivar lapsed_control: state of the controller while this entry's lease has lapsed.
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
     :ivar reported_loads: requests of this entry by head, as last sent to relays.
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
@@ -81,6 +82,7 @@
         "is_closing",
         "is_stopping",
         "known_stalls",
+        "lapsed_control",
         "last_request_at",
         "lease",
         "metrics",
@@ -125,6 +127,7 @@
         self.lease = lease.LeaseState(f"{self.name}/{incarnation}")
         self.holder_report = lease.HolderReport()
         self.control: controller_state.Control | None = None
+        self.lapsed_control: controller_state.Control | None = None
         self.behind_since = float("-inf")
         self.reported_loads: dict[str, int] = {}
         self.known_stalls: dict[replica_group.Key, float] = {}
--- a/tests/gateway/lease.feature
+++ b/tests/gateway/lease.feature
@@ -60,3 +60,16 @@
     When the relays are killed
     And the entries run for 4 s
     Then exactly 1 entry holds the lease
+
+  Scenario: A holder whose lease lapsed goes on with its commands and epochs once it is renewed
+    Given an entry that holds the lease of token 2 and has numbered 5 formations
+    When the lease lapses
+    Then the entry commands nothing
+    When the lease is renewed
+    Then the entry's next formation has number 6 of token 2
+
+  Scenario: A holder that lost its lease to another entry starts anew when it gains it again
+    Given an entry that holds the lease of token 2 and has numbered 5 formations
+    When the lease lapses
+    And the lease is granted with token 4
+    Then the entry's next formation has number 1 of token 4
--- a/tests/steps/gateway_lease.py
+++ b/tests/steps/gateway_lease.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import types
+
 from behave import given, then, when
 
-from galenavane.gateway import lease
+from galenavane.control import controller_state
+from galenavane.gateway import boot_clock, lease, lease_task
 
 TICK_SECONDS = 0.1
 HOLDER_TIMEOUT_SECONDS = 1.1
@@ -166,3 +169,50 @@
 @then("the store was called at most {limit:d} times apart from renewals")
 def check_calls(context, limit):
     assert context.store.calls <= limit, context.store.calls
+
+
+@given("an entry that holds the lease of token {token:d} and has numbered {count:d} formations")
+def make_holder(context, token, count):
+    context.gw = types.SimpleNamespace(
+        lease=lease.LeaseState("e0/1"),
+        control=None,
+        lapsed_control=None,
+        holder_report=lease.HolderReport(),
+        peers={"e1": types.SimpleNamespace(heartbeat=None)},
+        wake_control=lambda: None,
+    )
+    grant(context, token)
+    state = controller_state.find_service(context.gw.control, "llm")
+    for _ in range(count):
+        controller_state.allocate_key(state, "group")
+
+
+@when("the lease is granted with token {token:d}")
+def grant(context, token):
+    record = lease.LeaseRecord("e0/1", token, 0)
+    lease.record_write(context.gw.lease, 1, record, boot_clock.now())
+    lease_task.start_or_stop_control(context.gw)
+
+
+@when("the lease lapses")
+def let_lapse(context):
+    context.gw.lease.held_until = boot_clock.now()
+    lease_task.start_or_stop_control(context.gw)
+
+
+@when("the lease is renewed")
+def renew(context):
+    lease.record_write(context.gw.lease, 2, context.gw.lease.record, boot_clock.now())
+    lease_task.start_or_stop_control(context.gw)
+
+
+@then("the entry commands nothing")
+def check_no_control(context):
+    assert context.gw.control is None
+
+
+@then("the entry's next formation has number {number:d} of token {token:d}")
+def check_next_key(context, number, token):
+    state = controller_state.find_service(context.gw.control, "llm")
+    key = controller_state.allocate_key(state, "group")
+    assert key.epoch == (token << controller_state.EPOCH_BITS) + number, key
