Take a target for free by its own answers, not by the list

Cause: a join was sent without a condition to a target that was listed as free once all of the holder's joins were answered. The list can go back: while the store is silent reports are put over it, and the first changes that the store then tells are older than these. Concluded from the model, not seen in a log. Change: without a condition only if the target has accepted an epoch of this holder, has answered to have left that group, or is listed in that group and it is its standby group, and no join is outstanding.

--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -128,9 +128,15 @@
     member_ids: tuple[str, ...],
     needs_load: bool,
 ) -> group_command.Join:
-    """Return a join, and record it as sent; ``record_join_end`` has to follow once it has ended."""
+    """Return a join, and record it as sent; ``record_join_end`` has to follow once it has ended.
+
+    :param recipient: listed in no group that may serve.
+    """
     history = find_join_history(state, recipient)
-    is_conditional = not join_history.is_settled(history, state.token << EPOCH_BITS)
+    standby_epoch = recipient.membership.epoch if recipient.membership is not None else None
+    is_conditional = not join_history.is_known_free(
+        history, state.token << EPOCH_BITS, standby_epoch
+    )
     join_history.record_sent(history, key.epoch, is_conditional)
     return group_command.Join(recipient, key, model.name, member_ids, needs_load, is_conditional)
 
@@ -151,6 +157,12 @@
         join_history.record_accepted(history, join.key.epoch)
 
 
+def record_left(state: ControllerState, leave: group_command.Leave) -> None:
+    """Record that a target answered that it has left a group."""
+    history = find_join_history(state, leave.target)
+    join_history.record_left(history, leave.key.epoch)
+
+
 def record_listed_join(state: ControllerState, listed: target.Target) -> None:
     """Record the epoch that a target is listed with."""
     if listed.membership is not None:
--- a/src/galenavane/control/join_history.py
+++ b/src/galenavane/control/join_history.py
@@ -15,6 +15,7 @@
 
     :ivar incarnation: of the target's process, which forgets all epochs at its end.
     :ivar accepted_epoch: highest epoch that the target is known to have accepted, 0 for none.
+    :ivar left_epoch: highest epoch whose group the target has answered to have left, 0 for none.
     :ivar unconditional: number of unanswered joins by epoch, without those that the target refuses.
     :ivar conditional: the same for joins that expect a command count. The target also refuses them
         once it has accepted another join of their epoch, which changed the count.
@@ -22,17 +23,25 @@
 
     incarnation: int
     accepted_epoch: int = 0
+    left_epoch: int = 0
     unconditional: dict[int, int] = dataclasses.field(default_factory=dict)
     conditional: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
-def is_settled(history: JoinHistory, first_epoch: int) -> bool:
-    """Whether only a join that is sent from now on can change the target's group.
+def is_known_free(history: JoinHistory, first_epoch: int, standby_epoch: int | None) -> bool:
+    """Whether the target is in no group that may serve until a further join is sent to it.
+
+    This follows from what the target has accepted and answered. That the list shows it in no group
+    is no proof, since the list may be older.
 
     :param first_epoch: lowest epoch of this holder. A target that has accepted none of its epochs
         may still carry out joins of former holders.
+    :param standby_epoch: epoch of the standby group that the target is listed in, ``None`` if it is
+        listed in no group.
     """
-    return history.accepted_epoch >= first_epoch and count_outstanding(history) == 0
+    if history.accepted_epoch < first_epoch or count_outstanding(history) > 0:
+        return False
+    return history.accepted_epoch in (history.left_epoch, standby_epoch)
 
 
 def count_outstanding(history: JoinHistory) -> int:
@@ -56,6 +65,11 @@
         counts.pop(epoch, None)
 
 
+def record_left(history: JoinHistory, epoch: int) -> None:
+    """Record that the target answered that it is not, or no longer, in the group of an epoch."""
+    history.left_epoch = max(history.left_epoch, epoch)
+
+
 def record_accepted(history: JoinHistory, epoch: int) -> None:
     """Record that the target accepted an epoch, so that it refuses all lower ones."""
     if epoch <= history.accepted_epoch:
--- a/src/galenavane/gateway/command_sender.py
+++ b/src/galenavane/gateway/command_sender.py
@@ -51,6 +51,8 @@
                 is_allowed=lambda: lease_task.may_command(gw, control),
             )
             result = str(response.status)
+            if isinstance(command, group_command.Leave) and response.status in _ACCEPTED_STATUSES:
+                controller_state.record_left(state, command)
     except transport_error.TransportError as exc:
         result = exc.kind.value
     name = type(command).__name__.lower()
--- a/tests/control/controller.feature
+++ b/tests/control/controller.feature
@@ -109,6 +109,26 @@
       | 758  |
       | 930  |
 
+  Scenario Outline: An old list takes no target out of a serving group
+    Given a fleet of 2 domains with 12 targets
+    When the list is seconds old at times while targets die and joins are late, by seed <seed>
+    Then no group opened before all of its members were ready
+    And no target joined a group while it was in another that served
+    And after 40 s without faults every domain serves both models
+
+    Examples:
+      | seed |
+      | 48   |
+      | 159  |
+      | 223  |
+      | 254  |
+      | 291  |
+      | 292  |
+      | 390  |
+      | 404  |
+      | 433  |
+      | 447  |
+
   Scenario: A new holder's first join of a target is conditional, and later ones are not
     Given a fleet of 1 domain with 11 targets
     When the controller runs for 8 s
--- a/tests/control/join_history.feature
+++ b/tests/control/join_history.feature
@@ -1,26 +1,30 @@
 Feature: Joins that a target may still carry out
 
-  Scenario Outline: A target is settled once nothing but a new join can change its group
+  Scenario Outline: A target is known to be free by what it has accepted and answered
     Given a target that <past>, under a holder whose epochs begin at 100
-    Then its joins are <result>
+    Then it is <result> for a new join
 
     Examples:
-      | past                                                                  | result      |
-      | was told nothing                                                      | not settled |
-      | accepted 101                                                          | settled     |
-      | accepted 57                                                           | not settled |
-      | accepted 101, was sent 102                                            | not settled |
-      | accepted 101, was sent 102, refused 102                               | settled     |
-      | accepted 101, was sent 102, accepted 103                              | settled     |
-      | was sent 101, was sent 101, answered 101                              | not settled |
-      | was sent 101, was sent 101, answered 101, accepted 102                | settled     |
-      | was sent 101, was sent 102, answered 102                              | settled     |
-      | was sent 102, was sent 101, answered 101                              | not settled |
-      | was sent 101, was sent 101 with a count, answered 101 with a count    | not settled |
-      | was sent 101 with a count, was sent 101 with a count, accepted 101    | settled     |
-      | was sent 102 with a count, accepted 101                               | not settled |
-      | accepted 101, was sent 101 with a count                               | not settled |
-      | accepted 101, was sent 102, restarted                                 | not settled |
+      | past                                                                         | result               |
+      | was told nothing                                                             | not known to be free |
+      | accepted 101                                                                 | not known to be free |
+      | accepted 101, is listed as standby in 101                                    | known to be free     |
+      | accepted 102, is listed as standby in 101                                    | not known to be free |
+      | accepted 101, left 101                                                       | known to be free     |
+      | accepted 101, left 101, accepted 102                                         | not known to be free |
+      | accepted 57, left 57                                                         | not known to be free |
+      | accepted 101, left 101, was sent 102                                         | not known to be free |
+      | accepted 101, left 101, was sent 102, refused 102                            | known to be free     |
+      | accepted 101, left 101, was sent 102, accepted 103, left 103                 | known to be free     |
+      | was sent 101, was sent 101, answered 101, left 101                           | not known to be free |
+      | was sent 101, was sent 101, answered 101, accepted 102, left 102             | known to be free     |
+      | was sent 101, was sent 102, answered 102, left 102                           | known to be free     |
+      | was sent 102, was sent 101, answered 101, left 101                           | not known to be free |
+      | was sent 101, was sent 101 with a count, answered 101 with a count, left 101 | not known to be free |
+      | was sent 101 with a count, was sent 101 with a count, accepted 101, left 101 | known to be free     |
+      | was sent 102 with a count, accepted 101, left 101                            | not known to be free |
+      | accepted 101, left 101, was sent 101 with a count                            | not known to be free |
+      | accepted 101, left 101, restarted                                            | not known to be free |
 
   Scenario Outline: A join is confirmed only by a report of the state that it was decided on
     Given a join of a target that was listed <listed>
--- a/tests/steps/control_controller.py
+++ b/tests/steps/control_controller.py
@@ -55,6 +55,8 @@
         self.commands = []
         self.loss_rate = 0.0
         self.late_share = 0.5
+        self.list_seconds = LIST_SECONDS
+        self.list_due = 0.0
         self.has_traffic = False
 
     def add(self, name, domain, staged=()):
@@ -73,11 +75,21 @@
         self.due_actions.append((self.now + delay, next(self.sequence), action))
 
     def _publish_record(self, name):
+        record = self.alive[name]
+
         def put():
             if name in self.alive:
-                target_registry.put(self.registry, self.alive[name])
+                target_registry.put(self.registry, record)
+
+        # The list shows changes in their order.
+        self.list_due = max(self.list_due, self.now + self.list_seconds)
+        self._run_after(self.list_due - self.now, put)
 
-        self._run_after(LIST_SECONDS, put)
+    def poll_reports(self, holder):
+        """Update the list by the reports of joining targets, as while the store is silent."""
+        for name in controller_state.find_forming_ids(holder):
+            if name in self.alive and name in self.registry.targets:
+                target_registry.put(self.registry, self.report(name).target)
 
     def _update_record(self, name, **changes):
         self.alive[name] = msgspec.structs.replace(self.alive[name], **changes)
@@ -113,13 +125,14 @@
         if name not in self.alive:
             controller.report_unreachable(holder, name, self.now)
             return
-        if self.rng.random() < self.loss_rate:
-            if self.rng.random() < self.late_share:
-                self._run_after(
-                    self.rng.uniform(2, LONGEST_DELAY_SECONDS), lambda: self._obey(command)
-                )
+        if self.rng.random() >= self.loss_rate:
+            is_left = self._obey(command)
+            if is_left and isinstance(command, group_command.Leave):
+                controller_state.record_left(holder, command)
             return
-        self._obey(command)
+        if self.rng.random() < self.late_share:
+            delay = self.rng.uniform(2, LONGEST_DELAY_SECONDS)
+            self._run_after(delay, lambda: self._obey(command))
 
     def _deliver_join(self, holder, join, attempts):
         """Carry out a join as the sender of commands does, by a report where it is conditional."""
@@ -289,14 +302,19 @@
         ]
 
 
-def run_for(context, seconds):
-    """Run the controller, and let the fleet carry out its commands."""
+def run_for(context, seconds, polls=False):
+    """Run the controller, and let the fleet carry out its commands.
+
+    :param polls: whether targets that are joining are polled while the list is old.
+    """
     until = context.fleet.now + seconds
     while context.fleet.now < until:
         fleet = context.fleet
         fleet.step()
         if context.controller is None:
             continue
+        if polls and fleet.list_seconds > LIST_SECONDS:
+            fleet.poll_reports(context.controller)
         commands = controller.decide(
             context.controller,
             fleet.registry,
@@ -462,6 +480,25 @@
     context.fleet.loss_rate = 0.0
 
 
+@when("the list is seconds old at times while targets die and joins are late, by seed {seed:d}")
+def disturb_with_old_lists(context, seed):
+    rng = random.Random(seed)
+    context.fleet.rng = random.Random(seed + 1000)
+    run_for(context, 8)
+    begin_traffic(context)
+    context.fleet.late_share = 1.0
+    for number in range(16):
+        context.fleet.loss_rate = rng.choice((0.0, 0.6))
+        context.fleet.list_seconds = rng.choice((LIST_SECONDS, 3.0))
+        run_for(context, rng.uniform(0.5, 3), polls=True)
+        if rng.random() < 0.2:
+            change_holder(context, rng.uniform(0.0, 3))
+        kill_any(context, rng, number)
+    context.fleet.loss_rate = 0.0
+    context.fleet.list_seconds = LIST_SECONDS
+    run_for(context, LONGEST_DELAY_SECONDS)
+
+
 def change_holder(context, gap_seconds):
     """End the holder, and start its successor after a while without a holder."""
     former, context.controller = context.controller, None
--- a/tests/steps/control_join_history.py
+++ b/tests/steps/control_join_history.py
@@ -27,6 +27,9 @@
 
 def apply_event(context, event):
     """Apply one event of a target's past."""
+    if event.startswith("is listed"):
+        context.standby_epoch = int(event.split()[-1])
+        return
     if event == "restarted":
         context.listed = msgspec.structs.replace(context.listed, incarnation=2)
     words = event.split()
@@ -39,14 +42,18 @@
         join_history.record_sent(history, epoch, is_conditional)
     if words[0] in ("answered", "refused"):
         join_history.record_end(history, epoch, is_conditional)
+    if words[0] == "left":
+        join_history.record_left(history, epoch)
     if words[0] in ("answered", "accepted"):
         join_history.record_accepted(history, epoch)
 
 
-@then("its joins are {result}")
-def check_settled(context, result):
+@then("it is {result} for a new join")
+def check_known_free(context, result):
     history = controller_state.find_join_history(context.state, context.listed)
-    assert join_history.is_settled(history, FIRST_EPOCH) == (result == "settled"), history
+    standby_epoch = getattr(context, "standby_epoch", None)
+    is_known_free = join_history.is_known_free(history, FIRST_EPOCH, standby_epoch)
+    assert is_known_free == (result == "known to be free"), history
 
 
 def make_membership(words):
