Take a target's last model from the list, also when it is in no group

Cause: a target that joined and left a group between two changes of the list was never listed as its member, so the holder went on to plan it with its former model. It expected a join of 0.2 s where a load of 16 s was due, gave the group up, and formed it again with the same target. Change: the platform lists the model of the last group also after a target has left it; it is decoded and used. Evidence: the new scenario of target_registry.feature fails without the change.

--- a/src/galenavane/fleet/target.py
+++ b/src/galenavane/fleet/target.py
@@ -40,6 +40,8 @@
     :ivar staged: models whose weights its host keeps.
     :ivar model: model of its current group, empty without one.
     :ivar incarnation: start time in Unix milliseconds.
+    :ivar last_model: model of its last group since its start, also after it has left; empty if
+        unknown.
     """
 
     id: str
@@ -53,3 +55,4 @@
     model: str
     membership: Membership | None
     incarnation: int
+    last_model: str = ""
--- a/src/galenavane/fleet/target_registry.py
+++ b/src/galenavane/fleet/target_registry.py
@@ -153,8 +153,9 @@
         group_index.discard(registry.index, former)
     registry.targets[listed.id] = listed
     group_index.add(registry.index, listed)
-    if listed.model:
-        registry.last_models[(listed.id, listed.incarnation)] = listed.model
+    last_model = listed.last_model or listed.model
+    if last_model:
+        registry.last_models[(listed.id, listed.incarnation)] = last_model
 
 
 def _remove(registry: Registry, target_id: str, now: float) -> bool:
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -84,9 +84,10 @@
         is_leaving=listed.state == "draining",
         domain=listed.domain,
         staged=tuple(listed.staged),
-        model=listed.models[0].name if listed.models and membership is not None else "",
+        model=_find_model(listed.models) if membership is not None else "",
         membership=membership,
         incarnation=listed.born,
+        last_model=_find_model(listed.models),
     )
 
 
@@ -101,17 +102,21 @@
         membership = _decode_group(report.group)
     except (msgspec.DecodeError, ValueError, KeyError):
         return None
-    model = report.models[0].name if report.models and membership is not None else ""
     updated = msgspec.structs.replace(
         known,
         staged=tuple(report.staged),
-        model=model,
+        model=_find_model(report.models) if membership is not None else "",
         membership=membership,
         incarnation=report.born,
+        last_model=_find_model(report.models),
     )
     return target_report.TargetReport(updated, report.pace, report.sequence)
 
 
+def _find_model(models: list[_Model]) -> str:
+    return models[0].name if models else ""
+
+
 def _decode_group(group: _Group | None) -> target.Membership | None:
     if group is None:
         return None
--- a/tests/fleet/target_registry.feature
+++ b/tests/fleet/target_registry.feature
@@ -44,3 +44,8 @@
     Given a list with the members of an open group
     When an older list without targets arrives
     Then the group serves
+
+  Scenario: A target that left a group before it was listed in it keeps that group's model
+    Given a list with a target that was last in a group of "large"
+    When it is listed in no group, with "small" as its last model
+    Then its last model is "small"
--- a/tests/steps/control_controller.py
+++ b/tests/steps/control_controller.py
@@ -273,7 +273,9 @@
         ready = msgspec.structs.replace(record.membership, state=target.GroupState.READY)
         # Only a load changes which weights the host keeps.
         staged = record.staged if holds_weights else (model.name,)
-        self._update_record(name, membership=ready, model=model.name, staged=staged)
+        self._update_record(
+            name, membership=ready, model=model.name, staged=staged, last_model=model.name
+        )
 
     def _open(self, record, key):
         if record.membership.state is not target.GroupState.READY:
--- a/tests/steps/fleet_target_registry.py
+++ b/tests/steps/fleet_target_registry.py
@@ -126,3 +126,21 @@
 @then("member {rank:d} can't be used for a new group")
 def check_unusable(context, rank):
     assert f"t{rank}" not in context.registry.targets
+
+
+@given('a list with a target that was last in a group of "{model}"')
+def list_former_member(context, model):
+    context.registry = target_registry.Registry()
+    member = msgspec.structs.replace(make_member(1), model=model, last_model=model)
+    target_registry.put(context.registry, member)
+
+
+@when('it is listed in no group, with "{model}" as its last model')
+def list_without_group(context, model):
+    left = msgspec.structs.replace(make_member(1), membership=None, model="", last_model=model)
+    target_registry.put(context.registry, left)
+
+
+@then('its last model is "{model}"')
+def check_last_model(context, model):
+    assert list(context.registry.last_models.values()) == [model], context.registry.last_models
