Play answers that end with their connection

Callers saw nothing; the platform's contract says since today that an answer may have neither a length nor chunks. Scenarios were written before any change: plain answers and streams over HTTP/1.0 and 1.1 that end by a close, by a reset or not at all, at each place of an event, with each kind of status, and the same over pooled connections.

--- a/tests/net/connection_pool.feature
+++ b/tests/net/connection_pool.feature
@@ -24,3 +24,14 @@
       | connection |
       | new        |
       | pooled     |
+
+  Scenario Outline: A connection that ended with its answer is closed, and no request is sent over it
+    Then 3 requests that are answered over HTTP/<version> by <answer> are sent once each and leave no connection
+
+    Examples:
+      | version | answer                         |
+      | 1.0     | a body without a length        |
+      | 1.1     | a length and closes            |
+
+  Scenario: An answer without a length whose connection is reset is not complete
+    Then a request that is answered by half of a body without a length and a reset fails
--- a/tests/steps/gateway_flood.py
+++ b/tests/steps/gateway_flood.py
@@ -24,6 +24,7 @@
     "a chunk extension": (CHUNKED + b"5;", b"a" * 1000),
     "trailers": (CHUNKED + b"0\r\n", b"X-a: b\r\n" * 100),
     "an event": (CHUNKED, b"3e8\r\n" + b"a" * 1000 + b"\r\n"),
+    "an unframed body": (b"HEAD\r\n", b"a" * 1000),
     "bytes after its answer": (b"HEADContent-Length: 4\r\n\r\ndone", b"\x00 extra" * 100),
 }
 UNENDING_HEADS = (*FLOODS,)[:8]
--- a/tests/steps/net_connection_pool.py
+++ b/tests/steps/net_connection_pool.py
@@ -13,28 +13,45 @@
 LIMIT_BYTES = 1000
 
 
-def run_on_network(scenario):
-    """Run a scenario with a target that responds and a pool that counts its connections."""
+class CountingDialer:
+    """Opens connections and keeps them; its length is their number."""
+
+    def __init__(self, network):
+        self.network = network
+        self.conns = []
+
+    def __len__(self):
+        return len(self.conns)
+
+    async def dial(self, target_address, timeout_seconds):
+        """Open a connection."""
+        assert timeout_seconds >= 0, "trio refuses a negative time"
+        self.conns.append(await self.network.dial(target_address, timeout_seconds))
+        return self.conns[-1]
+
+
+def run_on_network(scenario, raw_answer=None):
+    """Run a scenario with a target that responds and a pool that counts its connections.
+
+    :param raw_answer: called with a stream, in place of a response to a request.
+    """
 
     async def main():
         network = memory_network.MemoryNetwork(0.0005)
         target = simulated_process.SimulatedProcess("target")
-        dialed = []
-
-        async def handle(exchange):
-            await exchange.respond(message.json_response(200, len(dialed)))
-
         entry_network = network.attach_process(simulated_process.SimulatedProcess("entry"))
+        dialed = CountingDialer(entry_network)
 
-        class CountingDialer:
-            async def dial(self, target_address, timeout_seconds):
-                assert timeout_seconds >= 0, "trio refuses a negative time"
-                dialed.append(target_address)
-                return await entry_network.dial(target_address, timeout_seconds)
+        async def handle(exchange):
+            if raw_answer is not None:
+                await raw_answer(exchange.conn.stream)
+                await exchange.conn.close()
+            else:
+                await exchange.respond(message.json_response(200, len(dialed)))
 
         async with trio.open_nursery() as nursery:
             await nursery.start(network.attach_process(target).listen, WHERE, handle)
-            await scenario(network, target, connection_pool.make(CountingDialer()), dialed)
+            await scenario(network, target, connection_pool.make(dialed), dialed)
             nursery.cancel_scope.cancel()
 
     virtual_clock.run(main, 1)
@@ -128,3 +145,70 @@
         assert len(dialed) - handled_before == (1 if connection == "new" else 0)
 
     run_on_network(scenario)
+
+
+BODIES = {
+    "a body without a length": (b"\r\nwhole", b"whole"),
+    "an empty body without a length": (b"\r\n", b""),
+    "a length and a second answer": (
+        b"Content-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+        b"whole",
+    ),
+    "a length and closes": (b"Content-Length: 5\r\nConnection: close\r\n\r\nwhole", b"whole"),
+}
+
+
+async def is_closed(conn):
+    """Return whether this end of a connection was closed."""
+    try:
+        await conn.stream.send_all(b"x")
+    except trio.ClosedResourceError:
+        return True
+    except trio.BrokenResourceError:
+        return False
+    return False
+
+
+@then(
+    "{count:d} requests that are answered over HTTP/{version} by {answer} are sent once each and "
+    "leave no connection"
+)
+def call_unframed(context, count, version, answer):
+    fields, body = BODIES[answer]
+
+    async def send_answer(stream):
+        await stream.send_all(b"HTTP/%b 200 OK\r\n" % version.encode() + fields)
+
+    async def scenario(network, target, pool, dialed):
+        tries = []
+        for number in range(count):
+            response = await pool.send(
+                WHERE,
+                message.Request("GET", "/"),
+                TIMEOUT_SECONDS,
+                LIMIT_BYTES,
+                is_allowed=lambda: tries.append(1) is None,
+            )
+            assert (response.status, response.body) == (200, body), response
+            assert len(tries) == len(dialed) == number + 1, (len(tries), len(dialed))
+            assert await is_closed(dialed.conns[-1]), "the connection was kept"
+
+    run_on_network(scenario, send_answer)
+
+
+@then("a request that is answered by half of a body without a length and a reset fails")
+def call_reset(context):
+    async def send_answer(stream):
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        stream.reset()
+
+    async def scenario(network, target, pool, dialed):
+        try:
+            await call(pool)
+        except transport_error.TransportError as exc:
+            assert exc.kind is transport_error.Kind.RESET and exc.has_sent_bytes
+        else:
+            raise AssertionError("half of an answer was taken as whole")
+        assert await is_closed(dialed.conns[-1])
+
+    run_on_network(scenario, send_answer)
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import struct
 import types
 
 import h11
@@ -12,7 +13,7 @@
 
 from galenavane.config import settings as settings_files
 from galenavane.gateway import process, settings, state
-from galenavane.net import address, connection_pool, headers, message, tcp
+from galenavane.net import address, connection_pool, headers, message, tcp, transport_error
 from galenavane.observe import log_sink
 from galenavane.peer import zmq_transport
 from galenavane.platform import store_client, wire_codec
@@ -227,8 +228,32 @@
             flood.seconds = trio.current_time() - began_at
         return True
 
+    async def _send_raw(self, exchange):
+        """Send the next prepared answer byte by byte as it stands; return whether there is one."""
+        if not self.world.raw_answers:
+            return False
+        answer = self.world.raw_answers.pop(0)
+        stream = exchange.conn.stream
+        pairs = self._answer_headers(exchange).pairs
+        head = answer.status_line + b"\r\n" + b"".join(b"%b: %b\r\n" % pair for pair in pairs)
+        try:
+            await stream.send_all(head + answer.fields + b"\r\n" + answer.body)
+            # An answer is read before its reset, which would discard what is unread.
+            await trio.sleep(answer.pause_seconds)
+            if answer.end == "is silent":
+                await stream.receive_some(1)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        if answer.end == "resets":
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await exchange.conn.close()
+        return True
+
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        if await self._send_raw(exchange):
+            return
         if self.world.flood and await self._flood(exchange):
             return
         fault = self.world.plain_fault
@@ -247,6 +272,8 @@
 
     async def _stream(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        if await self._send_raw(exchange):
+            return
         if self.world.flood and await self._flood(exchange):
             return
         first = int(exchange.request.headers.get("last-event-id") or 0) + 1
@@ -283,9 +310,11 @@
         self.break_at = 0
         self.plain_fault = ""
         self.flood = None
+        self.raw_answers = []
         self.version = 1
         self.routes = [
             self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
+            self.route("/once/", "streaming", "llm"),
             self.route("/order/", "non_idempotent", "desk"),
             self.route("/status/", "idempotent", "desk", max_attempts=2),
         ]
@@ -382,6 +411,16 @@
         :param take: called with the number of events so far; returns whether to disconnect.
         """
         conn = await tcp.make().dial(self.callers, 1.0)
+        try:
+            return await self.call_over(conn, path, events, method, take)
+        finally:
+            await conn.close()
+
+    async def call_over(self, conn, path, events=0, method="POST", take=None, may_break_off=False):
+        """Send one request over a connection and return its response.
+
+        :param may_break_off: whether to return what arrived of a response that is broken off.
+        """
         fields = [
             (b"host", b"h.example"),
             (b"attempt-id", b"%x" % random.getrandbits(64)),
@@ -396,13 +435,17 @@
         response = await conn.read_response_head()
         body = b""
         while True:
-            part = await conn.next_event()
+            try:
+                part = await conn.next_event()
+            except transport_error.TransportError:
+                if not may_break_off:
+                    raise
+                part = None
             if not isinstance(part, h11.Data):
                 break
             body += part.data
             if take is not None and take(body.count(b"\n\n")):
                 break
-        await conn.close()
         is_whole = isinstance(part, h11.EndOfMessage)
         return types.SimpleNamespace(
             status=response.status, headers=response.headers, body=body, is_whole=is_whole
