Close a connection that ended with its answer instead of pooling it

Callers saw nothing. Each report or command to a target that answers without a length was sent twice: first over the connection that had ended with the answer before, then, when that failed, over a new one. Cause: h11 goes to DONE at the end of a response that is ended by its connection, over HTTP/1.1 without "Connection: close", and the pool took DONE as reusable. The ended connection also stayed open on our side. Change: the pool asks h11 whether the peer's end has been read. Evidence: before, the second and third request over the pool took 2 tries each for 1 new connection; now 1 try each. "A connection that ended with its answer is closed" failed with a body and with an empty one ("the connection was kept") and passes.

--- a/src/galenavane/net/connection_pool.py
+++ b/src/galenavane/net/connection_pool.py
@@ -98,6 +98,10 @@
         machine = conn.machine
         if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
             return False
+        _, is_ended = machine.trailing_data
+        # h11 also counts a response that ended with its connection as done.
+        if is_ended:
+            return False
         idle = self._idle.setdefault(address, [])
         idle_count = sum(len(conns) for conns in self._idle.values())
         if len(idle) >= MAX_IDLE_PER_ADDRESS or idle_count >= MAX_IDLE_CONNECTIONS:
--- a/tests/net/connection_pool.feature
+++ b/tests/net/connection_pool.feature
@@ -30,7 +30,9 @@
 
     Examples:
       | version | answer                         |
+      | 1.1     | a body without a length        |
       | 1.0     | a body without a length        |
+      | 1.1     | an empty body without a length |
       | 1.1     | a length and closes            |
 
   Scenario: An answer without a length whose connection is reset is not complete
