Do not take a second answer of a target as the answer to the next request

Callers saw nothing that was reported. A target that sends one answer twice, or bytes after one, had the second answer read as that to the next report or command over the same pooled connection: a command could count as accepted that no target had seen, and a report of one moment as that of the next. Cause: h11 keeps bytes beyond a response for the next one, and the pool neither asked for them nor looked whether more had arrived on an idle connection. Found while the end of an answer by its connection was tested. Change: a connection with unread bytes isn't pooled, and an idle one on which bytes or its end have arrived is closed, not reused. Evidence: "A second answer is not taken ..." and "... that arrives late ..." failed before (the second request got the body "other") and pass. An answer that arrives between the next request and its answer would still be taken, since reports and commands carry no id.

--- a/src/galenavane/net/connection_pool.py
+++ b/src/galenavane/net/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from collections import abc
 
 import h11
@@ -46,7 +47,7 @@
             sending it was not allowed.
         """
         started_at = trio.current_time()
-        reused = self._take_idle(address)
+        reused = await self._take_idle(address)
         if reused is not None:
             reuse_seconds = timeout_seconds * reuse_share
             try:
@@ -61,9 +62,14 @@
         remaining_seconds = max(0.0, deadline - trio.current_time())
         return await self._exchange(conn, address, req, remaining_seconds, limit_bytes, is_allowed)
 
-    def _take_idle(self, address: addresses.Address) -> http_connection.HttpConnection | None:
+    async def _take_idle(self, address: addresses.Address) -> http_connection.HttpConnection | None:
         idle = self._idle.get(address)
-        return idle.pop() if idle else None
+        while idle:
+            conn = idle.pop()
+            if not _has_input(conn):
+                return conn
+            await conn.close()
+        return None
 
     async def _exchange(
         self,
@@ -98,9 +104,10 @@
         machine = conn.machine
         if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
             return False
-        _, is_ended = machine.trailing_data
-        # h11 also counts a response that ended with its connection as done.
-        if is_ended:
+        unread, is_ended = machine.trailing_data
+        # h11 also counts a response that ended with its connection as done, and would take bytes
+        # beyond a response as the next one.
+        if unread or is_ended:
             return False
         idle = self._idle.setdefault(address, [])
         idle_count = sum(len(conns) for conns in self._idle.values())
@@ -111,6 +118,15 @@
         return True
 
 
+def _has_input(conn: http_connection.HttpConnection) -> bool:
+    """Whether bytes or the end of an idle connection have arrived, which answer no request."""
+    if not isinstance(conn.stream, trio.SocketStream):
+        return False
+    poll = select.poll()
+    poll.register(conn.stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def make(net: network.Dialer) -> ConnectionPool:
     """Return an empty connection pool."""
     return ConnectionPool(net)
--- a/tests/net/connection_pool.feature
+++ b/tests/net/connection_pool.feature
@@ -35,5 +35,11 @@
       | 1.1     | an empty body without a length |
       | 1.1     | a length and closes            |
 
+  Scenario: A second answer is not taken as the answer to the next request
+    Then 3 requests that are answered over HTTP/1.1 by a length and a second answer are sent once each and leave no connection
+
+  Scenario: A second answer that arrives late is not taken as the answer to the next request
+    Then 3 requests over TCP whose answers are followed by another after 20 ms get their own answers
+
   Scenario: An answer without a length whose connection is reset is not complete
     Then a request that is answered by half of a body without a length and a reset fails
--- a/tests/steps/net_connection_pool.py
+++ b/tests/steps/net_connection_pool.py
@@ -5,7 +5,7 @@
 import trio
 from behave import then
 
-from galenavane.net import address, connection_pool, message, transport_error
+from galenavane.net import address, connection_pool, message, tcp, transport_error
 from galenavane.simulate import memory_network, simulated_process, virtual_clock
 
 WHERE = address.Address("10.0.0.1", 80)
@@ -212,3 +212,33 @@
         assert await is_closed(dialed.conns[-1])
 
     run_on_network(scenario, send_answer)
+
+
+@then(
+    "{count:d} requests over TCP whose answers are followed by another after 20 ms "
+    "get their own answers"
+)
+def call_before_late(context, count):
+    fields, body = BODIES["a length and a second answer"]
+    end = fields.index(body) + len(body)
+
+    async def handle(exchange):
+        stream = exchange.conn.stream
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields[:end])
+        await trio.sleep(0.02)
+        await stream.send_all(fields[end:])
+        await stream.receive_some(1)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            net = tcp.make()
+            bound = await nursery.start(net.listen, address.Address("127.0.0.1", 0), handle)
+            pool = connection_pool.make(net)
+            for _ in range(count):
+                request = message.Request("GET", "/")
+                response = await pool.send(bound, request, TIMEOUT_SECONDS, LIMIT_BYTES)
+                assert response.body == body, response
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
