Take a stream without any event, length or chunks as broken off

Callers would have seen: a target that was lost after the head of a stream and before its first event, by a clean close, gave them status 200 and a complete stream of no events. Not reported by users. Cause: _relay_stream asked only whether an event was unfinished when the response ended, and a response without framing ends whenever its connection is closed. A request begins to run with its first token, so a stream with no event is no answer. Change: such a stream fails as lost when the client has no event yet, and goes on at another group as far as its route allows. A resumed stream may have no more events; an empty one in chunks is complete. Evidence: 3 scenarios failed before ("AssertionError: b''" twice, status 200 for 502 once) and pass, with all of unframed_answers.feature and whole_path.feature (76 scenarios).

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -353,10 +353,9 @@
             stream.last_event = event.number
             data += event.data
         await _deliver(exchange, stream, response, data)
-    if not splitter.is_empty:
-        return failure.Failure(
-            codes.Code.TARGET_LOST, "the stream ended in the middle of an event", _Outcome.UNKNOWN
-        )
+    break_text = _find_break(stream, splitter, target_conn)
+    if break_text:
+        return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
         await exchange.respond(message.Response(200, fields, b""))
@@ -365,6 +364,20 @@
     return None
 
 
+def _find_break(
+    stream: Stream,
+    splitter: event_splitter.EventSplitter,
+    target_conn: target_exchange.TargetExchange,
+) -> str:
+    """Return why a stream that has ended is incomplete; empty if it is complete."""
+    if not splitter.is_empty:
+        return "the stream ended in the middle of an event"
+    # A connection that is lost before the first event ends in the same way.
+    if stream.last_event == 0 and not target_conn.has_framing:
+        return "the connection was closed before the first event"
+    return ""
+
+
 async def _deliver(
     exchange: http_server.Exchange,
     stream: Stream,
--- a/src/galenavane/gateway/target_exchange.py
+++ b/src/galenavane/gateway/target_exchange.py
@@ -25,9 +25,11 @@
     """One request to one target.
 
     :ivar is_sent: whether any byte of the request may have reached the target.
+    :ivar has_framing: whether the response states a length or comes in chunks; one without either
+        ends with its connection.
     """
 
-    __slots__ = ("_conn", "_gw", "_inbound", "is_sent")
+    __slots__ = ("_conn", "_gw", "_inbound", "has_framing", "is_sent")
 
     def __init__(
         self,
@@ -39,6 +41,7 @@
         self._conn = conn
         self._inbound = inbound
         self.is_sent = False
+        self.has_framing = False
 
     async def send(self, options: inbound_request.SendOptions) -> target_response.TargetResponse:
         """Send the request and return the status and headers of its response.
@@ -61,6 +64,9 @@
             response = await self._conn.read_response_head()
         else:
             response = await self._send_long_body(parts)
+        self.has_framing = bool(
+            response.headers.get("content-length") or response.headers.get("transfer-encoding")
+        )
         return self._gw.codec.decode_response(self._inbound, response)
 
     async def _send_long_body(self, parts: list[h11.Event]) -> message.Response:
--- a/tests/gateway/unframed_answers.feature
+++ b/tests/gateway/unframed_answers.feature
@@ -106,6 +106,8 @@
       | HTTP/1.1 200 OK | events 1 to 4                      | resets    | 4    |
       | HTTP/1.0 200 OK | events 1 to 4                      | resets    | 4    |
       | HTTP/1.1 200 OK | an empty one                       | resets    | 0    |
+      | HTTP/1.1 200 OK | an empty one                       | closes    | 0    |
+      | HTTP/1.0 200 OK | an empty one                       | closes    | 0    |
       | HTTP/1.1 200 OK | an empty one                       | is silent | 0    |
       | HTTP/1.1 200 OK | events 1 to 4                      | is silent | 4    |
       | HTTP/1.1 200 OK | events 1 to 4 and a field name     | closes    | 4    |
@@ -141,6 +143,7 @@
     Examples:
       | events                    | end    |
       | an empty one              | resets |
+      | an empty one              | closes |
       | a part of the first event | resets |
       | a part of the first event | closes |
 
