Send no made-up length with an answer that has no content

Callers saw "Content-Length: 0" in answers of status 204, which the status forbids (RFC 9110, 8.6), and in answers of status 304 or to HEAD in place of the length of the body that these leave out. Cause: the server sets the length of the body that it sends, whatever the status and method, and the entry dropped the target's length before. Change: 204 has no length; 304 and answers to HEAD keep what the target stated, or have none.

--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -11,6 +11,7 @@
 from galenavane.fleet import target
 from galenavane.gateway import admission, target_exchange
 from galenavane.gateway import state as states
+from galenavane.net import headers as header_lists
 from galenavane.net import http_server, message, transport_error
 from galenavane.observe import events
 from galenavane.serve import inbound_request, target_response
@@ -202,7 +203,7 @@
         return failure.Failure(
             codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.UNKNOWN
         )
-    fields = target_exchange.make_client_headers(response)
+    fields = header_lists.Headers(response.headers.pairs)
     if gw.is_closing:
         fields.add("connection", "close")
     await exchange.respond(message.Response(response.status, fields, body))
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -61,14 +61,26 @@
         :raises TransportError: when the client disconnected or stopped reading.
         """
         self.is_answered = True
-        fields = self._add_clock_header(
-            response.headers.without({b"content-length", b"transfer-encoding"})
-        )
-        fields.add("content-length", str(len(response.body)))
+        fields = self._add_clock_header(self._set_length(response))
         head = h11.Response(status_code=response.status, headers=fields.pairs)
         body = b"" if self.request.method == "HEAD" else response.body
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
+    def _set_length(self, response: message.Response) -> header_lists.Headers:
+        """Return a response's fields with the length of its body.
+
+        Status 204 has none. That of a response to HEAD or of status 304 is the length of the body
+        that it leaves out, which the handler may not know.
+        """
+        fields = response.headers.without({b"transfer-encoding"})
+        leaves_out_body = self.request.method == "HEAD" or response.status == 304
+        if leaves_out_body and not response.body:
+            return fields
+        fields = fields.without({b"content-length"})
+        if response.status == 204:
+            return fields
+        return fields.add("content-length", str(len(response.body)))
+
     def frame_chunk(self, fields: header_lists.Headers, data: bytes) -> bytes:
         """Return data as an HTTP chunk, preceded by the response head for the first chunk.
 
--- a/tests/gateway/unframed_answers.feature
+++ b/tests/gateway/unframed_answers.feature
@@ -42,6 +42,22 @@
       | HTTP/1.1 200 OK           | a HEAD request | 200    | closes    |
       | HTTP/1.1 200 OK           | a HEAD request | 200    | is silent |
 
+  Scenario Outline: The length of an answer without content is that of its target
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the next target answers <status line> with <fields>, an empty one, and is silent
+    And a client sends <request>, and then looks an order up over the same connection
+    Then it gets an answer with status <status> and length "<length>"
+    And the next answer is "done" with status 200
+    And all these steps succeed
+
+    Examples:
+      | status line               | fields         | request        | status | length |
+      | HTTP/1.1 204 No Content   | no fields      | an order       | 204    |        |
+      | HTTP/1.1 304 Not Modified | no fields      | a look-up      | 304    |        |
+      | HTTP/1.1 304 Not Modified | a length of 16 | a look-up      | 304    | 16     |
+      | HTTP/1.1 200 OK           | no fields      | a HEAD request | 200    |        |
+      | HTTP/1.1 200 OK           | a length of 16 | a HEAD request | 200    | 16     |
+
   Scenario Outline: A plain answer that is not complete is not passed on
     Given a platform with 2 domains of 6 targets, and an entry
     When the next target answers <status line> with no fields, <body>, and <end>
--- a/tests/net/http_server.feature
+++ b/tests/net/http_server.feature
@@ -33,3 +33,16 @@
 
   Scenario: A response to HEAD has no body
     Then a response to HEAD has a content length and no body
+
+  Scenario Outline: A response without content has the length that its handler states
+    Then a response of status <status> to <method> with length "<stated>" has length "<sent>" and no body
+
+    Examples:
+      | status | method | stated | sent |
+      | 204    | GET    |        |      |
+      | 204    | GET    | 0      |      |
+      | 304    | GET    |        |      |
+      | 304    | GET    | 16     | 16   |
+      | 200    | HEAD   |        |      |
+      | 200    | HEAD   | 16     | 16   |
+      | 200    | GET    |        | 0    |
--- a/tests/steps/gateway_unframed.py
+++ b/tests/steps/gateway_unframed.py
@@ -13,6 +13,7 @@
 RESET_DELAY_SECONDS = 0.1
 FIELDS = {
     "no fields": b"",
+    "a length of 16": b"Content-Length: 16\r\n",
     "keep-alive": b"Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n",
     "close": b"Connection: close\r\n",
 }
@@ -102,13 +103,14 @@
         assert world.answer.headers.get("replica-signature"), world.answer.headers.pairs
 
 
-@then("it gets an answer with status {status:d} and no length")
-def check_no_length(context, status):
+@then('it gets an answer with status {status:d} and length "{length}"')
+@then('it gets an answer with status {status:d} and length ""')
+def check_length(context, status, length=""):
     @plan_step(context)
     async def step(world):
-        assert world.answer.status == status, world.answer
-        names = {name for name, _ in world.answer.headers.pairs}
-        assert not names & {b"content-length", b"transfer-encoding"}, names
+        assert (world.answer.status, world.answer.body) == (status, b""), world.answer
+        pairs = world.answer.headers.pairs
+        assert world.answer.headers.get("content-length") == length, pairs
 
 
 @then("it gets its answer of status {status:d} from the entry or another target")
--- a/tests/steps/net_http_server.py
+++ b/tests/steps/net_http_server.py
@@ -6,7 +6,7 @@
 import trio.testing
 from behave import then
 
-from galenavane.net import http_server, message
+from galenavane.net import headers, http_server, message
 from galenavane.simulate import virtual_clock
 
 POST = b"POST / HTTP/1.1\r\nhost: x\r\n"
@@ -26,16 +26,17 @@
 }
 
 
-def exchange_raw(data, body=b"ok"):
+def exchange_raw(data, body=b"ok", status=200, fields=()):
     """Send bytes to a server.
 
+    :param fields: header fields of its responses.
     :returns: the bytes it responds with, the requests it handled and the elapsed seconds.
     """
     handled = []
 
     async def handle(exchange):
         handled.append(exchange.request)
-        await exchange.respond(message.Response(200, body=body))
+        await exchange.respond(message.Response(status, headers.Headers(fields), body))
 
     async def main():
         client, server = trio.testing.memory_stream_pair()
@@ -121,3 +122,22 @@
     head, _, body = answer.partition(b"\r\n\r\n")
     assert b"content-length: 5" in head.lower()
     assert body == b""
+
+
+@then(
+    'a response of status {status:d} to {method} with length "{stated}" has length "{sent}" '
+    "and no body"
+)
+@then(
+    'a response of status {status:d} to {method} with length "{stated}" has length "" and no body'
+)
+@then('a response of status {status:d} to {method} with length "" has length "{sent}" and no body')
+@then('a response of status {status:d} to {method} with length "" has length "" and no body')
+def check_stated_length(context, status, method, stated="", sent=""):
+    fields = [(b"content-length", stated.encode())] if stated else []
+    request = method.encode() + b" / HTTP/1.1\r\nhost: x\r\n\r\n"
+    answer, _, _ = exchange_raw(request * 2, b"", status, fields)
+    first, second, rest = answer.split(b"\r\n\r\n")
+    assert rest == b"" and second.startswith(b"HTTP/1.1 %d" % status), answer
+    lengths = [line for line in first.lower().split(b"\r\n") if line.startswith(b"content-length")]
+    assert lengths == ([b"content-length: " + sent.encode()] if sent else []), answer
