Count requests in flight by group when a draining group is checked

Callers saw nothing that was reported; found by reading. A draining group could be dissolved 3 s after its leader reported no requests, while an entry still had one in flight there that the leader had not reported. Cause: the lease holder summed the entries' requests by "service/version", and drain_check looked them up by group name, so it found none. An entry of the version before sends none.

--- a/src/galenavane/entry/control_task.py
+++ b/src/galenavane/entry/control_task.py
@@ -132,7 +132,7 @@
     statuses = _list_local_statuses(view)
     damped = damping.update(state.damping, statuses, now)
     drained = drain_check.update(
-        state.drain, state.table, statuses, _count_sends_in_flight(view), now
+        state.drain, state.table, statuses, count_sends_in_flight(view), now
     )
     planned = plan.plan(plan.Inputs(configuration, state.table, statuses, now, drained, damped))
     if not await _adopt_table(view, state, planned):
@@ -206,11 +206,14 @@
         events.log("command.failed", instance=addressed.instance, reason=response.error.message)
 
 
-def _count_sends_in_flight(view: views.View) -> collections.Counter[str]:
-    """Return the requests in flight at this entry and its peers, by ``service/version``."""
-    sends = collections.Counter(view.own_shared_state.value.sends)
+def count_sends_in_flight(view: views.View) -> collections.Counter[str]:
+    """Return the requests in flight at this entry and its peers, by group name.
+
+    Peers report only those of groups that get no new requests.
+    """
+    sends = collections.Counter(view.router.in_flight.own_by_group)
     for peer in view.peer_states.value.values():
-        sends.update(peer.state.sends)
+        sends.update(peer.state.draining_sends)
     return sends
 
 
--- a/src/galenavane/peer/shared_state.py
+++ b/src/galenavane/peer/shared_state.py
@@ -25,6 +25,7 @@
     :ivar leaving: names of instances that have announced that they are leaving.
     :ivar reserved: fraction of each group's places reserved for the first priority class, by
         service name.
+    :ivar draining_sends: requests in flight by group name, of groups that get no new ones.
     """
 
     sends: dict[str, int] = {}
@@ -32,6 +33,7 @@
     suspects: dict[str, float] = {}
     leaving: list[str] = []
     reserved: dict[str, float] = {}
+    draining_sends: dict[str, int] = {}
 
 
 class PeerState(msgspec.Struct, frozen=True):
--- a/src/galenavane/route/router.py
+++ b/src/galenavane/route/router.py
@@ -156,9 +156,16 @@
         for pool, pool_admission in router.admissions.items()
         if pool_admission.reserved > 0
     }
-    sends_by_pool = dict(router.in_flight.own_by_pool)
     return shared_state.SharedState(
-        sends_by_pool, router.account_limits.advertise_demand(now), suspects, reserved=reserved
+        dict(router.in_flight.own_by_pool),
+        router.account_limits.advertise_demand(now),
+        suspects,
+        reserved=reserved,
+        draining_sends={
+            name: count
+            for name, count in router.in_flight.own_by_group.items()
+            if name not in groups
+        },
     )
 
 
--- a/tests/control/drain_check.feature
+++ b/tests/control/drain_check.feature
@@ -15,3 +15,15 @@
     Given a draining group whose leader reports 0 running requests
     When entries report 0 requests in flight for 2 seconds
     Then the group is not drained
+
+  Scenario Outline: A request that the leader has not reported yet keeps its group
+    Given a draining group whose leader reports 0 running requests
+    When <entry> has a request in flight in the group for 10 seconds
+    Then the group is not drained
+    When that request has ended for 10 seconds
+    Then the group is drained
+
+    Examples:
+      | entry            |
+      | the lease holder |
+      | a peer           |
--- a/tests/steps/peer_membership.py
+++ b/tests/steps/peer_membership.py
@@ -202,6 +202,7 @@
     demand=strategies.dictionaries(names, demands, max_size=9),
     suspects=strategies.dictionaries(names, strategies.floats(1, 9, width=32), max_size=9),
     leaving=strategies.lists(names, unique=True, max_size=9).map(sorted),
+    draining_sends=strategies.dictionaries(names, strategies.integers(1, 9), max_size=9),
 )
 
 
