--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -65,6 +65,7 @@
     events.log("entry.start", callers=str(cfg.get(settings.CALLERS)))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_run_flush, gw, sink)
+        nursery.start_soon(_log_reloads)
         for task in (*_TASKS, lease_task.run):
             nursery.start_soon(_supervise, task, gw)
         await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness_handler(gw))
@@ -72,7 +73,6 @@
         await nursery.start(
             gw.net.listen, cfg.get(settings.CALLERS), frontend.make_handler(gw), limits
         )
-        nursery.start_soon(_log_reloads)
         await _wait_for_stop_signal()
         await _drain(gw)
         events.log("entry.stop", active=gw.active_requests)
--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -90,6 +90,7 @@
     async def _entry_reload(self, fault):
         entry = self._choose_entry(fault)
         if entry is not None:
+            self.fault_log.append(f"         SIGHUP to {entry.name}, start {entry.start_count}")
             entry.send_signal(signal.SIGHUP)
 
     async def _target_kill(self, fault):
