--- a/tests/net/connection_pool.feature
+++ b/tests/net/connection_pool.feature
@@ -24,3 +24,22 @@
       | connection |
       | new        |
       | pooled     |
+
+  Scenario Outline: A connection that ended with its answer is closed, and no request is sent over it
+    Then 3 requests that are answered over HTTP/<version> by <answer> are sent once each and leave no connection
+
+    Examples:
+      | version | answer                         |
+      | 1.1     | a body without a length        |
+      | 1.0     | a body without a length        |
+      | 1.1     | an empty body without a length |
+      | 1.1     | a length and closes            |
+
+  Scenario: A second answer is not taken as the answer to the next request
+    Then 3 requests that are answered over HTTP/1.1 by a length and a second answer are sent once each and leave no connection
+
+  Scenario: A second answer that arrives late is not taken as the answer to the next request
+    Then 3 requests over TCP whose answers are followed by another after 20 ms get their own answers
+
+  Scenario: An answer without a length whose connection is reset is not complete
+    Then a request that is answered by half of a body without a length and a reset fails
