Log which requests wait at a head that crashes, with the parts of their prompts

Cause sought: groups of one model fell one after the other, and no line had the parts of a prompt or told which requests waited at a head when its connections ended. Now a reset connection makes the entry connect once more to the head; if that fails, head.crashed names the waiting requests, their prompt sizes and shared parts. A crashed head is also avoided for 2 s, as one that stands still is; requests were sent to it until a connection failed.

--- /dev/null
+++ b/src/galenavane/gateway/head_crash.py
@@ -0,0 +1,69 @@
+"""Finds out whether a head whose connection ended has crashed, and which requests waited there."""
+
+from __future__ import annotations
+
+import trio
+
+from galenavane.fleet import replica_group, target
+from galenavane.gateway import member_check
+from galenavane.gateway import state as states
+from galenavane.observe import events
+
+SUSPECT_SECONDS = 2.0
+"""How long a crashed head is avoided: longer than re-forming its group under a new name takes."""
+MAX_LOG_CHARACTERS = 2_000
+
+
+async def check(
+    gw: states.Gateway,
+    group: replica_group.Group,
+    head: target.Target,
+    head_requests: states.HeadRequests,
+) -> None:
+    """Check a head whose connection ended, once for all connections that end together.
+
+    A head that has crashed refuses connections; one that lost a single answer accepts them.
+    """
+    crash_check = head_requests.crash_check
+    if crash_check is not None:
+        await crash_check.wait()
+        return
+    head_requests.crash_check = trio.Event()
+    waiting = dict(head_requests.waiting)
+    started = len(head_requests.reads) - len(waiting)
+    crashed_at = trio.current_time()
+    try:
+        if await member_check.find_unreachable(gw, (head,)):
+            _handle_crash(gw, group, head, waiting, started, crashed_at)
+    finally:
+        head_requests.crash_check.set()
+        head_requests.crash_check = None
+
+
+def _handle_crash(
+    gw: states.Gateway,
+    group: replica_group.Group,
+    head: target.Target,
+    waiting: dict[str, states.WaitingRequest],
+    started: int,
+    crashed_at: float,
+) -> None:
+    gw.suspect(head.id, SUSPECT_SECONDS)
+    events.log(
+        "head.crashed",
+        head=head.id,
+        group=group.key.name,
+        epoch=group.key.epoch,
+        started=started,
+        waiting=_describe(waiting, crashed_at),
+    )
+
+
+def _describe(waiting: dict[str, states.WaitingRequest], now: float) -> str:
+    """Return ids, waiting times, prompt sizes and prompt parts of requests as text."""
+    text = " ".join(
+        f"{request_id}:{now - request.sent_at:.3f}s:{request.prompt_tokens}"
+        f":{'+'.join(request.parts)}"
+        for request_id, request in waiting.items()
+    )
+    return text[:MAX_LOG_CHARACTERS]
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -18,6 +18,7 @@
 from galenavane.gateway import (
     admission,
     cancellable_read,
+    head_crash,
     heads_task,
     target_exchange,
 )
@@ -33,6 +34,9 @@
 """Range of retry-after times: a group re-forms in about a second, and retries are spread out."""
 FIRST_EVENT_MARGIN_SECONDS = 0.04
 MAX_REFUSALS = 2
+PROVING_EVENTS = 2
+"""A request counts as waiting until its head has sent so many events: a crash that it causes may
+still follow the first one."""
 _Outcome = outcomes.Outcome
 
 
@@ -42,6 +46,7 @@
 
     :ivar last_event: number of the last event that the client has.
     :ivar is_started: whether the client was sent any event.
+    :ivar events: number of events that targets sent.
     :ivar sends: number of targets that may have run the request.
     :ivar refusals: number of targets that refused the request or a connection.
     :ivar tried_heads: ids of the heads that were tried.
@@ -52,6 +57,7 @@
     constants: engine.Engine
     last_event: int
     is_started: bool = False
+    events: int = 0
     sends: int = 0
     refusals: int = 0
     tried_heads: set[str] = dataclasses.field(default_factory=set)
@@ -214,6 +220,11 @@
     head_watch.record_send(
         head_requests.activity, request_id, _predict_first_event_seconds(stream, group), now
     )
+    if stream.events < PROVING_EVENTS:
+        inbound = stream.request.inbound
+        head_requests.waiting[request_id] = states.WaitingRequest(
+            inbound.prompt_parts, inbound.prompt_tokens, now
+        )
     try:
         return await _run_attempt(gw, exchange, stream, group, head_requests, read)
     except cancellable_read.ReadCancelledError:
@@ -221,6 +232,7 @@
     finally:
         head_watch.record_end(head_requests.activity, request_id)
         head_requests.reads.pop(request_id, None)
+        head_requests.waiting.pop(request_id, None)
 
 
 def _predict_first_event_seconds(stream: Stream, group: replica_group.Group) -> float:
@@ -270,6 +282,8 @@
         return relay_failure
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, head, exc)
+        if exc.kind is transport_error.Kind.RESET:
+            await head_crash.check(gw, group, head, head_requests)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
@@ -339,6 +353,9 @@
             continue
         now = trio.current_time()
         head_watch.record_event(head_requests.activity, request_id, now)
+        stream.events += len(whole_events)
+        if stream.events >= PROVING_EVENTS:
+            head_requests.waiting.pop(request_id, None)
         if not stream.is_started:
             waited_seconds = now - stream.request.received_at
             gw.metrics.first_event_seconds.observe(
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -6,6 +6,7 @@
 import random
 from collections import abc
 
+import msgspec
 import trio
 
 from galenavane.catalog import engine
@@ -33,18 +34,34 @@
 """How long a choice of relays is used; short against the time after which one counts as lost."""
 
 
+class WaitingRequest(msgspec.Struct, frozen=True):
+    """A request that a head has not answered far enough to show that it can.
+
+    :ivar parts: the parts of its prompt that other requests may share.
+    :ivar sent_at: time on trio's clock.
+    """
+
+    parts: tuple[str, ...]
+    prompt_tokens: int
+    sent_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class HeadRequests:
     """The requests of this entry at one head.
 
     :ivar reads: reads of responses by request id, cancelled when the group stalls.
     :ivar is_checking: whether the group's members are being checked now.
+    :ivar waiting: waiting requests by id.
+    :ivar crash_check: set at the end of a check whether the head has crashed, ``None`` for none.
     """
 
     group_key: replica_group.Key
     activity: head_watch.Activity
     reads: dict[str, cancellable_read.CancellableRead] = dataclasses.field(default_factory=dict)
     is_checking: bool = False
+    waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
+    crash_check: trio.Event | None = None
 
 
 class Gateway:
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -20,6 +20,9 @@
 _KEY = "authorization"
 _MODEL = "model"
 _TOKEN_USAGE = "token-usage"
+# Parts of the prompt, as ID:TOKENS separated by commas; the last one is the request's own.
+_PROMPT_PARTS = "prompt-prefix"
+_MAX_PROMPT_PARTS = 64
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
 # Present when the target itself produced the response body.
@@ -72,6 +75,7 @@
         last_event_id=int(_parse_number(fields.get(_LAST_EVENT)) or 0),
         headers=fields.end_to_end().without(_RESERVED_FIELDS),
         body=req.body,
+        prompt_parts=_parse_parts(fields.get(_PROMPT_PARTS)),
     )
 
 
@@ -114,6 +118,14 @@
     )
 
 
+def _parse_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, up to a limit; none for a malformed list."""
+    parts = [item.partition(":")[0].strip().lower() for item in text.split(",")]
+    if not all(parts):
+        return ()
+    return tuple(dict.fromkeys(parts[:-1]))[:_MAX_PROMPT_PARTS]
+
+
 def _parse_number(text: str) -> float | None:
     """Parse a finite number; return ``None`` for any other text."""
     try:
--- a/src/galenavane/serve/inbound_request.py
+++ b/src/galenavane/serve/inbound_request.py
@@ -19,6 +19,8 @@
     :ivar timeout_seconds: how long the client waits for the response.
     :ivar last_event_id: id of the last stream event that the client received; 0 for none.
     :ivar headers: header fields to forward to targets.
+    :ivar prompt_parts: ids of the parts of the prompt that other requests may share, in order;
+        without the last part, which is the request's own.
     """
 
     id: str
@@ -34,6 +36,7 @@
     last_event_id: int
     headers: headers.Headers
     body: bytes
+    prompt_parts: tuple[str, ...] = ()
 
 
 class SendOptions(msgspec.Struct, frozen=True):
