Refuse prompts with a part that crashes targets, after two crashes

Cause: a request that was waiting when its head crashed was sent to a second head at once, nothing was kept of it, and the next request with the same part crashed the next group; no entry asked what crashes have in common. Change: each entry reports the shared parts of the requests that waited at a crash, unless they succeeded shortly before; a part is blocked once a request sent after one crash waited at another. A success clears a part everywhere. Parts with the same crashes are told apart by requests that have only some of them. Conclusion: two crashes decide, plus those of requests that are in progress at the same time.

--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -46,6 +46,12 @@
     _C.LEAVING: Row(503, "this entry is stopping", "no", "retry at another entry"),
     _C.NO_CONFIGURATION: Row(503, "this entry has no configuration yet", "no", "retry elsewhere"),
     _C.RETRY_BUDGET: Row(503, "the service's retries are used up", "no", "retry later"),
+    _C.PROMPT_BLOCKED: Row(
+        503,
+        "requests with one part of this prompt have crashed targets",
+        "no",
+        "change the prompt: a repeat is refused as well",
+    ),
     _C.TARGET_UNREACHABLE: Row(503, "no connection to the target", "no", "retry"),
     _C.TARGET_REFUSED: Row(503, "the target refused the request before running it", "no", "retry"),
     _C.TARGET_LOST: Row(
--- a/src/galenavane/gateway/gateway_metrics.py
+++ b/src/galenavane/gateway/gateway_metrics.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         "answer_seconds",
+        "blocked_parts",
         "commands",
         "config_age",
         "dropped_lines",
@@ -41,6 +42,9 @@
         self.stalls = metric_factory.make_counter(
             self.registry, "stalls_total", "Heads found standing still."
         )
+        self.blocked_parts = metric_factory.make_counter(
+            self.registry, "blocked_parts_total", "Parts of prompts blocked for crashing targets."
+        )
         self.commands = metric_factory.make_counter(
             self.registry, "commands_total", "Commands to targets by result."
         )
--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -5,7 +5,7 @@
 import trio
 
 from galenavane.fleet import replica_group, target
-from galenavane.gateway import member_check
+from galenavane.gateway import member_check, prompt_blocks
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
@@ -32,12 +32,13 @@
     waiting = dict(head_requests.waiting)
     started = len(head_requests.reads) - len(waiting)
     crashed_at = trio.current_time()
-    try:
-        if await member_check.find_unreachable(gw, (head,)):
-            _handle_crash(gw, group, head, waiting, started, crashed_at)
-    finally:
-        head_requests.crash_check.set()
-        head_requests.crash_check = None
+    # The client of this request may leave meanwhile, but the check is made for the others too.
+    with trio.CancelScope(shield=True):
+        unreachable = await member_check.find_unreachable(gw, (head,))
+    head_requests.crash_check.set()
+    head_requests.crash_check = None
+    if unreachable:
+        _handle_crash(gw, group, head, waiting, started, crashed_at)
 
 
 def _handle_crash(
@@ -57,6 +58,7 @@
         started=started,
         waiting=_describe(waiting, crashed_at),
     )
+    prompt_blocks.report_crash(gw, group.key, waiting.values(), crashed_at)
 
 
 def _describe(waiting: dict[str, states.WaitingRequest], now: float) -> str:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -20,12 +20,13 @@
     cancellable_read,
     head_crash,
     heads_task,
+    prompt_blocks,
     target_exchange,
 )
 from galenavane.gateway import state as states
 from galenavane.net import disconnect, http_server, message, transport_error
 from galenavane.observe import events
-from galenavane.route import head_capacity, head_choice, head_watch
+from galenavane.route import head_capacity, head_choice, head_watch, prompt_suspects
 from galenavane.serve import event_splitter, inbound_request, target_response
 
 REFUSED_SUSPECT_SECONDS = 0.3
@@ -34,9 +35,6 @@
 """Range of retry-after times: a group re-forms in about a second, and retries are spread out."""
 FIRST_EVENT_MARGIN_SECONDS = 0.04
 MAX_REFUSALS = 2
-PROVING_EVENTS = 2
-"""A request counts as waiting until its head has sent so many events: a crash that it causes may
-still follow the first one."""
 _Outcome = outcomes.Outcome
 
 
@@ -49,6 +47,7 @@
     :ivar events: number of events that targets sent.
     :ivar sends: number of targets that may have run the request.
     :ivar refusals: number of targets that refused the request or a connection.
+    :ivar probed_parts: blocked parts of the prompt that this request is a probe of.
     :ivar tried_heads: ids of the heads that were tried.
     :ivar reported_failure: failure to answer with if no head serves the request.
     """
@@ -60,6 +59,7 @@
     events: int = 0
     sends: int = 0
     refusals: int = 0
+    probed_parts: tuple[str, ...] = ()
     tried_heads: set[str] = dataclasses.field(default_factory=set)
     reported_failure: failure.Failure | None = None
 
@@ -78,6 +78,9 @@
     if constants.find_model(request.inbound.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
     while True:
+        refusal = _check_prompt(gw, stream)
+        if refusal is not None:
+            return refusal
         choice = _choose_group(gw, stream)
         if choice is None:
             return stream.reported_failure or _make_no_group_failure(gw)
@@ -87,6 +90,7 @@
             return queue_failure
         if not _may_send(gw, stream):
             return stream.reported_failure or _make_no_group_failure(gw)
+        prompt_blocks.record_probe(gw, stream.probed_parts)
         _log_sent(gw, stream, group, in_flight)
         send_failure = await _send_to_group(gw, exchange, stream, group)
         if send_failure is None:
@@ -98,6 +102,24 @@
             return stream.reported_failure
 
 
+def _check_prompt(gw: states.Gateway, stream: Stream) -> failure.Failure | None:
+    """Return the failure for a request whose prompt is blocked.
+
+    A probe that no target has run is still the one probe.
+    """
+    if stream.events >= prompt_suspects.PROVING_EVENTS:
+        return None
+    if stream.probed_parts and stream.sends == 0:
+        return None
+    decision = prompt_blocks.decide(gw, stream.request.inbound)
+    if decision.verdict is not prompt_suspects.Verdict.REFUSE:
+        stream.probed_parts = decision.parts
+        return None
+    if stream.reported_failure is None or stream.reported_failure.outcome is _Outcome.NOT_RUN:
+        return prompt_blocks.make_failure(decision)
+    return stream.reported_failure
+
+
 def _check_queue(gw: states.Gateway, stream: Stream, in_flight: float) -> failure.Failure | None:
     """Return the failure for a new request that the least loaded head can't serve in time."""
     model = stream.constants.find_model(stream.request.inbound.model)
@@ -220,7 +242,7 @@
     head_watch.record_send(
         head_requests.activity, request_id, _predict_first_event_seconds(stream, group), now
     )
-    if stream.events < PROVING_EVENTS:
+    if stream.events < prompt_suspects.PROVING_EVENTS:
         inbound = stream.request.inbound
         head_requests.waiting[request_id] = states.WaitingRequest(
             inbound.prompt_parts, inbound.prompt_tokens, now
@@ -228,7 +250,8 @@
     try:
         return await _run_attempt(gw, exchange, stream, group, head_requests, read)
     except cancellable_read.ReadCancelledError:
-        return failure.Failure(codes.Code.TARGET_SILENT, "the group stalled", _Outcome.UNKNOWN)
+        text = "the group stalled, or a part of the prompt was blocked"
+        return failure.Failure(codes.Code.TARGET_SILENT, text, _Outcome.UNKNOWN)
     finally:
         head_watch.record_end(head_requests.activity, request_id)
         head_requests.reads.pop(request_id, None)
@@ -354,8 +377,8 @@
         now = trio.current_time()
         head_watch.record_event(head_requests.activity, request_id, now)
         stream.events += len(whole_events)
-        if stream.events >= PROVING_EVENTS:
-            head_requests.waiting.pop(request_id, None)
+        if stream.events >= prompt_suspects.PROVING_EVENTS:
+            _record_proof(gw, stream, head_requests)
         if not stream.is_started:
             waited_seconds = now - stream.request.received_at
             gw.metrics.first_event_seconds.observe(
@@ -374,6 +397,8 @@
         return failure.Failure(
             codes.Code.TARGET_LOST, "the stream ended in the middle of an event", _Outcome.UNKNOWN
         )
+    if stream.events:
+        _record_proof(gw, stream, head_requests)
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
         await exchange.respond(message.Response(200, fields, b""))
@@ -382,6 +407,12 @@
     return None
 
 
+def _record_proof(gw: states.Gateway, stream: Stream, head_requests: states.HeadRequests) -> None:
+    """Clear the parts of a prompt to which the head has written an answer."""
+    if head_requests.waiting.pop(stream.request.inbound.id, None) is not None:
+        prompt_blocks.record_success(gw, stream.request.inbound.prompt_parts)
+
+
 async def _deliver(
     exchange: http_server.Exchange,
     stream: Stream,
--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -108,7 +108,63 @@
     missing: list[str]
 
 
-Message = Heartbeat | SyncRequest | ConfigUpdate | TargetSnapshot | TargetDelta | StallReport
+class PartCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a group's head while a request with the part of a prompt waited there.
+
+    :ivar age: seconds since the crash.
+    :ivar waited_seconds: how long before the crash the request was sent.
+    :ivar reporter: the start of the entry that sent the request.
+    :ivar reporter_at: time of the crash on that entry's clock.
+    """
+
+    part: str
+    group: str
+    epoch: int
+    age: float
+    waited_seconds: float
+    reporter: str
+    reporter_at: float
+
+
+class PartProbe(msgspec.Struct, frozen=True, array_like=True):
+    """A request with a blocked part that was let through.
+
+    :ivar age: seconds since then.
+    """
+
+    part: str
+    age: float
+
+
+class SuspectParts(msgspec.Struct, frozen=True, tag="suspect-parts", array_like=True):
+    """Reports crashes with suspected parts of prompts, and probes of such parts."""
+
+    sender: str
+    crashes: list[PartCrash]
+    probes: list[PartProbe]
+
+
+class ClearedParts(msgspec.Struct, frozen=True, tag="cleared-parts", array_like=True):
+    """Reports that requests with suspected parts of prompts succeeded.
+
+    :ivar age: seconds since then.
+    """
+
+    sender: str
+    parts: list[str]
+    age: float
+
+
+Message = (
+    Heartbeat
+    | SyncRequest
+    | ConfigUpdate
+    | TargetSnapshot
+    | TargetDelta
+    | StallReport
+    | SuspectParts
+    | ClearedParts
+)
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -94,6 +94,26 @@
     _send(gw, report, [gw.peers[name] for name in sorted(peer_names)])
 
 
+def send_part_news(
+    gw: states.Gateway, message: peer_message.SuspectParts | peer_message.ClearedParts
+) -> None:
+    """Send news about parts of prompts to this entry's relays and subscribers."""
+    now = boot_clock.now()
+    peer_names = choose_upstream_relays(gw, now) | {
+        peer.name for peer in peers.find_subscribers(gw.peers, now)
+    }
+    _send(gw, message, [gw.peers[name] for name in sorted(peer_names)])
+
+
+def forward_part_news(
+    gw: states.Gateway, message: peer_message.SuspectParts | peer_message.ClearedParts
+) -> None:
+    """Pass on what was news to this entry, if others rely on it for that."""
+    now = boot_clock.now()
+    if gw.name in gw.choose_own_relays(now) or peers.find_subscribers(gw.peers, now):
+        send_part_news(gw, message)
+
+
 def _send(gw: states.Gateway, message: peer_message.Message, recipients: list[peers.Peer]) -> None:
     data = peer_message.encode(message)
     for peer in recipients:
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -14,6 +14,7 @@
     peer_message,
     peer_updates,
     peers,
+    prompt_blocks,
     settings,
 )
 from galenavane.gateway import state as states
@@ -119,6 +120,7 @@
             gw.transport.send(peer.address, peer_message.encode(heartbeat))
         gw.reported_loads = count_own_loads(gw)
         _request_sync_if_behind(gw, now)
+        prompt_blocks.share(gw)
         near = sum(peer.data_centre == gw.data_centre for peer in gw.peers.values())
         receivers = len(relay_names | subscriber_names)
         await trio.sleep(HEARTBEAT_INTERVAL_SECONDS + HEARTBEAT_PEER_SECONDS * max(near, receivers))
@@ -228,6 +230,10 @@
             _apply_delta(gw, message)
         case peer_message.StallReport():
             _handle_stall(gw, message)
+        case peer_message.SuspectParts():
+            prompt_blocks.handle_suspects(gw, message)
+        case peer_message.ClearedParts():
+            prompt_blocks.handle_cleared(gw, message)
 
 
 def _handle_heartbeat(gw: states.Gateway, heartbeat: peer_message.Heartbeat, now: float) -> None:
--- /dev/null
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -0,0 +1,194 @@
+"""Blocks parts of prompts that crash targets, together with the other entries."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import trio
+
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.fleet import replica_group
+from galenavane.gateway import boot_clock, peer_message, peer_updates, settings
+from galenavane.gateway import state as states
+from galenavane.observe import events
+from galenavane.route import prompt_suspects
+from galenavane.serve import inbound_request
+
+SHARES_PER_CONTACT = 3
+"""How often blocked parts are sent within the time in which entries have to hear of a change, for
+entries that have just started or were cut off."""
+MAX_SHARED_PARTS = 32
+_REFUSE = prompt_suspects.Verdict.REFUSE
+
+
+def decide(gw: states.Gateway, inbound: inbound_request.InboundRequest) -> prompt_suspects.Decision:
+    """Decide on a request by the parts of its prompt."""
+    return prompt_suspects.decide(gw.prompt_suspects, inbound.prompt_parts, trio.current_time())
+
+
+def make_failure(decision: prompt_suspects.Decision) -> failure.Failure:
+    """Return the failure for a refused request, without a time after which to repeat it."""
+    return failure.Failure(
+        codes.Code.PROMPT_BLOCKED,
+        f"requests with part {', '.join(decision.parts)} of this prompt have crashed targets",
+    )
+
+
+def record_probe(gw: states.Gateway, parts: abc.Sequence[str]) -> None:
+    """Record that a request with blocked parts is sent, and tell the other entries."""
+    now = trio.current_time()
+    probed = [part for part in parts if prompt_suspects.record_probe(gw.prompt_suspects, part, now)]
+    if not probed:
+        return
+    events.log("part.probed", parts=",".join(probed))
+    probes = [peer_message.PartProbe(part, 0.0) for part in probed]
+    peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, [], probes))
+
+
+def record_success(gw: states.Gateway, parts: abc.Sequence[str]) -> None:
+    """Clear the parts of a request that succeeded, and tell the other entries what is news."""
+    cleared = prompt_suspects.record_success(gw.prompt_suspects, parts, trio.current_time())
+    if not cleared:
+        return
+    events.log("part.cleared", parts=",".join(cleared), source=gw.name)
+    peer_updates.send_part_news(gw, peer_message.ClearedParts(gw.name, list(cleared), 0.0))
+
+
+def report_crash(
+    gw: states.Gateway,
+    key: replica_group.Key,
+    waiting: abc.Iterable[states.WaitingRequest],
+    crashed_at: float,
+) -> None:
+    """Suspect the parts of the requests that waited at a crashed head, and tell the others."""
+    waited: dict[str, float] = {}
+    for request in waiting:
+        for part in prompt_suspects.find_unproven(gw.prompt_suspects, request.parts, crashed_at):
+            seconds = crashed_at - request.sent_at
+            waited[part] = min(seconds, waited.get(part, seconds))
+    age = trio.current_time() - crashed_at
+    reporter = f"{gw.name}/{gw.incarnation}"
+    reporter_at = boot_clock.now() - age
+    crashes = [
+        peer_message.PartCrash(part, key.name, key.epoch, age, seconds, reporter, reporter_at)
+        for part, seconds in waited.items()
+    ]
+    _record_crashes(gw, crashes, gw.name)
+    if crashes:
+        peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, crashes, []))
+
+
+def handle_suspects(gw: states.Gateway, report: peer_message.SuspectParts) -> None:
+    """Take over another entry's crashes and probes, and pass on those that are news."""
+    now = trio.current_time()
+    suspects = gw.prompt_suspects
+    news = _record_crashes(gw, report.crashes, report.sender)
+    probes = [
+        probe
+        for probe in report.probes
+        if prompt_suspects.record_probe(suspects, probe.part, now - probe.age)
+    ]
+    if news or probes:
+        peer_updates.forward_part_news(gw, peer_message.SuspectParts(gw.name, news, probes))
+    disproved = {
+        crash.part
+        for crash in report.crashes
+        if prompt_suspects.is_disproved(suspects, crash.part, now - crash.age)
+    }
+    sender = gw.peers.get(report.sender)
+    if disproved and sender is not None:
+        age = now - min(suspects.proven[part] for part in disproved)
+        cleared = peer_message.ClearedParts(gw.name, sorted(disproved), age)
+        gw.transport.send(sender.address, peer_message.encode(cleared))
+
+
+def handle_cleared(gw: states.Gateway, report: peer_message.ClearedParts) -> None:
+    """Clear parts that succeeded at another entry, and pass on which of them were suspected."""
+    succeeded_at = trio.current_time() - report.age
+    suspected = gw.prompt_suspects.suspected
+    outdated = [
+        part
+        for part in report.parts
+        if part in suspected and suspected[part].crashes[-1].at <= succeeded_at
+    ]
+    cleared = prompt_suspects.record_success(gw.prompt_suspects, outdated, succeeded_at)
+    if not cleared:
+        return
+    events.log("part.cleared", parts=",".join(cleared), source=report.sender)
+    forwarded = peer_message.ClearedParts(gw.name, list(cleared), report.age)
+    peer_updates.forward_part_news(gw, forwarded)
+
+
+def share(gw: states.Gateway) -> None:
+    """Send the blocked parts to peers, if there are any and some time has passed."""
+    now = trio.current_time()
+    interval = gw.cfg.get(settings.CONTACT) / SHARES_PER_CONTACT
+    if not gw.prompt_suspects.suspected or now - gw.blocks_shared_at < interval:
+        return
+    gw.blocks_shared_at = now
+    prompt_suspects.drop_expired(gw.prompt_suspects, now)
+    blocked = prompt_suspects.find_blocked(gw.prompt_suspects)
+    crashes = [
+        _make_part_crash(part, crash, now)
+        for part in blocked[-MAX_SHARED_PARTS:]
+        for crash in gw.prompt_suspects.suspected[part].crashes
+    ]
+    if crashes:
+        peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, crashes, []))
+
+
+def _make_part_crash(part: str, crash: prompt_suspects.Crash, now: float) -> peer_message.PartCrash:
+    return peer_message.PartCrash(
+        part,
+        crash.key.name,
+        crash.key.epoch,
+        now - crash.at,
+        crash.waited_seconds,
+        crash.reporter,
+        crash.reporter_at,
+    )
+
+
+def _record_crashes(
+    gw: states.Gateway, crashes: abc.Iterable[peer_message.PartCrash], source: str
+) -> list[peer_message.PartCrash]:
+    """Record crashes, and return those that were unknown."""
+    now = trio.current_time()
+    known_blocked = set(prompt_suspects.find_blocked(gw.prompt_suspects))
+    news: list[peer_message.PartCrash] = []
+    for part_crash in crashes:
+        crash = prompt_suspects.Crash(
+            replica_group.Key(part_crash.group, part_crash.epoch),
+            now - part_crash.age,
+            part_crash.waited_seconds,
+            part_crash.reporter,
+            part_crash.reporter_at,
+        )
+        jitter = gw.rng.random()
+        if prompt_suspects.record_crash(gw.prompt_suspects, part_crash.part, crash, jitter, now):
+            news.append(part_crash)
+            events.log(
+                "part.suspected", part=part_crash.part, group=part_crash.group, source=source
+            )
+    if news:
+        blocked = set(prompt_suspects.find_blocked(gw.prompt_suspects)) - known_blocked
+        _handle_blocked(gw, sorted(blocked))
+    return news
+
+
+def _handle_blocked(gw: states.Gateway, parts: abc.Sequence[str]) -> None:
+    """Take back the waiting requests that would be refused now."""
+    if not parts:
+        return
+    now = trio.current_time()
+    gw.metrics.blocked_parts.add({}, len(parts))
+    taken_back = 0
+    for head_requests in gw.heads.values():
+        for request_id, request in list(head_requests.waiting.items()):
+            decision = prompt_suspects.decide(gw.prompt_suspects, request.parts, now)
+            read = head_requests.reads.get(request_id)
+            if decision.verdict is _REFUSE and read is not None:
+                read.cancel()
+                taken_back += 1
+    events.log("part.blocked", parts=",".join(parts), taken_back=taken_back)
--- a/src/galenavane/gateway/settings.py
+++ b/src/galenavane/gateway/settings.py
@@ -25,6 +25,17 @@
 REVOKE = _S(
     "bounds", "revoke", setting.parse_number, 5.0, "seconds", "How long a removed key may work."
 )
+CONTACT = _S(
+    "bounds", "contact", setting.parse_number, 3.0, "seconds", "In which entries hear of a change."
+)
+PROMPT_BLOCK = _S(
+    "bounds",
+    "prompt_block",
+    setting.parse_number,
+    30.0,
+    "seconds",
+    "How long a part of prompts that crashed targets is refused at first.",
+)
 RETRY_RATIO = _S(
     "bounds", "retry_ratio", setting.parse_number, 0.2, "", "Further sends for each request."
 )
@@ -46,6 +57,8 @@
     STORE,
     GRACE,
     REVOKE,
+    CONTACT,
+    PROMPT_BLOCK,
     RETRY_RATIO,
     RETRY_WINDOW,
     RETRY_SLACK,
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -26,7 +26,7 @@
 )
 from galenavane.net import connection_pool, network
 from galenavane.peer import transport
-from galenavane.route import head_watch, send_budget
+from galenavane.route import head_watch, prompt_suspects, send_budget
 
 STALL_DEDUP_SECONDS = 1.0
 """Reports of the same stall by several entries within this time are forwarded once."""
@@ -73,6 +73,8 @@
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
     :ivar stalls_in_check: stalled groups whose members are being checked.
+    :ivar prompt_suspects: parts of prompts that are suspected to crash targets.
+    :ivar blocks_shared_at: when blocked parts were last sent to peers, on trio's clock.
     :ivar target_in_flight: requests of this entry at each target without a group.
     :ivar is_stopping: whether the process was asked to stop.
     :ivar is_closing: whether answers close their connections.
@@ -85,6 +87,7 @@
         "_own_relays_until",
         "active_requests",
         "behind_since",
+        "blocks_shared_at",
         "cfg",
         "codec",
         "config_state",
@@ -105,6 +108,7 @@
         "net",
         "peers",
         "pending_stalls",
+        "prompt_suspects",
         "registry",
         "reported_loads",
         "rng",
@@ -149,6 +153,12 @@
         self.stalls_in_check: set[replica_group.Key] = set()
         self.heads: dict[str, HeadRequests] = {}
         self.suspects: dict[str, float] = {}
+        self.prompt_suspects = prompt_suspects.Suspects(
+            proof_seconds=cfg.get(settings.CONTACT),
+            block_seconds=cfg.get(settings.PROMPT_BLOCK),
+            probe_seconds=cfg.get(settings.CONTACT),
+        )
+        self.blocks_shared_at = float("-inf")
         self.send_budgets: dict[str, send_budget.SendBudget] = {}
         self.target_in_flight: dict[str, int] = {}
         self.metrics = gateway_metrics.make()
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -43,6 +43,20 @@
     And it gets no key
     And it gets each field once
 
+  Scenario Outline: The parts of a prompt are decoded without the last one
+    Then a request with the prompt "<prompt>" has the shared parts "<parts>"
+
+    Examples:
+      | prompt                              | parts   |
+      | 5c1e:800,91bd:410,e440:250          | 5c1e 91bd |
+      | 5C1E:800, 91bd:410 ,91bd:1,e440:250 | 5c1e 91bd |
+      | e440:250                            |         |
+      |                                     |         |
+      | ,,                                  |         |
+
+  Scenario: At most 64 parts of a prompt are decoded
+    Then of a prompt with 200 parts the first 64 are decoded
+
   Scenario: A resumed stream is sent with the highest priority
     Given a request with hop-by-hop fields and a field "X-Trace"
     When it is resumed on target "t1" after event 4
--- /dev/null
+++ b/tests/steps/gateway_crashing_prompts.py
@@ -0,0 +1,119 @@
+"""Steps for prompts that crash targets."""
+
+from __future__ import annotations
+
+import json
+import random
+import types
+
+import trio
+from behave import then, when
+from prometheus_client import parser
+from steps import gateway_whole_path
+
+from galenavane.net import connection_pool, message, tcp, transport_error
+
+plan_step = gateway_whole_path.plan_step
+EVENTS = 8
+
+
+def make_prompt(parts):
+    """Encode parts of a prompt, and a last one that belongs to the request itself."""
+    shared = "".join(f"{part}:20," for part in parts.split())
+    return f"{shared}{random.getrandbits(48):x}:9"
+
+
+async def send(world, parts):
+    """Send a request with these parts, and return its response."""
+    return await world.call("/model/x", EVENTS, prompt=make_prompt(parts))
+
+
+@when('prompts with part "{part}" crash the head that writes an answer to them')
+def make_deadly(context, part):
+    @plan_step(context)
+    async def step(world):
+        world.deadly_parts.add(part)
+
+
+@when('clients send {count:d} requests with parts "{parts}", one after the other')
+def send_in_turn(context, count, parts):
+    @plan_step(context)
+    async def step(world):
+        world.answers = [await send(world, parts) for _ in range(count)]
+
+
+@when('a client sends a request with parts "{parts}"')
+def send_one(context, parts):
+    @plan_step(context)
+    async def step(world):
+        world.answer = await send(world, parts)
+
+
+@when("heads drop the next {count:d} answers")
+def drop_answers(context, count):
+    @plan_step(context)
+    async def step(world):
+        world.dropped_answers = count
+
+
+@when('clients send requests with parts "{deadly}", "{one}" and "{other}" at once')
+def send_at_once(context, deadly, one, other):
+    @plan_step(context)
+    async def step(world):
+        world.answers_by_parts = {}
+
+        async def run(parts):
+            answers = world.answers_by_parts.setdefault(parts, [])
+            while len(answers) < 2 and (not answers or answers[-1].status != 200):
+                try:
+                    answers.append(await send(world, parts))
+                except transport_error.TransportError:
+                    answers.append(types.SimpleNamespace(status=0, is_whole=False))
+
+        async with trio.open_nursery() as nursery:
+            for parts in (deadly, one, other):
+                nursery.start_soon(run, parts)
+
+
+@then('the requests with parts "{one}" and "{other}" are served within 2 tries')
+def check_served(context, one, other):
+    @plan_step(context)
+    async def step(world):
+        for parts in (one, other):
+            answers = world.answers_by_parts[parts]
+            assert answers[-1].status == 200 and answers[-1].is_whole, (parts, answers)
+
+
+@then("{count:d} heads have crashed")
+def check_crashed(context, count):
+    @plan_step(context)
+    async def step(world):
+        assert len(world.crashed) == count, world.crashed
+
+
+@then("the last {count:d} requests were refused as not run, with code 2008 and no time to retry")
+def check_refused(context, count):
+    @plan_step(context)
+    async def step(world):
+        for answer in world.answers[-count:]:
+            assert answer.status == 503, answer
+            assert not answer.headers.get("retry-after"), answer
+            error = json.loads(answer.body)["error"]
+            assert (error["code"], error["outcome"]) == (2008, "not_run"), error
+            assert error["retry_after_seconds"] is None, error
+
+
+@then("the metrics page counts {count:d} blocked part")
+def check_metric(context, count):
+    @plan_step(context)
+    async def step(world):
+        client = connection_pool.make(tcp.make())
+        request = message.Request("GET", "/metrics")
+        page = await client.send(world.readiness, request, 1.0, 1_000_000)
+        values = [
+            sample.value
+            for family in parser.text_string_to_metric_families(page.body.decode())
+            for sample in family.samples
+            if sample.name == "galenavane_blocked_parts_total"
+        ]
+        assert values == [count], values
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -255,3 +255,30 @@
 @then('the command\'s fields are "{fields}"')
 def check_fields(context, fields):
     assert sorted(context.order) == fields.split(), context.order
+
+
+def decode_parts(prompt):
+    """Decode the shared parts of a request's prompt."""
+    fields = headers.Headers().add("host", "h.example").add("prompt-prefix", prompt)
+    return wire_request.decode(message.Request("POST", "/a/", fields)).prompt_parts
+
+
+@then('a request with the prompt "{prompt}" has the shared parts "{parts}"')
+def check_parts(context, prompt, parts):
+    assert decode_parts(prompt) == tuple(parts.split()), decode_parts(prompt)
+
+
+@then('a request with the prompt "{prompt}" has the shared parts ""')
+def check_no_shared_parts(context, prompt):
+    assert decode_parts(prompt) == (), decode_parts(prompt)
+
+
+@then('a request with the prompt "" has the shared parts ""')
+def check_no_prompt(context):
+    check_no_shared_parts(context, "")
+
+
+@then("of a prompt with {count:d} parts the first {limit:d} are decoded")
+def check_part_limit(context, count, limit):
+    names = tuple(f"{number:x}" for number in range(count))
+    assert decode_parts(",".join(f"{name}:1" for name in names)) == names[:limit]
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -249,6 +249,16 @@
         self.world.arrivals.append((self.name, exchange.request.headers))
         if self.world.flood and await self._flood(exchange):
             return
+        parts = exchange.request.headers.get("prompt-prefix").split(",")
+        if any(part.partition(":")[0] in self.world.deadly_parts for part in parts):
+            await trio.sleep(EVENT_SECONDS)
+            self.world.crashed.append(self.name)
+            self.kill()
+            await trio.sleep_forever()
+        if self.world.dropped_answers > 0:
+            self.world.dropped_answers -= 1
+            await exchange.conn.close()
+            return
         first = int(exchange.request.headers.get("last-event-id") or 0) + 1
         last = int(exchange.request.headers.get("token-usage").split(",")[1])
         fields = self._answer_headers(exchange).add("content-type", "text/event-stream")
@@ -283,6 +293,9 @@
         self.break_at = 0
         self.plain_fault = ""
         self.flood = None
+        self.deadly_parts = set()
+        self.crashed = []
+        self.dropped_answers = 0
         self.version = 1
         self.routes = [
             self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
@@ -375,10 +388,11 @@
                 await trio.sleep(0.02)
             await trio.sleep(0.1)
 
-    async def call(self, path, events=0, method="POST", take=None):
+    async def call(self, path, events=0, method="POST", take=None, prompt=""):
         """Send one request and return its response.
 
         :param events: number of tokens to request; 0 for a plain request.
+        :param prompt: the parts of the prompt as sent on the platform's wire.
         :param take: called with the number of events so far; returns whether to disconnect.
         """
         conn = await tcp.make().dial(self.callers, 1.0)
@@ -391,6 +405,8 @@
         ]
         if events:
             fields += [(b"model", MODEL.encode()), (b"token-usage", b"10,%d" % events)]
+        if prompt:
+            fields.append((b"prompt-prefix", prompt.encode()))
         head = h11.Request(method=method, target=path, headers=fields)
         await conn.send(head, h11.EndOfMessage())
         response = await conn.read_response_head()
