Send requests with a part in doubt one at a time until a part is blocked or cleared

Cause: after the first crash the part was only counted, not spared. Change: the first request after a crash, mostly the next try of the one that waited there, is the probe; others with a part in doubt are held for its result, a third of contact at most. Parts count for each model, since one model's success must not clear a part that crashes another's targets. A probe whose result is a crash ends at once.

--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -22,9 +22,21 @@
 _REFUSE = prompt_suspects.Verdict.REFUSE
 
 
-def decide(gw: states.Gateway, inbound: inbound_request.InboundRequest) -> prompt_suspects.Decision:
-    """Decide on a request by the parts of its prompt."""
-    return prompt_suspects.decide(gw.prompt_suspects, inbound.prompt_parts, trio.current_time())
+def name_parts(inbound: inbound_request.InboundRequest) -> tuple[str, ...]:
+    """Return names of the prompt's parts; a part may crash the targets of one model only."""
+    return tuple(f"{inbound.model}/{part}" for part in inbound.prompt_parts)
+
+
+def decide(gw: states.Gateway, parts: abc.Sequence[str]) -> prompt_suspects.Decision:
+    """Decide on a request by the names of the parts of its prompt."""
+    return prompt_suspects.decide(gw.prompt_suspects, parts, trio.current_time())
+
+
+async def hold(gw: states.Gateway, until: float) -> None:
+    """Wait until something about suspected parts changes, or the time is over."""
+    changed = gw.parts_changed
+    with trio.move_on_at(until):
+        await changed.wait()
 
 
 def make_failure(decision: prompt_suspects.Decision) -> failure.Failure:
@@ -51,6 +63,7 @@
     cleared = prompt_suspects.record_success(gw.prompt_suspects, parts, trio.current_time())
     if not cleared:
         return
+    gw.note_parts_changed()
     events.log("part.cleared", parts=",".join(cleared), source=gw.name)
     peer_updates.send_part_news(gw, peer_message.ClearedParts(gw.name, list(cleared), 0.0))
 
@@ -74,7 +87,7 @@
         peer_message.PartCrash(part, key.name, key.epoch, age, seconds, reporter, reporter_at)
         for part, seconds in waited.items()
     ]
-    _record_crashes(gw, crashes, gw.name)
+    _record_crashes(gw, crashes, gw.name, is_own=True)
     if crashes:
         peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, crashes, []))
 
@@ -115,6 +128,7 @@
     cleared = prompt_suspects.record_success(gw.prompt_suspects, outdated, succeeded_at)
     if not cleared:
         return
+    gw.note_parts_changed()
     events.log("part.cleared", parts=",".join(cleared), source=report.sender)
     forwarded = peer_message.ClearedParts(gw.name, list(cleared), report.age)
     peer_updates.forward_part_news(gw, forwarded)
@@ -151,7 +165,10 @@
 
 
 def _record_crashes(
-    gw: states.Gateway, crashes: abc.Iterable[peer_message.PartCrash], source: str
+    gw: states.Gateway,
+    crashes: abc.Iterable[peer_message.PartCrash],
+    source: str,
+    is_own: bool = False,
 ) -> list[peer_message.PartCrash]:
     """Record crashes, and return those that were unknown."""
     now = trio.current_time()
@@ -166,12 +183,15 @@
             part_crash.reporter_at,
         )
         jitter = gw.rng.random()
-        if prompt_suspects.record_crash(gw.prompt_suspects, part_crash.part, crash, jitter, now):
+        if prompt_suspects.record_crash(
+            gw.prompt_suspects, part_crash.part, crash, is_own, jitter, now
+        ):
             news.append(part_crash)
             events.log(
                 "part.suspected", part=part_crash.part, group=part_crash.group, source=source
             )
     if news:
+        gw.note_parts_changed()
         blocked = set(prompt_suspects.find_blocked(gw.prompt_suspects)) - known_blocked
         _handle_blocked(gw, sorted(blocked))
     return news
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -30,6 +30,8 @@
 
 STALL_DEDUP_SECONDS = 1.0
 """Reports of the same stall by several entries within this time are forwarded once."""
+HOLDS_PER_CONTACT = 3
+"""Requests are held for this share of the time in which entries have to hear of a change."""
 RELAY_CHOICE_SECONDS = 0.05
 """How long a choice of relays is used; short against the time after which one counts as lost."""
 
@@ -74,6 +76,7 @@
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
     :ivar stalls_in_check: stalled groups whose members are being checked.
     :ivar prompt_suspects: parts of prompts that are suspected to crash targets.
+    :ivar parts_changed: set and replaced when a part was suspected, blocked or cleared.
     :ivar blocks_shared_at: when blocked parts were last sent to peers, on trio's clock.
     :ivar target_in_flight: requests of this entry at each target without a group.
     :ivar is_stopping: whether the process was asked to stop.
@@ -106,6 +109,7 @@
         "metrics",
         "name",
         "net",
+        "parts_changed",
         "peers",
         "pending_stalls",
         "prompt_suspects",
@@ -157,7 +161,9 @@
             proof_seconds=cfg.get(settings.CONTACT),
             block_seconds=cfg.get(settings.PROMPT_BLOCK),
             probe_seconds=cfg.get(settings.CONTACT),
+            hold_seconds=cfg.get(settings.CONTACT) / HOLDS_PER_CONTACT,
         )
+        self.parts_changed = trio.Event()
         self.blocks_shared_at = float("-inf")
         self.send_budgets: dict[str, send_budget.SendBudget] = {}
         self.target_in_flight: dict[str, int] = {}
@@ -177,6 +183,11 @@
         self.control_wakeup.set()
         self.control_wakeup = trio.Event()
 
+    def note_parts_changed(self) -> None:
+        """Let the requests that are held be decided on again."""
+        self.parts_changed.set()
+        self.parts_changed = trio.Event()
+
     def find_groups(
         self, service: str, constants: engine.Engine
     ) -> abc.Mapping[replica_group.Key, replica_group.Group]:
--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -1,9 +1,9 @@
-"""Finds the parts of prompts that crash targets, and decides which requests to refuse.
+"""Finds the parts of prompts that crash targets, and decides which requests to hold or refuse.
 
 Requests share parts of their prompts. When a target crashes, each part of a request that had not
 proven itself there is suspected, unless the part was in a successful request shortly before. A part
-is blocked once a request that was sent after one crash waited at another. A successful request
-clears its parts.
+is blocked once a request that was sent after one crash waited at another; until then, requests with
+the part are sent one at a time. A successful request clears its parts.
 
 Other requests wait at a crashing target as well, so parts may be blocked together. Parts with the
 same crashes are tied: a request that has some, but not all, of them is let through to find out.
@@ -70,29 +70,40 @@
     :ivar proof_seconds: how long a success outweighs a later crash.
     :ivar block_seconds: how long a part is blocked at first; each further crash doubles it.
     :ivar probe_seconds: how long the result of a probe may take.
+    :ivar hold_seconds: how long requests are held for the result of a probe.
     :ivar proven: time of the last success by part, oldest first.
     """
 
     proof_seconds: float
     block_seconds: float
     probe_seconds: float
+    hold_seconds: float
     proven: dict[str, float] = dataclasses.field(default_factory=dict)
     suspected: dict[str, Suspicion] = dataclasses.field(default_factory=dict)
 
 
 class Verdict(enum.Enum):
-    """What to do with a request."""
+    """What to do with a request.
+
+    A request that is held is decided on again when what is known of its parts has changed, or when
+    the time to hold it is over.
+    """
 
     ADMIT = "admit"
     PROBE = "probe"
+    HOLD = "hold"
     REFUSE = "refuse"
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """A verdict on a request, with the blocked parts that it is about."""
+    """A verdict on a request, with the parts that it is about.
+
+    :ivar until: monotonic time until which a request is held.
+    """
 
     verdict: Verdict
     parts: tuple[str, ...] = ()
+    until: float = 0.0
 
 
 _ADMIT = Decision(Verdict.ADMIT)
@@ -120,9 +131,12 @@
     )
 
 
-def record_crash(suspects: Suspects, part: str, crash: Crash, jitter: float, now: float) -> bool:
-    """Record a crash that this entry or another one saw; return whether it was unknown.
+def record_crash(
+    suspects: Suspects, part: str, crash: Crash, is_own: bool, jitter: float, now: float
+) -> bool:
+    """Record a crash; return whether it was unknown.
 
+    :param is_own: whether this entry saw it. Otherwise the reporter's next try is a probe.
     :param jitter: random number from 0 to 1, used if the part was not suspected.
     """
     if is_disproved(suspects, part, crash.at):
@@ -135,6 +149,8 @@
     crashes = _align([*suspicion.crashes, crash], crash.reporter)
     suspicion.crashes = sorted(crashes, key=lambda known: known.at)[-MAX_CRASHES:]
     suspicion.counted = _count(suspicion.crashes)
+    if not is_own and len(suspicion.counted) < BLOCKING_CRASHES:
+        suspicion.probed_at = max(suspicion.probed_at, crash.at)
     suspects.suspected[part] = suspicion
     drop_expired(suspects, now)
     while len(suspects.suspected) > MAX_SUSPECTED:
@@ -149,12 +165,16 @@
 
 
 def record_probe(suspects: Suspects, part: str, probed_at: float) -> bool:
-    """Record that a request with a blocked part was let through; return whether it was unknown."""
+    """Record that a request with a suspected part was let through.
+
+    :returns: whether the other entries have to know it, and it is not the report of one of them
+        about a probe that is known.
+    """
     suspicion = suspects.suspected.get(part)
-    if suspicion is None or probed_at <= suspicion.probed_at + suspects.probe_seconds:
+    if suspicion is None or probed_at < suspicion.probed_at + suspects.hold_seconds:
         return False
     suspicion.probed_at = probed_at
-    return True
+    return is_blocked(suspects, part)
 
 
 def _count(crashes: list[Crash]) -> frozenset[replica_group.Key]:
@@ -217,17 +237,32 @@
     if not suspects.suspected:
         return _ADMIT
     blocked = tuple(part for part in parts if is_blocked(suspects, part))
-    if not blocked:
-        return _ADMIT
     for part in blocked:
         if not _may_probe(suspects, part, parts, now):
             return Decision(Verdict.REFUSE, (part,))
-    return Decision(Verdict.PROBE, blocked)
+    doubtful = tuple(part for part in parts if _is_doubtful(suspects, part))
+    for part in doubtful:
+        until = suspects.suspected[part].probed_at + suspects.hold_seconds
+        if now < until:
+            return Decision(Verdict.HOLD, (part,), until)
+    probed = blocked + doubtful
+    return Decision(Verdict.PROBE, probed) if probed else _ADMIT
+
+
+def _is_doubtful(suspects: Suspects, part: str) -> bool:
+    """Whether a part waited at a crash, but not at enough of them to be blocked."""
+    suspicion = suspects.suspected.get(part)
+    return (
+        suspicion is not None
+        and len(suspicion.counted) < BLOCKING_CRASHES
+        and not _is_outweighed(suspects, part, suspicion)
+    )
 
 
 def _may_probe(suspects: Suspects, part: str, parts: abc.Sequence[str], now: float) -> bool:
     suspicion = suspects.suspected[part]
-    if now <= suspicion.probed_at + suspects.probe_seconds:
+    has_result = suspicion.probed_at < suspicion.crashes[-1].at
+    if not has_result and now <= suspicion.probed_at + suspects.probe_seconds:
         return False
     if now >= _expires_at(suspects, suspicion):
         return True
