Keep probes of different parts apart, and let one entry at a time tell tied parts apart

Cause, from the logs: a sound request that was sent 3 to 7 ms before the first crash was tried again at the same head as the crashing one, so both parts had the same two crashes; requests with the crashing part, held until then, were let through as probes by two entries at once. Change: a request whose head had it for less than half of its prefill is not suspected; probes go to random heads that have room, and nothing else is sent to a head where a probe waits; for tied parts the entries begin at different times, and all others are held while a probe has no result.

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -159,6 +159,7 @@
     loads = gw.sum_head_loads()
     groups_by_head: dict[str, replica_group.Group] = {}
     candidates: list[head_choice.Candidate] = []
+    probed_heads: set[str] = set()
     serving = group_index.find_serving(
         gw.registry.index,
         stream.request.service,
@@ -173,8 +174,17 @@
         is_near = head.data_centre == gw.data_centre
         candidates.append(head_choice.Candidate(head.id, in_flight, is_near))
         groups_by_head[head.id] = group
+        head_requests = gw.heads.get(head.id)
+        if head_requests is not None and head_requests.has_probe:
+            probed_heads.add(head.id)
     choice = head_choice.pick(
-        candidates, stream.tried_heads, gw.count_entries(), _compute_limit(stream), gw.rng
+        candidates,
+        stream.tried_heads,
+        gw.count_entries(),
+        _compute_limit(stream),
+        gw.rng,
+        probed_heads,
+        is_random=bool(stream.probed_parts),
     )
     return (groups_by_head[choice.head], choice.in_flight) if choice is not None else None
 
@@ -254,7 +264,11 @@
     )
     if stream.events < prompt_suspects.PROVING_EVENTS:
         head_requests.waiting[request_id] = states.WaitingRequest(
-            stream.parts, stream.request.inbound.prompt_tokens, now
+            stream.parts,
+            stream.request.inbound.prompt_tokens,
+            now,
+            _compute_prefill_seconds(stream, group),
+            is_probe=bool(stream.probed_parts),
         )
     try:
         return await _run_attempt(gw, exchange, stream, group, head_requests, read)
@@ -272,11 +286,18 @@
     model = stream.constants.find_model(group.model)
     if model is None:
         return FIRST_EVENT_MARGIN_SECONDS
-    prompt_seconds = (
-        stream.request.inbound.prompt_tokens / stream.constants.prefill_tokens_per_second
-    )
     pass_seconds = stream.constants.pass_seconds(model, stream.constants.slots // 2)
-    return FIRST_EVENT_MARGIN_SECONDS + prompt_seconds * model.time_factor + 2 * pass_seconds
+    prefill_seconds = _compute_prefill_seconds(stream, group)
+    return FIRST_EVENT_MARGIN_SECONDS + prefill_seconds + 2 * pass_seconds
+
+
+def _compute_prefill_seconds(stream: Stream, group: replica_group.Group) -> float:
+    """Return how long the prefill of the prompt takes at least, in seconds."""
+    model = stream.constants.find_model(group.model)
+    if model is None:
+        return 0.0
+    prompt_tokens = stream.request.inbound.prompt_tokens
+    return prompt_tokens / stream.constants.prefill_tokens_per_second * model.time_factor
 
 
 async def _run_attempt(
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -106,12 +106,29 @@
 
 
 def forward_part_news(
-    gw: states.Gateway, message: peer_message.SuspectParts | peer_message.ClearedParts
+    gw: states.Gateway,
+    message: peer_message.SuspectParts | peer_message.ClearedParts,
+    sender_name: str,
 ) -> None:
-    """Pass on what was news to this entry, if others rely on it for that."""
+    """Pass on what was news to this entry, if it is its data centre's first relay.
+
+    News from another data centre goes to the subscribers in this one only.
+    """
     now = boot_clock.now()
-    if gw.name in gw.choose_own_relays(now) or peers.find_subscribers(gw.peers, now):
-        send_part_news(gw, message)
+    if gw.choose_own_relays(now)[:1] != [gw.name]:
+        return
+    sender = gw.peers.get(sender_name)
+    recipients = {peer.name for peer in peers.find_subscribers(gw.peers, now)}
+    if sender is not None and sender.data_centre != gw.data_centre:
+        recipients = {name for name in recipients if gw.peers[name].data_centre == gw.data_centre}
+    else:
+        recipients |= choose_upstream_relays(gw, now)
+    _send(gw, message, [gw.peers[name] for name in sorted(recipients - {sender_name})])
+
+
+def share_blocked_parts(gw: states.Gateway, message: peer_message.SuspectParts) -> None:
+    """Send the blocked parts to this entry's subscribers, some of which may have missed them."""
+    _send(gw, message, peers.find_subscribers(gw.peers, boot_clock.now()))
 
 
 def _send(gw: states.Gateway, message: peer_message.Message, recipients: list[peers.Peer]) -> None:
--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -19,6 +19,9 @@
 """How often blocked parts are sent within the time in which entries have to hear of a change, for
 entries that have just started or were cut off."""
 MAX_SHARED_PARTS = 32
+MIN_PREFILL_SHARE = 0.5
+"""A head can't have begun to answer a request that it has had for less of the prefill time; targets
+differ in speed."""
 _REFUSE = prompt_suspects.Verdict.REFUSE
 
 
@@ -77,6 +80,8 @@
     """Suspect the parts of the requests that waited at a crashed head, and tell the others."""
     waited: dict[str, float] = {}
     for request in waiting:
+        if crashed_at - request.sent_at < MIN_PREFILL_SHARE * request.prefill_seconds:
+            continue
         for part in prompt_suspects.find_unproven(gw.prompt_suspects, request.parts, crashed_at):
             seconds = crashed_at - request.sent_at
             waited[part] = min(seconds, waited.get(part, seconds))
@@ -103,7 +108,8 @@
         if prompt_suspects.record_probe(suspects, probe.part, now - probe.age)
     ]
     if news or probes:
-        peer_updates.forward_part_news(gw, peer_message.SuspectParts(gw.name, news, probes))
+        forwarded = peer_message.SuspectParts(gw.name, news, probes)
+        peer_updates.forward_part_news(gw, forwarded, report.sender)
     disproved = {
         crash.part
         for crash in report.crashes
@@ -131,11 +137,11 @@
     gw.note_parts_changed()
     events.log("part.cleared", parts=",".join(cleared), source=report.sender)
     forwarded = peer_message.ClearedParts(gw.name, list(cleared), report.age)
-    peer_updates.forward_part_news(gw, forwarded)
+    peer_updates.forward_part_news(gw, forwarded, report.sender)
 
 
 def share(gw: states.Gateway) -> None:
-    """Send the blocked parts to peers, if there are any and some time has passed."""
+    """Send the blocked parts to subscribers, if there are any and some time has passed."""
     now = trio.current_time()
     interval = gw.cfg.get(settings.CONTACT) / SHARES_PER_CONTACT
     if not gw.prompt_suspects.suspected or now - gw.blocks_shared_at < interval:
@@ -149,7 +155,8 @@
         for crash in gw.prompt_suspects.suspected[part].crashes
     ]
     if crashes:
-        peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, crashes, []))
+        message = peer_message.SuspectParts(gw.name, crashes, [])
+        peer_updates.share_blocked_parts(gw, message)
 
 
 def _make_part_crash(part: str, crash: prompt_suspects.Crash, now: float) -> peer_message.PartCrash:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -41,11 +41,15 @@
 
     :ivar parts: the parts of its prompt that other requests may share.
     :ivar sent_at: time on trio's clock.
+    :ivar prefill_seconds: how long the prefill of its prompt takes at least.
+    :ivar is_probe: whether some of the parts are suspected to crash targets.
     """
 
     parts: tuple[str, ...]
     prompt_tokens: int
     sent_at: float
+    prefill_seconds: float = 0.0
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +69,11 @@
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
     crash_check: trio.Event | None = None
 
+    @property
+    def has_probe(self) -> bool:
+        """Whether a waiting request may crash the head."""
+        return any(request.is_probe for request in self.waiting.values())
+
 
 class Gateway:
     """The state of one entry process.
--- a/src/galenavane/route/head_choice.py
+++ b/src/galenavane/route/head_choice.py
@@ -39,17 +39,25 @@
     entries: int,
     limit: float,
     rng: random.Random,
+    avoided: abc.Set[str] = frozenset(),
+    is_random: bool = False,
 ) -> Candidate | None:
     """Return a lightly loaded head that has not been tried, or ``None`` when all have.
 
     :param tried: heads that the request has been sent to.
     :param entries: number of entries that send to these heads.
     :param limit: maximum number of requests of a head; full heads are picked only as a last resort.
+    :param avoided: heads that may crash soon, picked only if all others are full.
+    :param is_random: whether to pick one at random: entries that see the same loads would all pick
+        the same head otherwise.
     """
     eligible = [candidate for candidate in candidates if candidate.head not in tried]
     if not eligible:
         return None
     eligible = [candidate for candidate in eligible if candidate.in_flight < limit] or eligible
+    eligible = [candidate for candidate in eligible if candidate.head not in avoided] or eligible
+    if is_random:
+        return rng.choice(eligible)
     if entries > MAX_FULL_SCAN_ENTRIES and len(eligible) > SAMPLE_SIZE:
         eligible = rng.sample(eligible, SAMPLE_SIZE)
     return min(eligible, key=lambda candidate: (_cost(candidate), rng.random()))
--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -6,7 +6,8 @@
 the part are sent one at a time. A successful request clears its parts.
 
 Other requests wait at a crashing target as well, so parts may be blocked together. Parts with the
-same crashes are tied: a request that has some, but not all, of them is let through to find out.
+same crashes are tied: a request that has some, but not all, of them is let through to find out, one
+at a time.
 """
 
 from __future__ import annotations
@@ -236,17 +237,17 @@
     """Decide on a request; the sender records a probe when it sends the request."""
     if not suspects.suspected:
         return _ADMIT
-    blocked = tuple(part for part in parts if is_blocked(suspects, part))
+    suspected = [part for part in parts if part in suspects.suspected]
+    blocked = [part for part in suspected if is_blocked(suspects, part)]
     for part in blocked:
         if not _may_probe(suspects, part, parts, now):
             return Decision(Verdict.REFUSE, (part,))
-    doubtful = tuple(part for part in parts if _is_doubtful(suspects, part))
-    for part in doubtful:
-        until = suspects.suspected[part].probed_at + suspects.hold_seconds
+    probed = [part for part in suspected if part in blocked or _is_doubtful(suspects, part)]
+    for part in probed:
+        until = _held_until(suspects, part, now)
         if now < until:
             return Decision(Verdict.HOLD, (part,), until)
-    probed = blocked + doubtful
-    return Decision(Verdict.PROBE, probed) if probed else _ADMIT
+    return Decision(Verdict.PROBE, tuple(probed)) if probed else _ADMIT
 
 
 def _is_doubtful(suspects: Suspects, part: str) -> bool:
@@ -260,18 +261,48 @@
 
 
 def _may_probe(suspects: Suspects, part: str, parts: abc.Sequence[str], now: float) -> bool:
+    """Whether a request with a blocked part may be let through, if need be later."""
     suspicion = suspects.suspected[part]
-    has_result = suspicion.probed_at < suspicion.crashes[-1].at
-    if not has_result and now <= suspicion.probed_at + suspects.probe_seconds:
-        return False
     if now >= _expires_at(suspects, suspicion):
-        return True
-    return any(
-        other.counted == suspicion.counted
-        and other_part not in parts
-        and not _is_outweighed(suspects, other_part, other)
-        for other_part, other in suspects.suspected.items()
-    )
+        return not _is_probed(suspicion, now, suspects.probe_seconds)
+    return any(tied_part not in parts for tied_part in _find_tied(suspects, suspicion))
+
+
+def _held_until(suspects: Suspects, part: str, now: float) -> float:
+    """Return until when to hold a request with a part that may be probed, at the earliest now.
+
+    The probe is the first request after a crash, mostly the next try of one that waited there. For
+    parts that are tied it is the first one of any entry, so the entries begin at different times.
+    """
+    suspicion = suspects.suspected[part]
+    if len(suspicion.counted) < BLOCKING_CRASHES:
+        return max(now, suspicion.probed_at + suspects.hold_seconds)
+    if now >= _expires_at(suspects, suspicion):
+        return now
+    tied = [suspects.suspected[tied_part] for tied_part in _find_tied(suspects, suspicion)]
+    pending = [
+        other.probed_at + suspects.hold_seconds
+        for other in (suspicion, *tied)
+        if _is_probed(other, now, suspects.hold_seconds)
+    ]
+    delay = JITTER_SHARE * suspicion.jitter * suspects.hold_seconds
+    return max(now, suspicion.crashes[-1].at + delay, *pending)
+
+
+def _is_probed(suspicion: Suspicion, now: float, seconds: float) -> bool:
+    """Whether a probe was sent in the last seconds and has not ended with a crash."""
+    return suspicion.probed_at >= suspicion.crashes[-1].at and now < suspicion.probed_at + seconds
+
+
+def _find_tied(suspects: Suspects, suspicion: Suspicion) -> list[str]:
+    """Return the other blocked parts with the same crashes as a blocked one."""
+    return [
+        part
+        for part, other in suspects.suspected.items()
+        if other is not suspicion
+        and other.counted == suspicion.counted
+        and not _is_outweighed(suspects, part, other)
+    ]
 
 
 def _expires_at(suspects: Suspects, suspicion: Suspicion) -> float:
--- a/tests/route/prompt_suspects.feature
+++ b/tests/route/prompt_suspects.feature
@@ -82,7 +82,9 @@
     When requests with parts "g" and "s" wait at crashes of groups 1 and 2
     Then a request with parts "s" is a probe of "s"
     When a probe of "s" is sent
-    Then a request with parts "s" is refused because of "s"
+    Then a request with parts "s" is held for 1 s because of "s"
+    And a request with parts "g" is held for 1 s because of "g"
+    And a request with parts "g s" is refused because of "g"
 
   Scenario: A third crash frees the parts that were only blocked together with the crashing one
     When requests with parts "a g" and "s" wait at crashes of groups 1 and 2
--- a/tests/steps/prompt_fleet.py
+++ b/tests/steps/prompt_fleet.py
@@ -139,9 +139,17 @@
                 waited = self.now - request.sent_at
                 reporter = f"e{request.entry}"
                 seen = prompt_suspects.Crash(key, self.now, waited, reporter, self.now)
-                prompt_suspects.record_crash(suspects, part, seen, True, 0.0, self.now)
+                prompt_suspects.record_crash(
+                    suspects, part, seen, True, self.rng.random(), self.now
+                )
                 self.tell(
-                    request.entry, prompt_suspects.record_crash, part, seen, False, 0.0, self.now
+                    request.entry,
+                    prompt_suspects.record_crash,
+                    part,
+                    seen,
+                    False,
+                    self.rng.random(),
+                    self.now,
                 )
         for request in sorted(waiting, key=lambda request: request.sent_at):
             if request.sends < MAX_SENDS:
