Form the group of a crashed head again at once

Cause: only stalls were reported to the holder of the lease; a head whose connections ended was noticed when its listed object expired. Change: an entry that finds a head crashed sends the stall report with the head as the missing member; the holder connects to the members itself before it dissolves the group, as before.

--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -5,7 +5,7 @@
 import trio
 
 from galenavane.fleet import replica_group, target
-from galenavane.gateway import member_check, prompt_blocks
+from galenavane.gateway import member_check, peer_message, peer_updates, prompt_blocks
 from galenavane.gateway import state as states
 from galenavane.observe import events
 
@@ -59,6 +59,18 @@
         waiting=_describe(waiting, crashed_at),
     )
     prompt_blocks.report_crash(gw, group.key, waiting.values(), crashed_at)
+    _report_lost_group(gw, group.key, head)
+
+
+def _report_lost_group(gw: states.Gateway, key: replica_group.Key, head: target.Target) -> None:
+    """Report a group as stalled, so that it is formed again before the platform misses its head."""
+    gw.pending_stalls.append((head.service, key, (head.id,)))
+    gw.wake_control()
+    if gw.record_stall(key):
+        report = peer_message.StallReport(
+            gw.name, head.service, head.id, key.name, key.epoch, [head.id]
+        )
+        peer_updates.send_stall(gw, report)
 
 
 def _describe(waiting: dict[str, states.WaitingRequest], now: float) -> str:
--- a/tests/gateway/crashing_prompts.feature
+++ b/tests/gateway/crashing_prompts.feature
@@ -39,3 +39,11 @@
     And a client sends a request with parts "first second"
     Then it gets events 1 to 8 and the end
     And all these steps succeed
+
+  Scenario: The groups of crashed heads are formed again before the platform misses the heads
+    Given a platform with 4 domains of 6 targets, and an entry
+    When prompts with part "dead" crash the head that writes an answer to them
+    And clients send 1 requests with parts "first dead", one after the other
+    Then 2 heads have crashed
+    And 4 groups serve again within 2 s
+    And all these steps succeed
--- a/tests/steps/gateway_crashing_prompts.py
+++ b/tests/steps/gateway_crashing_prompts.py
@@ -91,6 +91,13 @@
         assert len(world.crashed) == count, world.crashed
 
 
+@then("{count:d} groups serve again within {seconds:d} s")
+def check_serving_again(context, count, seconds):
+    @plan_step(context)
+    async def step(world):
+        await world.wait_serving(count, seconds)
+
+
 @then("the last {count:d} requests were refused as not run, with code 2008 and no time to retry")
 def check_refused(context, count):
     @plan_step(context)
