Tell a head that refuses only new connections from a crashed one

A head with too many connections resets new ones while its streams go on; after one lost answer its group would have been reported as lost, and the parts of its waiting requests suspected. Cause: the check of a head asked only whether a new connection opens. Change: a head has crashed only if all connections that this entry had to it end within 50 ms.

--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -11,6 +11,8 @@
 
 SUSPECT_SECONDS = 2.0
 """How long a crashed head is avoided: longer than re-forming its group under a new name takes."""
+END_SECONDS = 0.05
+"""Within which all connections of a crashed head end; they do so within some milliseconds."""
 MAX_LOG_CHARACTERS = 2_000
 
 
@@ -19,26 +21,41 @@
     group: replica_group.Group,
     head: target.Target,
     head_requests: states.HeadRequests,
+    request_id: str,
 ) -> None:
     """Check a head whose connection ended, once for all connections that end together.
 
-    A head that has crashed refuses connections; one that lost a single answer accepts them.
+    A head that has crashed refuses connections, and all of its connections end. One that lost a
+    single answer accepts new ones, and one that has too many refuses new ones only.
+
+    :param request_id: the request whose connection ended.
     """
+    head_requests.ended.add(request_id)
     crash_check = head_requests.crash_check
     if crash_check is not None:
         await crash_check.wait()
         return
     head_requests.crash_check = trio.Event()
     waiting = dict(head_requests.waiting)
-    started = len(head_requests.reads) - len(waiting)
+    in_progress = set(head_requests.reads)
     crashed_at = trio.current_time()
     # The client of this request may leave meanwhile, but the check is made for the others too.
     with trio.CancelScope(shield=True):
-        unreachable = await member_check.find_unreachable(gw, (head,))
+        has_crashed = bool(
+            await member_check.find_unreachable(gw, (head,))
+        ) and await _have_all_ended(head_requests, in_progress)
     head_requests.crash_check.set()
     head_requests.crash_check = None
-    if unreachable:
-        _handle_crash(gw, group, head, waiting, started, crashed_at)
+    if has_crashed:
+        _handle_crash(gw, group, head, waiting, len(in_progress) - len(waiting), crashed_at)
+
+
+async def _have_all_ended(head_requests: states.HeadRequests, request_ids: set[str]) -> bool:
+    """Whether the connections of all these requests end within a moment."""
+    with trio.move_on_after(END_SECONDS):
+        while request_ids & head_requests.reads.keys() - head_requests.ended:
+            await trio.sleep(END_SECONDS / 10)
+    return not request_ids & head_requests.reads.keys() - head_requests.ended
 
 
 def _handle_crash(
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -279,6 +279,7 @@
         head_watch.record_end(head_requests.activity, request_id)
         head_requests.reads.pop(request_id, None)
         head_requests.waiting.pop(request_id, None)
+        head_requests.ended.discard(request_id)
 
 
 def _predict_first_event_seconds(stream: Stream, group: replica_group.Group) -> float:
@@ -336,7 +337,8 @@
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, head, exc)
         if exc.kind is transport_error.Kind.RESET:
-            await head_crash.check(gw, group, head, head_requests)
+            request_id = stream.request.inbound.id
+            await head_crash.check(gw, group, head, head_requests, request_id)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -59,6 +59,7 @@
     :ivar reads: reads of responses by request id, cancelled when the group stalls.
     :ivar is_checking: whether the group's members are being checked now.
     :ivar waiting: waiting requests by id.
+    :ivar ended: requests whose connections were reset, until they are sent elsewhere.
     :ivar crash_check: set at the end of a check whether the head has crashed, ``None`` for none.
     """
 
@@ -67,6 +68,7 @@
     reads: dict[str, cancellable_read.CancellableRead] = dataclasses.field(default_factory=dict)
     is_checking: bool = False
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
+    ended: set[str] = dataclasses.field(default_factory=set)
     crash_check: trio.Event | None = None
 
     @property
--- a/tests/gateway/crashing_prompts.feature
+++ b/tests/gateway/crashing_prompts.feature
@@ -47,3 +47,10 @@
     Then 2 heads have crashed
     And 4 groups serve again within 2 s
     And all these steps succeed
+
+  Scenario: A head that refuses new connections while its streams go on has not crashed
+    Given a platform with 1 domains of 6 targets, and an entry
+    When during a stream of 60 events its head drops another answer and accepts no more connections
+    Then it gets events 1 to 60 and the end
+    And no group was reported as lost
+    And all these steps succeed
--- a/tests/steps/gateway_crashing_prompts.py
+++ b/tests/steps/gateway_crashing_prompts.py
@@ -91,6 +91,49 @@
         assert len(world.crashed) == count, world.crashed
 
 
+class RefusingNetwork:
+    """Opens connections, except to an address that refuses them."""
+
+    def __init__(self, refused):
+        self.refused = refused
+
+    async def dial(self, address, timeout_seconds):
+        """Open a connection."""
+        if str(address) == self.refused:
+            kind = transport_error.Kind.NOT_CONNECTED
+            raise transport_error.TransportError(kind, False, "refused")
+        return await tcp.make().dial(address, timeout_seconds)
+
+
+@when(
+    "during a stream of {count:d} events its head drops another answer and accepts no more "
+    "connections"
+)
+def drop_and_refuse(context, count):
+    @plan_step(context)
+    async def step(world):
+        async def run_stream():
+            world.answer = await world.call("/model/x", count, prompt=make_prompt("first"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_stream)
+            await trio.sleep(0.3)
+            head = world.targets[world.arrivals[0][0]]
+            world.dropped_answers = 1
+            nursery.start_soon(send, world, "second")
+            while world.dropped_answers:
+                await trio.sleep(0)
+            world.entry.net = RefusingNetwork(head.published_address)
+
+
+@then("no group was reported as lost")
+def check_none_lost(context):
+    @plan_step(context)
+    async def step(world):
+        assert len(world.arrivals) == 2, world.arrivals
+        assert not world.entry.known_stalls, world.entry.known_stalls
+
+
 @then("{count:d} groups serve again within {seconds:d} s")
 def check_serving_again(context, count, seconds):
     @plan_step(context)
