Tell parts apart by all crashes at which they waited, not only by those that count

Cause: its request was tried again beside another request with the crashing part that had been sent before the first crash, so two crashes counted for the sound part and one for the crashing one: they were not tied, and the third crash did not free the sound one. Change: parts are tied, and one explains another, by all their crashes.

--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -53,13 +53,15 @@
     """The crashes of one part of prompts.
 
     :ivar crashes: in order of time.
-    :ivar counted: keys of the crashes that count.
+    :ivar keys: keys of the crashes.
+    :ivar counted: number of the crashes that count.
     :ivar probed_at: monotonic time at which a request with the part was last let through.
     :ivar jitter: random number from 0 to 1.
     """
 
     crashes: list[Crash] = dataclasses.field(default_factory=list)
-    counted: frozenset[replica_group.Key] = frozenset()
+    keys: frozenset[replica_group.Key] = frozenset()
+    counted: int = 0
     probed_at: float = float("-inf")
     jitter: float = 0.0
 
@@ -145,12 +147,13 @@
     suspicion = suspects.suspected.get(part)
     if suspicion is None:
         suspicion = Suspicion(jitter=jitter)
-    if any(known.key == crash.key for known in suspicion.crashes):
+    if crash.key in suspicion.keys:
         return False
     crashes = _align([*suspicion.crashes, crash], crash.reporter)
     suspicion.crashes = sorted(crashes, key=lambda known: known.at)[-MAX_CRASHES:]
+    suspicion.keys = frozenset(known.key for known in suspicion.crashes)
     suspicion.counted = _count(suspicion.crashes)
-    if not is_own and len(suspicion.counted) < BLOCKING_CRASHES:
+    if not is_own and suspicion.counted < BLOCKING_CRASHES:
         suspicion.probed_at = max(suspicion.probed_at, crash.at)
     suspects.suspected[part] = suspicion
     drop_expired(suspects, now)
@@ -178,19 +181,19 @@
     return is_blocked(suspects, part)
 
 
-def _count(crashes: list[Crash]) -> frozenset[replica_group.Key]:
-    """Return the keys of the crashes that count.
+def _count(crashes: list[Crash]) -> int:
+    """Return the number of crashes that count.
 
     Many heads may be lost at once for another reason. A crash counts only if its request was sent
     after the crash before it, since then the request is what the two have in common.
     """
-    counted: list[replica_group.Key] = []
+    counted = 0
     counted_at = -math.inf
     for crash in crashes:
         if crash.at - crash.waited_seconds >= counted_at:
-            counted.append(crash.key)
+            counted += 1
             counted_at = crash.at
-    return frozenset(counted)
+    return counted
 
 
 def _align(crashes: list[Crash], reporter: str) -> list[Crash]:
@@ -217,12 +220,14 @@
 def is_blocked(suspects: Suspects, part: str) -> bool:
     """Whether requests with a part are refused, unless they are probes."""
     suspicion = suspects.suspected.get(part)
-    if suspicion is None or len(suspicion.counted) < BLOCKING_CRASHES:
+    if suspicion is None or suspicion.counted < BLOCKING_CRASHES:
         return False
     if _is_outweighed(suspects, part, suspicion):
         return False
     return not any(
-        suspicion.counted < other.counted and not _is_outweighed(suspects, other_part, other)
+        other.counted >= BLOCKING_CRASHES
+        and suspicion.keys < other.keys
+        and not _is_outweighed(suspects, other_part, other)
         for other_part, other in suspects.suspected.items()
     )
 
@@ -255,7 +260,7 @@
     suspicion = suspects.suspected.get(part)
     return (
         suspicion is not None
-        and len(suspicion.counted) < BLOCKING_CRASHES
+        and suspicion.counted < BLOCKING_CRASHES
         and not _is_outweighed(suspects, part, suspicion)
     )
 
@@ -275,7 +280,7 @@
     parts that are tied it is the first one of any entry, so the entries begin at different times.
     """
     suspicion = suspects.suspected[part]
-    if len(suspicion.counted) < BLOCKING_CRASHES:
+    if suspicion.counted < BLOCKING_CRASHES:
         return max(now, suspicion.probed_at + suspects.hold_seconds)
     if now >= _expires_at(suspects, suspicion):
         return now
@@ -295,19 +300,19 @@
 
 
 def _find_tied(suspects: Suspects, suspicion: Suspicion) -> list[str]:
-    """Return the other blocked parts with the same crashes as a blocked one."""
+    """Return the other parts that waited at all crashes of a blocked one."""
     return [
         part
         for part, other in suspects.suspected.items()
         if other is not suspicion
-        and other.counted == suspicion.counted
+        and other.keys >= suspicion.keys
         and not _is_outweighed(suspects, part, other)
     ]
 
 
 def _expires_at(suspects: Suspects, suspicion: Suspicion) -> float:
     """Return when a part may be tried again: after each further crash only in twice the time."""
-    doublings = max(0, len(suspicion.counted) - BLOCKING_CRASHES)
+    doublings = max(0, suspicion.counted - BLOCKING_CRASHES)
     seconds = suspects.block_seconds * 2.0**doublings * (1 + JITTER_SHARE * suspicion.jitter)
     return max(suspicion.crashes[-1].at + seconds, suspicion.probed_at + suspects.block_seconds)
 
--- a/tests/route/prompt_suspects.feature
+++ b/tests/route/prompt_suspects.feature
@@ -92,6 +92,14 @@
     Then a request with parts "a s" is admitted
     And a request with parts "b g" is refused because of "g"
 
+  Scenario: A sound request that was tried again beside another crashing request is the probe
+    When requests with parts "g" and "s" wait at a crash of group 1
+    And a request with parts "s" and an older one with parts "g" wait at a crash of group 2
+    Then a request with parts "s" is a probe of "s"
+    When a request with parts "g" crashes group 3
+    Then a request with parts "s" is admitted
+    And a request with parts "a g" is refused because of "g"
+
   Scenario: Two parts that crash targets are blocked independently
     When a request with parts "g" crashes group 1
     And a request with parts "h" crashes group 2
--- a/tests/steps/route_prompt_suspects.py
+++ b/tests/steps/route_prompt_suspects.py
@@ -116,6 +116,24 @@
     prompt_suspects.record_crash(suspects, part, seen, False, 0.0, context.now)
 
 
+@when('requests with parts "{parts}" and "{others}" wait at a crash of group {number:d}')
+def crash_one(context, parts, others, number):
+    get_suspects(context)
+    context.now += BETWEEN_SECONDS
+    crash(context, number, [*parts.split(), *others.split()])
+
+
+@when(
+    'a request with parts "{parts}" and an older one with parts "{others}" wait at a crash of '
+    "group {number:d}"
+)
+def crash_with_older(context, parts, others, number):
+    context.now += BETWEEN_SECONDS
+    crash(context, number, parts.split())
+    crash(context, number, others.split(), BETWEEN_SECONDS + WAITED_SECONDS)
+    context.now += 1.0
+
+
 @when('a request with parts "{parts}" succeeds')
 def succeed(context, parts):
     suspects = get_suspects(context)
