--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -18,13 +18,15 @@
 from galenavane.gateway import (
     admission,
     cancellable_read,
+    head_crash,
     heads_task,
+    prompt_blocks,
     target_exchange,
 )
 from galenavane.gateway import state as states
 from galenavane.net import disconnect, http_server, message, transport_error
 from galenavane.observe import events
-from galenavane.route import head_capacity, head_choice, head_watch
+from galenavane.route import head_capacity, head_choice, head_watch, prompt_suspects
 from galenavane.serve import event_splitter, inbound_request, target_response
 
 REFUSED_SUSPECT_SECONDS = 0.3
@@ -34,6 +36,7 @@
 FIRST_EVENT_MARGIN_SECONDS = 0.04
 MAX_REFUSALS = 2
 _Outcome = outcomes.Outcome
+_Verdict = prompt_suspects.Verdict
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,8 +45,12 @@
 
     :ivar last_event: number of the last event that the client has.
     :ivar is_started: whether the client was sent any event.
+    :ivar events: number of events that targets sent.
     :ivar sends: number of targets that may have run the request.
     :ivar refusals: number of targets that refused the request or a connection.
+    :ivar parts: names of the shared parts of the prompt.
+    :ivar probed_parts: suspected parts of the prompt that this request is a probe of.
+    :ivar probe_sends: number of sends before it became a probe.
     :ivar tried_heads: ids of the heads that were tried.
     :ivar reported_failure: failure to answer with if no head serves the request.
     """
@@ -52,8 +59,12 @@
     constants: engine.Engine
     last_event: int
     is_started: bool = False
+    events: int = 0
     sends: int = 0
     refusals: int = 0
+    parts: tuple[str, ...] = ()
+    probed_parts: tuple[str, ...] = ()
+    probe_sends: int = 0
     tried_heads: set[str] = dataclasses.field(default_factory=set)
     reported_failure: failure.Failure | None = None
 
@@ -69,9 +80,13 @@
     :returns: the failure to answer with, or ``None`` if the request was answered.
     """
     stream = Stream(request, constants, request.inbound.last_event_id)
+    stream.parts = prompt_blocks.name_parts(request.inbound)
     if constants.find_model(request.inbound.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
     while True:
+        refusal = await _check_prompt(gw, stream)
+        if refusal is not None:
+            return refusal
         choice = _choose_group(gw, stream)
         if choice is None:
             return stream.reported_failure or _make_no_group_failure(gw)
@@ -81,6 +96,7 @@
             return queue_failure
         if not _may_send(gw, stream):
             return stream.reported_failure or _make_no_group_failure(gw)
+        prompt_blocks.record_probe(gw, stream.probed_parts)
         _log_sent(gw, stream, group, in_flight)
         send_failure = await _send_to_group(gw, exchange, stream, group)
         if send_failure is None:
@@ -92,6 +108,28 @@
             return stream.reported_failure
 
 
+async def _check_prompt(gw: states.Gateway, stream: Stream) -> failure.Failure | None:
+    """Hold a request while its prompt is in doubt, and return the failure if it is blocked.
+
+    A probe that no target has run is still the one probe.
+    """
+    is_unused_probe = stream.probed_parts and stream.sends == stream.probe_sends
+    if stream.events >= prompt_suspects.PROVING_EVENTS or is_unused_probe:
+        return None
+    decision = prompt_blocks.decide(gw, stream.parts)
+    hold_until = trio.current_time() + gw.prompt_suspects.hold_seconds
+    while decision.verdict is _Verdict.HOLD and trio.current_time() < hold_until:
+        await prompt_blocks.hold(gw, min(decision.until, hold_until))
+        decision = prompt_blocks.decide(gw, stream.parts)
+    if decision.verdict is not _Verdict.REFUSE:
+        stream.probed_parts = decision.parts
+        stream.probe_sends = stream.sends
+        return None
+    if stream.reported_failure is None or stream.reported_failure.outcome is _Outcome.NOT_RUN:
+        return prompt_blocks.make_failure(decision)
+    return stream.reported_failure
+
+
 def _check_queue(gw: states.Gateway, stream: Stream, in_flight: float) -> failure.Failure | None:
     """Return the failure for a new request that the least loaded head can't serve in time."""
     model = stream.constants.find_model(stream.request.inbound.model)
@@ -121,6 +159,7 @@
     loads = gw.sum_head_loads()
     groups_by_head: dict[str, replica_group.Group] = {}
     candidates: list[head_choice.Candidate] = []
+    probed_heads: set[str] = set()
     serving = group_index.find_serving(
         gw.registry.index,
         stream.request.service,
@@ -135,8 +174,17 @@
         is_near = head.data_centre == gw.data_centre
         candidates.append(head_choice.Candidate(head.id, in_flight, is_near))
         groups_by_head[head.id] = group
+        head_requests = gw.heads.get(head.id)
+        if head_requests is not None and head_requests.has_probe:
+            probed_heads.add(head.id)
     choice = head_choice.pick(
-        candidates, stream.tried_heads, gw.count_entries(), _compute_limit(stream), gw.rng
+        candidates,
+        stream.tried_heads,
+        gw.count_entries(),
+        _compute_limit(stream),
+        gw.rng,
+        probed_heads,
+        is_random=bool(stream.probed_parts),
     )
     return (groups_by_head[choice.head], choice.in_flight) if choice is not None else None
 
@@ -214,13 +262,24 @@
     head_watch.record_send(
         head_requests.activity, request_id, _predict_first_event_seconds(stream, group), now
     )
+    if stream.events < prompt_suspects.PROVING_EVENTS:
+        head_requests.waiting[request_id] = states.WaitingRequest(
+            stream.parts,
+            stream.request.inbound.prompt_tokens,
+            now,
+            _compute_prefill_seconds(stream, group),
+            is_probe=bool(stream.probed_parts),
+        )
     try:
         return await _run_attempt(gw, exchange, stream, group, head_requests, read)
     except cancellable_read.ReadCancelledError:
-        return failure.Failure(codes.Code.TARGET_SILENT, "the group stalled", _Outcome.UNKNOWN)
+        text = "the group stalled, or a part of the prompt was blocked"
+        return failure.Failure(codes.Code.TARGET_SILENT, text, _Outcome.UNKNOWN)
     finally:
         head_watch.record_end(head_requests.activity, request_id)
         head_requests.reads.pop(request_id, None)
+        head_requests.waiting.pop(request_id, None)
+        head_requests.ended.discard(request_id)
 
 
 def _predict_first_event_seconds(stream: Stream, group: replica_group.Group) -> float:
@@ -228,11 +287,18 @@
     model = stream.constants.find_model(group.model)
     if model is None:
         return FIRST_EVENT_MARGIN_SECONDS
-    prompt_seconds = (
-        stream.request.inbound.prompt_tokens / stream.constants.prefill_tokens_per_second
-    )
     pass_seconds = stream.constants.pass_seconds(model, stream.constants.slots // 2)
-    return FIRST_EVENT_MARGIN_SECONDS + prompt_seconds * model.time_factor + 2 * pass_seconds
+    prefill_seconds = _compute_prefill_seconds(stream, group)
+    return FIRST_EVENT_MARGIN_SECONDS + prefill_seconds + 2 * pass_seconds
+
+
+def _compute_prefill_seconds(stream: Stream, group: replica_group.Group) -> float:
+    """Return how long the prefill of the prompt takes at least, in seconds."""
+    model = stream.constants.find_model(group.model)
+    if model is None:
+        return 0.0
+    prompt_tokens = stream.request.inbound.prompt_tokens
+    return prompt_tokens / stream.constants.prefill_tokens_per_second * model.time_factor
 
 
 async def _run_attempt(
@@ -270,6 +336,9 @@
         return relay_failure
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, head, exc)
+        if exc.kind is transport_error.Kind.RESET:
+            request_id = stream.request.inbound.id
+            await head_crash.check(gw, group, head, head_requests, request_id)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
@@ -339,6 +408,9 @@
             continue
         now = trio.current_time()
         head_watch.record_event(head_requests.activity, request_id, now)
+        stream.events += len(whole_events)
+        if stream.events >= prompt_suspects.PROVING_EVENTS:
+            _record_proof(gw, stream, head_requests)
         if not stream.is_started:
             waited_seconds = now - stream.request.received_at
             gw.metrics.first_event_seconds.observe(
@@ -356,6 +428,8 @@
     break_text = _find_break(stream, splitter, target_conn)
     if break_text:
         return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
+    if stream.events:
+        _record_proof(gw, stream, head_requests)
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
         await exchange.respond(message.Response(200, fields, b""))
@@ -378,6 +452,12 @@
     return ""
 
 
+def _record_proof(gw: states.Gateway, stream: Stream, head_requests: states.HeadRequests) -> None:
+    """Clear the parts of a prompt to which the head has written an answer."""
+    if head_requests.waiting.pop(stream.request.inbound.id, None) is not None:
+        prompt_blocks.record_success(gw, stream.parts)
+
+
 async def _deliver(
     exchange: http_server.Exchange,
     stream: Stream,
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -6,6 +6,7 @@
 import random
 from collections import abc
 
+import msgspec
 import trio
 
 from galenavane.catalog import engine
@@ -25,26 +26,55 @@
 )
 from galenavane.net import connection_pool, network
 from galenavane.peer import transport
-from galenavane.route import head_watch, send_budget
+from galenavane.route import head_watch, prompt_suspects, send_budget
 
 STALL_DEDUP_SECONDS = 1.0
 """Reports of the same stall by several entries within this time are forwarded once."""
+HOLDS_PER_CONTACT = 3
+"""Requests are held for this share of the time in which entries have to hear of a change."""
 RELAY_CHOICE_SECONDS = 0.05
 """How long a choice of relays is used; short against the time after which one counts as lost."""
 
 
+class WaitingRequest(msgspec.Struct, frozen=True):
+    """A request that a head has not answered far enough to show that it can.
+
+    :ivar parts: the parts of its prompt that other requests may share.
+    :ivar sent_at: time on trio's clock.
+    :ivar prefill_seconds: how long the prefill of its prompt takes at least.
+    :ivar is_probe: whether some of the parts are suspected to crash targets.
+    """
+
+    parts: tuple[str, ...]
+    prompt_tokens: int
+    sent_at: float
+    prefill_seconds: float = 0.0
+    is_probe: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class HeadRequests:
     """The requests of this entry at one head.
 
     :ivar reads: reads of responses by request id, cancelled when the group stalls.
     :ivar is_checking: whether the group's members are being checked now.
+    :ivar waiting: waiting requests by id.
+    :ivar ended: requests whose connections were reset, until they are sent elsewhere.
+    :ivar crash_check: set at the end of a check whether the head has crashed, ``None`` for none.
     """
 
     group_key: replica_group.Key
     activity: head_watch.Activity
     reads: dict[str, cancellable_read.CancellableRead] = dataclasses.field(default_factory=dict)
     is_checking: bool = False
+    waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
+    ended: set[str] = dataclasses.field(default_factory=set)
+    crash_check: trio.Event | None = None
+
+    @property
+    def has_probe(self) -> bool:
+        """Whether a waiting request may crash the head."""
+        return any(request.is_probe for request in self.waiting.values())
 
 
 class Gateway:
@@ -57,6 +87,9 @@
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
     :ivar stalls_in_check: stalled groups whose members are being checked.
+    :ivar prompt_suspects: parts of prompts that are suspected to crash targets.
+    :ivar parts_changed: set and replaced when a part was suspected, blocked or cleared.
+    :ivar blocks_shared_at: when blocked parts were last sent to peers, on trio's clock.
     :ivar target_in_flight: requests of this entry at each target without a group.
     :ivar is_stopping: whether the process was asked to stop.
     :ivar is_closing: whether answers close their connections.
@@ -69,6 +102,7 @@
         "_own_relays_until",
         "active_requests",
         "behind_since",
+        "blocks_shared_at",
         "cfg",
         "codec",
         "config_state",
@@ -88,8 +122,10 @@
         "metrics",
         "name",
         "net",
+        "parts_changed",
         "peers",
         "pending_stalls",
+        "prompt_suspects",
         "registry",
         "reported_loads",
         "rng",
@@ -135,6 +171,14 @@
         self.stalls_in_check: set[replica_group.Key] = set()
         self.heads: dict[str, HeadRequests] = {}
         self.suspects: dict[str, float] = {}
+        self.prompt_suspects = prompt_suspects.Suspects(
+            proof_seconds=cfg.get(settings.CONTACT),
+            block_seconds=cfg.get(settings.PROMPT_BLOCK),
+            probe_seconds=cfg.get(settings.CONTACT),
+            hold_seconds=cfg.get(settings.CONTACT) / HOLDS_PER_CONTACT,
+        )
+        self.parts_changed = trio.Event()
+        self.blocks_shared_at = float("-inf")
         self.send_budgets: dict[str, send_budget.SendBudget] = {}
         self.target_in_flight: dict[str, int] = {}
         self.metrics = gateway_metrics.make()
@@ -153,6 +197,11 @@
         self.control_wakeup.set()
         self.control_wakeup = trio.Event()
 
+    def note_parts_changed(self) -> None:
+        """Let the requests that are held be decided on again."""
+        self.parts_changed.set()
+        self.parts_changed = trio.Event()
+
     def find_groups(
         self, service: str, constants: engine.Engine
     ) -> abc.Mapping[replica_group.Key, replica_group.Group]:
