--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -452,11 +452,13 @@
         """
         conn = await tcp.make().dial(self.callers, 1.0)
         try:
-            return await self.call_over(conn, path, events, method, take)
+            return await self.call_over(conn, path, events, method, take, prompt=prompt)
         finally:
             await conn.close()
 
-    async def call_over(self, conn, path, events=0, method="POST", take=None, may_break_off=False):
+    async def call_over(
+        self, conn, path, events=0, method="POST", take=None, may_break_off=False, prompt=""
+    ):
         """Send one request over a connection and return its response.
 
         :param may_break_off: whether to return what arrived of a response that is broken off.
