Count the soak's faults by its plan, not by the lines of its log

Callers saw nothing. Change: the number is that of the drawn faults. Checks and faults are unchanged.

--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -18,7 +18,7 @@
 class Injector:
     """Injects the faults of a run.
 
-    :ivar fault_log: one line for each fault.
+    :ivar fault_log: one line for each fault, and for each process that was told to reload.
     :ivar store_outages: number of overlapping store outages.
     """
 
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -94,6 +94,7 @@
     :param folder: folder for settings, logs and records.
     """
     rng = random.Random(seed)
+    faults = plan.draw_faults(seed, seconds)
     fault_log: list[str] = []
     sent: list = []
     versions_by_entry: dict[str, list[int]] = {}
@@ -113,7 +114,7 @@
                     )
                     traffic_nursery.start_soon(new_caller.run, ends_at)
                 fault_injector = injector.Injector(world, fault_log)
-                await fault_injector.run(plan.draw_faults(seed, seconds))
+                await fault_injector.run(faults)
             probe_scope.cancel()
             violations += await _check_recovered(world, rng, sent)
             for entry in world.entries:
@@ -137,7 +138,7 @@
     (folder / "ledger.txt").write_text("\n".join(str(arrival) for arrival in world.ledger))
     completed = sum(request.status == 200 and request.is_complete for request in sent)
     print(
-        f"seed {seed}: {len(fault_log)} faults, {len(sent)} requests, {completed} complete, "
+        f"seed {seed}: {len(faults)} faults, {len(sent)} requests, {completed} complete, "
         f"{len(violations)} violations"
     )
     return violations
