Send the blocked parts to an entry as soon as it is heard for the first time

Change: an entry that hears another one for the first time, after a silence, or since its start, sends it the blocked parts at once.

--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -240,6 +240,9 @@
     peer = gw.peers.get(heartbeat.sender)
     if peer is None or now - peer.last_message_at > peers.PEER_TIMEOUT_SECONDS:
         events.log("peer.met", peer=heartbeat.sender)
+        prompt_blocks.share_with(gw, heartbeat.address)
+    elif peer.heartbeat is not None and peer.heartbeat.incarnation != heartbeat.incarnation:
+        prompt_blocks.share_with(gw, heartbeat.address)
     peers.handle_heartbeat(gw.peers, heartbeat, gw.config_state, now)
     lease.record_holder_report(gw.holder_report, heartbeat.token, now - heartbeat.token_age)
 
--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -147,6 +147,21 @@
     if not gw.prompt_suspects.suspected or now - gw.blocks_shared_at < interval:
         return
     gw.blocks_shared_at = now
+    message = _make_blocked_parts(gw, now)
+    if message is not None:
+        peer_updates.share_blocked_parts(gw, message)
+
+
+def share_with(gw: states.Gateway, address: str) -> None:
+    """Send the blocked parts, if there are any, to an entry that is heard for the first time."""
+    message = _make_blocked_parts(gw, trio.current_time())
+    if message is not None:
+        gw.transport.send(address, peer_message.encode(message))
+
+
+def _make_blocked_parts(gw: states.Gateway, now: float) -> peer_message.SuspectParts | None:
+    if not gw.prompt_suspects.suspected:
+        return None
     prompt_suspects.drop_expired(gw.prompt_suspects, now)
     blocked = prompt_suspects.find_blocked(gw.prompt_suspects)
     crashes = [
@@ -154,9 +169,7 @@
         for part in blocked[-MAX_SHARED_PARTS:]
         for crash in gw.prompt_suspects.suspected[part].crashes
     ]
-    if crashes:
-        message = peer_message.SuspectParts(gw.name, crashes, [])
-        peer_updates.share_blocked_parts(gw, message)
+    return peer_message.SuspectParts(gw.name, crashes, []) if crashes else None
 
 
 def _make_part_crash(part: str, crash: prompt_suspects.Crash, now: float) -> peer_message.PartCrash:
