Send no join whose epoch was accepted or whose formation was given up meanwhile

Cause: a second copy of a join could wait for its report while the first one was accepted, the formation given up and the target told to leave. It was confirmed by a report from after the leave, and took the target back into the group. The leave's answer said that the target was free, so its next join had no condition. Besides, the end of a join of a former process of a target wiped the history of the new one. Change: right before its first byte a join is dropped if its epoch was accepted or left or its formation given up. A leave's answer counts only if no join was outstanding before it or was sent meanwhile. Histories are kept by id and incarnation.

--- a/src/galenavane/control/controller.py
+++ b/src/galenavane/control/controller.py
@@ -1,8 +1,9 @@
 """Decides the commands that keep complete groups serving.
 
 It works from what targets report in the platform's list alone, so a new lease holder can continue
-without any state from its predecessor. Late or repeated commands are harmless: epochs grow with
-the lease number, and every command except a join names the one formation that it applies to.
+without any state from its predecessor. Commands may be carried out late or twice: every command
+except a join names the one formation that it applies to, and a join is conditional unless the
+target's own answers show that it is free (``join_history``).
 """
 
 from __future__ import annotations
--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -51,7 +51,7 @@
     :ivar unreachable_until: targets that did not answer, and until when they are not used.
     :ivar sent_at: recently sent commands by kind, target id and epoch.
     :ivar incomplete_since: when groups of a former holder were first seen incomplete.
-    :ivar joins: joins that were sent, by target id.
+    :ivar joins: joins that were sent, by id and incarnation of the target.
     :ivar load_budget: limits the rate of loads from the weight store.
     :ivar loading: targets that load weights; ``None`` until a new holder has seen the list.
     :ivar is_cold_start: whether no target was in a group when this holder first saw the list.
@@ -67,7 +67,7 @@
     unreachable_until: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_at: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
     incomplete_since: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
-    joins: dict[str, join_history.JoinHistory] = dataclasses.field(default_factory=dict)
+    joins: dict[tuple[str, int], join_history.JoinHistory] = dataclasses.field(default_factory=dict)
     load_budget: load_budget.LoadBudget = dataclasses.field(default_factory=load_budget.LoadBudget)
     has_traffic: bool = False
     is_cold_start: bool = False
@@ -143,10 +143,15 @@
 
 def find_join_history(state: ControllerState, listed: target.Target) -> join_history.JoinHistory:
     """Return the history of a target's process, which is empty the first time."""
-    history = state.joins.get(listed.id)
-    if history is None or history.incarnation != listed.incarnation:
-        history = state.joins[listed.id] = join_history.JoinHistory(listed.incarnation)
-    return history
+    return state.joins.setdefault((listed.id, listed.incarnation), join_history.JoinHistory())
+
+
+def may_send_join(state: ControllerState, join: group_command.Join) -> bool:
+    """Whether a join is still of use, now that its first byte is about to be sent."""
+    is_wanted = is_standby(join.key) or join.key in state.forming
+    return is_wanted and join_history.may_send(
+        find_join_history(state, join.target), join.key.epoch
+    )
 
 
 def record_join_end(state: ControllerState, join: group_command.Join, is_accepted: bool) -> None:
@@ -157,10 +162,20 @@
         join_history.record_accepted(history, join.key.epoch)
 
 
-def record_left(state: ControllerState, leave: group_command.Leave) -> None:
-    """Record that a target answered that it has left a group."""
+def note_leave(state: ControllerState, leave: group_command.Leave) -> int | None:
+    """Return what ``record_left`` needs of the time before a leave is sent."""
+    return join_history.note_leave(find_join_history(state, leave.target))
+
+
+def record_left(
+    state: ControllerState, leave: group_command.Leave, sent_before: int | None
+) -> None:
+    """Record that a target answered that it has left a group.
+
+    :param sent_before: as returned by ``note_leave`` before the leave was sent.
+    """
     history = find_join_history(state, leave.target)
-    join_history.record_left(history, leave.key.epoch)
+    join_history.record_left(history, leave.key.epoch, sent_before)
 
 
 def record_listed_join(state: ControllerState, listed: target.Target) -> None:
@@ -171,13 +186,15 @@
 
 
 def prune_join_histories(state: ControllerState, registry: target_registry.Registry) -> None:
-    """Forget targets that are no longer listed; one that returns may have outstanding joins."""
-    if len(state.joins) > len(registry.targets) + MIN_KEPT_HISTORIES:
-        state.joins = {
-            target_id: history
-            for target_id, history in state.joins.items()
-            if target_id in registry.targets
-        }
+    """Forget processes that are no longer listed, unless a join of them is outstanding."""
+    if len(state.joins) <= len(registry.targets) + MIN_KEPT_HISTORIES:
+        return
+    listed = {(known.id, known.incarnation) for known in registry.targets.values()}
+    state.joins = {
+        process: history
+        for process, history in state.joins.items()
+        if process in listed or join_history.count_outstanding(history) > 0
+    }
 
 
 def is_standby(key: replica_group.Key) -> bool:
--- a/src/galenavane/gateway/command_sender.py
+++ b/src/galenavane/gateway/command_sender.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import trio
 
 from galenavane.control import (
@@ -42,17 +44,14 @@
     try:
         if isinstance(command, group_command.Join):
             result = await _send_join(gw, control, state, command)
+        elif isinstance(command, group_command.Leave):
+            sent_before = controller_state.note_leave(state, command)
+            status = await _send_repeatable(gw, control, command)
+            if status in _ACCEPTED_STATUSES:
+                controller_state.record_left(state, command, sent_before)
+            result = str(status)
         else:
-            response = await gw.http_client.send(
-                command.target.address,
-                gw.codec.make_command_request(command),
-                COMMAND_TIMEOUT_SECONDS,
-                MAX_RESPONSE_BYTES,
-                is_allowed=lambda: lease_task.may_command(gw, control),
-            )
-            result = str(response.status)
-            if isinstance(command, group_command.Leave) and response.status in _ACCEPTED_STATUSES:
-                controller_state.record_left(state, command)
+            result = str(await _send_repeatable(gw, control, command))
     except transport_error.TransportError as exc:
         result = exc.kind.value
     name = type(command).__name__.lower()
@@ -88,6 +87,23 @@
     return join_history.count_outstanding(history) - isinstance(command, group_command.Join)
 
 
+async def _send_repeatable(
+    gw: states.Gateway, control: controller_state.Control, command: group_command.Command
+) -> int:
+    """Send a command that may be sent twice; return the status of its answer.
+
+    :raises TransportError: if the target doesn't answer.
+    """
+    response = await gw.http_client.send(
+        command.target.address,
+        gw.codec.make_command_request(command),
+        COMMAND_TIMEOUT_SECONDS,
+        MAX_RESPONSE_BYTES,
+        is_allowed=lambda: lease_task.may_command(gw, control),
+    )
+    return response.status
+
+
 async def _send_join(
     gw: states.Gateway,
     control: controller_state.Control,
@@ -107,7 +123,7 @@
         controller_state.record_join_end(state, join, is_accepted=False)
         return UNCONFIRMED
     try:
-        response = await _send_join_once(gw, control, confirmed)
+        response = await _send_join_once(gw, control, state, confirmed)
     except transport_error.TransportError as exc:
         if not exc.has_sent_bytes:
             controller_state.record_join_end(state, join, is_accepted=False)
@@ -117,19 +133,32 @@
 
 
 async def _send_join_once(
-    gw: states.Gateway, control: controller_state.Control, join: group_command.Join
+    gw: states.Gateway,
+    control: controller_state.Control,
+    state: controller_state.ControllerState,
+    join: group_command.Join,
 ) -> message.Response:
     """Send a join over a connection of its own, so that it is never sent twice."""
+    is_allowed = functools.partial(_may_send_join, gw, control, state, join)
     return await round_trip.send(
         gw.net,
         join.target.address,
         gw.codec.make_command_request(join),
         COMMAND_TIMEOUT_SECONDS,
         MAX_RESPONSE_BYTES,
-        is_allowed=lambda: lease_task.may_command(gw, control),
+        is_allowed=is_allowed,
     )
 
 
+def _may_send_join(
+    gw: states.Gateway,
+    control: controller_state.Control,
+    state: controller_state.ControllerState,
+    join: group_command.Join,
+) -> bool:
+    return lease_task.may_command(gw, control) and controller_state.may_send_join(state, join)
+
+
 async def _confirm(gw: states.Gateway, join: group_command.Join) -> group_command.Join | None:
     """Return the join with the command count that the target reports in the listed state.
 
--- a/tests/control/join_history.feature
+++ b/tests/control/join_history.feature
@@ -25,6 +25,8 @@
       | was sent 102 with a count, accepted 101, left 101                            | not known to be free |
       | accepted 101, left 101, was sent 101 with a count                            | not known to be free |
       | accepted 101, left 101, restarted                                            | not known to be free |
+      | accepted 101, is told to leave 101, was sent 101, refused 101, left 101      | not known to be free |
+      | accepted 101, was sent 102, is told to leave 101, refused 102, left 101      | not known to be free |
 
   Scenario Outline: A join is confirmed only by a report of the state that it was decided on
     Given a join of a target that was listed <listed>
@@ -39,3 +41,15 @@
       | in the group s        | in no group, with 5 commands      | not sent                     |
       | in no group           | in no group after a restart       | not sent                     |
       | in no group           | in no group, with no count        | not sent                     |
+
+  Scenario Outline: A join of an epoch that was accepted or left meanwhile is not sent
+    Given a target that <past>, under a holder whose epochs begin at 100
+    Then a join of 102 <result> be sent to it
+
+    Examples:
+      | past                                | result  |
+      | was told nothing                    | may     |
+      | accepted 101                        | may     |
+      | accepted 102                        | may not |
+      | accepted 102, left 102              | may not |
+      | accepted 103                        | may not |
