Keep the list of targets from going back

What was seen: nothing by callers; found by the review of the joins out of serving groups. An entry could plan and route by records that it had newer ones of: members counted twice, a group opened again or dissolved needlessly. Cause: a watch of the store that answered after a relay had sent later changes put its older records over them, and a list of the same revision replaced the reports that were polled while the store was silent. Change: changes up to a revision that is already known, and lists of the current revision, are ignored. Evidence: the new scenario of target_registry.feature and two of three new examples in commands.feature fail without the change.

--- a/src/galenavane/fleet/target_registry.py
+++ b/src/galenavane/fleet/target_registry.py
@@ -62,9 +62,10 @@
 ) -> list[str]:
     """Replace the list; return the ids of the targets that are gone.
 
-    A list older than the current one is ignored.
+    A list that is no newer than the current one is ignored: its records may be older than the
+    reports that some of them were replaced by.
     """
-    if revision < registry.revision:
+    if 0 < registry.revision >= revision:
         return []
     registry.revision = revision
     for listed in listed_targets:
--- a/src/galenavane/gateway/targets_task.py
+++ b/src/galenavane/gateway/targets_task.py
@@ -34,7 +34,7 @@
         if revision == 0:
             result = await _list_targets(gw, answered_at)
         else:
-            result = await _watch_targets(gw, revision, answered_at)
+            result = await watch_targets(gw, revision, answered_at)
         if result.is_ok():
             answered_at = trio.current_time()
             revision = result.ok
@@ -61,15 +61,19 @@
     return expression.Ok(listing.ok.revision)
 
 
-async def _watch_targets(
+async def watch_targets(
     gw: states.Gateway, revision: int, answered_at: float
 ) -> expression.Result[int, failure.Failure]:
+    """Apply the changes after a revision; return the revision to watch from next."""
     result = await gw.store.watch_targets(revision, WATCH_SECONDS)
     if result.is_error():
         return expression.Error(result.error)
     now = trio.current_time()
     silent_seconds = now - answered_at - WATCH_SECONDS
     target_registry.record_store_recovery(gw.registry, silent_seconds, now)
+    if result.ok.changes and result.ok.revision <= gw.registry.revision:
+        # A relay has sent these changes and later ones meanwhile.
+        return expression.Ok(gw.registry.revision)
     gone_ids = [change.id for change in result.ok.changes if _apply_change(gw, change, now)]
     if result.ok.changes:
         known_revision = gw.registry.revision
--- a/tests/fleet/target_registry.feature
+++ b/tests/fleet/target_registry.feature
@@ -49,3 +49,8 @@
     Given a list with a target that was last in a group of "large"
     When it is listed in no group, with "small" as its last model
     Then its last model is "small"
+
+  Scenario: A list of the current revision changes nothing
+    Given a list with the members of an open group
+    When a list of the same revision without targets arrives
+    Then the group serves
--- a/tests/gateway/commands.feature
+++ b/tests/gateway/commands.feature
@@ -23,3 +23,14 @@
       | event             | state |
       | nothing happens   | ready |
       | the store answers | open  |
+
+  Scenario Outline: Changes that the store tells late don't take the list back
+    Given an entry whose list of revision 140 shows a target as open
+    When its watch returns the target as ready in revision <revision>
+    Then the target is known as <state>
+
+    Examples:
+      | revision | state |
+      | 110      | open  |
+      | 140      | open  |
+      | 150      | ready |
--- a/tests/steps/fleet_target_registry.py
+++ b/tests/steps/fleet_target_registry.py
@@ -92,6 +92,11 @@
     target_registry.record_store_recovery(context.registry, seconds, context.now)
 
 
+@when("a list of the same revision without targets arrives")
+def receive_same_list(context):
+    target_registry.replace_all(context.registry, [], context.registry.revision, context.now)
+
+
 @when("an older list without targets arrives")
 def receive_older_list(context):
     target_registry.replace_all(context.registry, [], 49, context.now)
--- a/tests/steps/gateway_commands.py
+++ b/tests/steps/gateway_commands.py
@@ -4,13 +4,20 @@
 
 import types
 
+import expression
 import msgspec
 import trio
 from behave import given, then, when
 from steps import fleet_target_registry, gateway_whole_path, platform_world
 
 from galenavane.fleet import target, target_registry, target_report
-from galenavane.gateway import boot_clock, config_state, control_task
+from galenavane.gateway import (
+    boot_clock,
+    config_state,
+    control_task,
+    object_store,
+    targets_task,
+)
 
 plan_step = gateway_whole_path.plan_step
 
@@ -102,3 +109,29 @@
 @then("the target is known as {state}")
 def check_known(context, state):
     assert context.known.membership.state is target.GroupState(state), context.known
+
+
+@given("an entry whose list of revision 140 shows a target as open")
+def make_listing_entry(context):
+    make_reporting_target(context)
+    context.registry = target_registry.Registry(revision=140)
+    target_registry.put(context.registry, context.listed)
+
+
+@when("its watch returns the target as ready in revision {revision:d}")
+def watch(context, revision):
+    change = object_store.TargetChange(context.listed.id, context.reported)
+
+    async def watch_targets(*_):
+        return expression.Ok(object_store.TargetChanges(revision, [change]))
+
+    gw = types.SimpleNamespace(
+        name="e1",
+        registry=context.registry,
+        store=types.SimpleNamespace(watch_targets=watch_targets),
+        peers={},
+        wake_control=lambda: None,
+    )
+    result = trio.run(targets_task.watch_targets, gw, 100, 0.0)
+    assert result.ok == max(revision, 140), result
+    context.known = context.registry.targets[context.listed.id]
