Name the target of a command, so that another one at its address refuses it

What was seen: nothing; found by the review of the joins out of serving groups, by reading. Cause: commands went to an address alone. The platform gives addresses of ended targets to others, so in a long silence of the store a join without a condition could reach another target. Change: each command carries the id of its target, as requests do; the tests' targets check it.

--- a/src/galenavane/platform/wire_codec.py
+++ b/src/galenavane/platform/wire_codec.py
@@ -31,8 +31,7 @@
         return wire_request.decode_response(inbound, head)
 
     def make_command_request(self, command: group_command.Command) -> message.Request:
-        fields = headers.Headers().add("content-type", "application/json")
-        return message.Request("POST", "/order", fields, wire_target.encode_command(command))
+        return wire_target.make_command_request(command)
 
     def make_report_request(self) -> message.Request:
         return message.Request("GET", "/report")
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -14,7 +14,7 @@
 _DEADLINE = "deadline-ms"
 _NO_DEADLINE_MS = 60_000.0
 # Id of the only target that may execute the request; others respond with 421.
-_EXPECTED_TARGET = "expect-replica"
+EXPECTED_TARGET = "expect-replica"
 # Name of the client account, sent to targets only; clients send their key instead.
 _ACCOUNT = "tenant"
 _KEY = "authorization"
@@ -41,7 +41,7 @@
     name.encode()
     for name in (
         _DEADLINE,
-        _EXPECTED_TARGET,
+        EXPECTED_TARGET,
         _ACCOUNT,
         _KEY,
         _LAST_EVENT,
@@ -85,7 +85,7 @@
     """Return the header fields for sending a request to a target."""
     fields = header_lists.Headers(inbound.headers.pairs)
     fields.add(_DEADLINE, str(max(1, int(options.timeout_seconds * 1000))))
-    fields.add(_EXPECTED_TARGET, options.target_id)
+    fields.add(EXPECTED_TARGET, options.target_id)
     if options.account:
         fields.add(_ACCOUNT, options.account)
     if options.last_event_id:
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -6,7 +6,8 @@
 
 from galenavane.control import group_command
 from galenavane.fleet import target, target_report
-from galenavane.net import address
+from galenavane.net import address, headers, message
+from galenavane.platform import wire_request
 
 
 class _Group(msgspec.Struct):
@@ -135,6 +136,13 @@
     expected: int | None = None
 
 
+def make_command_request(command: group_command.Command) -> message.Request:
+    """Return the request for a command; a target with another id at the address refuses it."""
+    fields = headers.Headers().add("content-type", "application/json")
+    fields.add(wire_request.EXPECTED_TARGET, command.target.id)
+    return message.Request("POST", "/order", fields, encode_command(command))
+
+
 def encode_command(command: group_command.Command) -> bytes:
     """Encode a command as a request body."""
     match command:
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -37,6 +37,16 @@
       | close a group                 | epoch group mode operation                   |
       | leave a group                 | epoch group operation                        |
 
+  Scenario Outline: A command is carried out only by the target that it is for
+    When a target is told to <command>
+    Then the command's request names that target
+
+    Examples:
+      | command       |
+      | join a group  |
+      | leave a group |
+      | stage a model |
+
   Scenario: A target's report is decoded with the number of commands that it has accepted
     Then a report with and without a sequence has 4 and no commands
 
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -252,7 +252,13 @@
         "close a group": group_command.Close(member, key),
         "leave a group": group_command.Leave(member, key),
     }
-    context.order = json.loads(wire_target.encode_command(commands[words]))
+    context.command_request = wire_target.make_command_request(commands[words])
+    context.order = json.loads(context.command_request.body)
+
+
+@then("the command's request names that target")
+def check_command_target(context):
+    assert context.command_request.headers.get("expect-replica") == "t1"
 
 
 @then("a report with and without a sequence has {count:d} and no commands")
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -163,7 +163,10 @@
 
     async def handle(self, exchange):
         """Handle one request or command."""
-        if exchange.request.path == "/order":
+        expected_id = exchange.request.headers.get("expect-replica", self.name)
+        if exchange.request.path == "/order" and expected_id != self.name:
+            await exchange.respond(message.Response(421))
+        elif exchange.request.path == "/order":
             order = json.loads(exchange.request.body)
             self.orders.append(order)
             if order["operation"] == "join" and self.late_joins > 0:
