Notice a head that crashes after the beginning of its answer

Cause: only a reset connection was checked for a crash. A head that answers without a length or chunks and then crashes closes its connection like one that has finished. Besides, events of all tries were added up, so one event from each of two crashing heads counted as a proof that the prompt is sound. Change: the head is checked at each end of a stream that is not known to be whole; the stream is broken off if the head has crashed. Events count as a proof for each try alone. A stream without framing costs one more connection at its end.

--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -22,19 +22,20 @@
     head: target.Target,
     head_requests: states.HeadRequests,
     request_id: str,
-) -> None:
+) -> bool:
     """Check a head whose connection ended, once for all connections that end together.
 
     A head that has crashed refuses connections, and all of its connections end. One that lost a
     single answer accepts new ones, and one that has too many refuses new ones only.
 
     :param request_id: the request whose connection ended.
+    :returns: whether the head has crashed.
     """
     head_requests.ended.add(request_id)
     crash_check = head_requests.crash_check
     if crash_check is not None:
         await crash_check.wait()
-        return
+        return head_requests.has_crashed
     head_requests.crash_check = trio.Event()
     waiting = dict(head_requests.waiting)
     in_progress = set(head_requests.reads)
@@ -44,10 +45,12 @@
         has_crashed = bool(
             await member_check.find_unreachable(gw, (head,))
         ) and await _have_all_ended(head_requests, in_progress)
+    head_requests.has_crashed = has_crashed
     head_requests.crash_check.set()
     head_requests.crash_check = None
     if has_crashed:
         _handle_crash(gw, group, head, waiting, len(in_progress) - len(waiting), crashed_at)
+    return has_crashed
 
 
 async def _have_all_ended(head_requests: states.HeadRequests, request_ids: set[str]) -> bool:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
+from collections import abc
 
 import trio
 
@@ -311,6 +313,9 @@
 ) -> failure.Failure | None:
     head = group.head
     assert head is not None
+    check_crash = functools.partial(
+        head_crash.check, gw, group, head, head_requests, stream.request.inbound.id
+    )
     try:
         target_conn = await target_exchange.connect(gw, head, stream.request.inbound)
     except transport_error.TransportError as exc:
@@ -329,7 +334,7 @@
         if response_failure is not None or (exchange.is_answered and not stream.is_started):
             return response_failure
         relay_failure = await _relay_stream(
-            gw, exchange, stream, head_requests, read, target_conn, response
+            gw, exchange, stream, head_requests, read, target_conn, response, check_crash
         )
         if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
             target_exchange.avoid_malformed(gw, head, relay_failure.message)
@@ -337,8 +342,7 @@
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, head, exc)
         if exc.kind is transport_error.Kind.RESET:
-            request_id = stream.request.inbound.id
-            await head_crash.check(gw, group, head, head_requests, request_id)
+            await check_crash()
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     finally:
         await target_conn.close()
@@ -396,8 +400,10 @@
     read: cancellable_read.CancellableRead,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
+    check_crash: abc.Callable[[], abc.Awaitable[bool]],
 ) -> failure.Failure | None:
     splitter = event_splitter.EventSplitter()
+    events_before = stream.events
     request_id = stream.request.inbound.id
     while (part := await read.run(target_conn.read_part)) is not None:
         try:
@@ -409,7 +415,7 @@
         now = trio.current_time()
         head_watch.record_event(head_requests.activity, request_id, now)
         stream.events += len(whole_events)
-        if stream.events >= prompt_suspects.PROVING_EVENTS:
+        if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
             _record_proof(gw, stream, head_requests)
         if not stream.is_started:
             waited_seconds = now - stream.request.received_at
@@ -425,10 +431,10 @@
             stream.last_event = event.number
             data += event.data
         await _deliver(exchange, stream, response, data)
-    break_text = _find_break(stream, splitter, target_conn)
+    break_text = await _find_break(stream, splitter, target_conn, check_crash)
     if break_text:
         return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
-    if stream.events:
+    if stream.events > events_before:
         _record_proof(gw, stream, head_requests)
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
@@ -438,18 +444,25 @@
     return None
 
 
-def _find_break(
+async def _find_break(
     stream: Stream,
     splitter: event_splitter.EventSplitter,
     target_conn: target_exchange.TargetExchange,
+    check_crash: abc.Callable[[], abc.Awaitable[bool]],
 ) -> str:
-    """Return why a stream that has ended is incomplete; empty if it is complete."""
+    """Return why a stream that has ended is incomplete; empty if it is complete.
+
+    The end of a connection also ends a stream without a length or chunks, so such a stream is
+    complete only if its head still works.
+    """
+    if splitter.is_empty and target_conn.has_framing:
+        return ""
+    has_crashed = await check_crash()
     if not splitter.is_empty:
         return "the stream ended in the middle of an event"
-    # A connection that is lost before the first event ends in the same way.
-    if stream.last_event == 0 and not target_conn.has_framing:
+    if stream.last_event == 0:
         return "the connection was closed before the first event"
-    return ""
+    return "the head crashed" if has_crashed else ""
 
 
 def _record_proof(gw: states.Gateway, stream: Stream, head_requests: states.HeadRequests) -> None:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -61,6 +61,7 @@
     :ivar waiting: waiting requests by id.
     :ivar ended: requests whose connections were reset, until they are sent elsewhere.
     :ivar crash_check: set at the end of a check whether the head has crashed, ``None`` for none.
+    :ivar has_crashed: result of the last such check.
     """
 
     group_key: replica_group.Key
@@ -70,6 +71,7 @@
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
     crash_check: trio.Event | None = None
+    has_crashed: bool = False
 
     @property
     def has_probe(self) -> bool:
--- a/tests/gateway/crashing_prompts.feature
+++ b/tests/gateway/crashing_prompts.feature
@@ -12,6 +12,21 @@
     And the metrics page counts 1 blocked part
     And all these steps succeed
 
+  Scenario Outline: A head that crashes after the beginning of its answer is noticed
+    Given a platform with 8 domains of 6 targets, and an entry
+    When heads that crash first send <beginning>
+    And prompts with part "dead" crash the head that writes an answer to them
+    And clients send 4 requests with parts "first dead", one after the other
+    Then 2 heads have crashed
+    And no answer looks complete
+    And all these steps succeed
+
+    Examples:
+      | beginning                         |
+      | an unframed answer                |
+      | an unframed answer with one event |
+      | an answer in chunks with one event |
+
   Scenario: A sound part that was only seen beside the crashing one is cleared by its next request
     Given a platform with 4 domains of 6 targets, and an entry
     When prompts with part "dead" crash the head that writes an answer to them
--- a/tests/steps/gateway_crashing_prompts.py
+++ b/tests/steps/gateway_crashing_prompts.py
@@ -24,8 +24,14 @@
 
 
 async def send(world, parts):
-    """Send a request with these parts, and return its response."""
-    return await world.call("/model/x", EVENTS, prompt=make_prompt(parts))
+    """Send a request with these parts, and return its response, also one that is broken off."""
+    conn = await tcp.make().dial(world.callers, 1.0)
+    try:
+        return await world.call_over(
+            conn, "/model/x", EVENTS, may_break_off=True, prompt=make_prompt(parts)
+        )
+    finally:
+        await conn.close()
 
 
 @when('prompts with part "{part}" crash the head that writes an answer to them')
@@ -35,6 +41,21 @@
         world.deadly_parts.add(part)
 
 
+@when("heads that crash first send {beginning}")
+def begin_answers(context, beginning):
+    @plan_step(context)
+    async def step(world):
+        world.crash_answer = beginning
+
+
+@then("no answer looks complete")
+def check_incomplete(context):
+    @plan_step(context)
+    async def step(world):
+        complete = [answer for answer in world.answers if answer.status == 200 and answer.is_whole]
+        assert not complete, complete
+
+
 @when('clients send {count:d} requests with parts "{parts}", one after the other')
 def send_in_turn(context, count, parts):
     @plan_step(context)
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -279,6 +279,20 @@
         await exchange.conn.close()
         return True
 
+    async def _begin_answer(self, exchange):
+        """Send what a head sends before a request crashes it."""
+        await trio.sleep(EVENT_SECONDS)
+        framing, _, count = self.world.crash_answer.partition(" with ")
+        fields = self._answer_headers(exchange).add("content-type", "text/event-stream")
+        first = int(exchange.request.headers.get("last-event-id") or 0) + 1
+        event = b"id: %d\ndata: %d\n\n" % (first, first) if count else b""
+        if framing == "an unframed answer":
+            pairs = b"".join(b"%b: %b\r\n" % pair for pair in fields.pairs)
+            await exchange.conn.stream.send_all(b"HTTP/1.1 200 OK\r\n" + pairs + b"\r\n" + event)
+        elif framing == "an answer in chunks":
+            await exchange.conn.stream.send_all(exchange.frame_chunk(fields, event))
+        await trio.sleep(EVENT_SECONDS)
+
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
         if await self._send_raw(exchange):
@@ -307,7 +321,7 @@
             return
         parts = exchange.request.headers.get("prompt-prefix").split(",")
         if any(part.partition(":")[0] in self.world.deadly_parts for part in parts):
-            await trio.sleep(EVENT_SECONDS)
+            await self._begin_answer(exchange)
             self.world.crashed.append(self.name)
             self.kill()
             await trio.sleep_forever()
@@ -352,6 +366,7 @@
         self.raw_answers = []
         self.deadly_parts = set()
         self.crashed = []
+        self.crash_answer = ""
         self.dropped_answers = 0
         self.version = 1
         self.routes = [
