Refuse an unused probe whose part was blocked meanwhile

A probe whose connection was refused was sent to the next head without asking again, also if another entry's report had blocked its part by then. Change: it is asked again; only holding is skipped.

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -115,10 +115,12 @@
 
     A probe that no target has run is still the one probe.
     """
-    is_unused_probe = stream.probed_parts and stream.sends == stream.probe_sends
-    if stream.events >= prompt_suspects.PROVING_EVENTS or is_unused_probe:
+    if stream.events >= prompt_suspects.PROVING_EVENTS:
         return None
     decision = prompt_blocks.decide(gw, stream.parts)
+    is_unused_probe = stream.probed_parts and stream.sends == stream.probe_sends
+    if is_unused_probe and decision.verdict is not _Verdict.REFUSE:
+        return None
     hold_until = trio.current_time() + gw.prompt_suspects.hold_seconds
     while decision.verdict is _Verdict.HOLD and trio.current_time() < hold_until:
         await prompt_blocks.hold(gw, min(decision.until, hold_until))
