Count a crash by the request that was sent last, in whatever order it is reported

Found by the review of the crashing prompts: with the report of an older request first, the second crash did not count, and all of nine entries sent a probe. Cause: a second report of a known crash was ignored, though its request may be the one that was sent after the crash before. Change: the report with the shortest wait is kept, and passed on as news. Evidence: the new scenario of prompt_suspects.feature fails without the change.

--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -147,9 +147,12 @@
     suspicion = suspects.suspected.get(part)
     if suspicion is None:
         suspicion = Suspicion(jitter=jitter)
-    if crash.key in suspicion.keys:
+    # The request that was sent last decides whether the crash counts.
+    same = [known for known in suspicion.crashes if known.key == crash.key]
+    if any(known.waited_seconds <= crash.waited_seconds for known in same):
         return False
-    crashes = _align([*suspicion.crashes, crash], crash.reporter)
+    others = [known for known in suspicion.crashes if known.key != crash.key]
+    crashes = _align([*others, crash], crash.reporter)
     suspicion.crashes = sorted(crashes, key=lambda known: known.at)[-MAX_CRASHES:]
     suspicion.keys = frozenset(known.key for known in suspicion.crashes)
     suspicion.counted = _count(suspicion.crashes)
--- a/tests/route/prompt_suspects.feature
+++ b/tests/route/prompt_suspects.feature
@@ -167,3 +167,9 @@
       | 1     | 2    | 5       |
       | 5     | 3    | 5       |
       | 5     | 4    | 5       |
+
+  Scenario: A crash counts by the request that was sent last, in whatever order it is reported
+    When a request with parts "g" crashes group 1
+    And 0.2 s later entry "e2" reports that part "g" waited for <0.4> s at a crash of group 2
+    And 0 s later entry "e3" reports that part "g" waited for <0.1> s at a crash of group 2
+    Then a request with parts "g" is refused because of "g"
