Let a sound part that waited at the crashes of two others be cleared

Found by the review of the crashing prompts: a part that waited once beside each of two crashing parts was refused for 30 s and more (rule LOST). Cause: a part was let through to find out only if one other part had waited at all of its crashes. Change: also if several other parts together did, and the request lacks them. Evidence: the new scenario of prompt_suspects.feature fails without the change.

--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -273,7 +273,14 @@
     suspicion = suspects.suspected[part]
     if now >= _expires_at(suspects, suspicion):
         return not _is_probed(suspicion, now, suspects.probe_seconds)
-    return any(tied_part not in parts for tied_part in _find_tied(suspects, suspicion))
+    explained = {
+        key
+        for other_part, other in suspects.suspected.items()
+        if other_part not in parts and not _is_outweighed(suspects, other_part, other)
+        for key in other.keys
+    }
+    # The request lacks parts that waited at all of these crashes as well.
+    return suspicion.keys <= explained
 
 
 def _held_until(suspects: Suspects, part: str, now: float) -> float:
--- a/tests/route/prompt_suspects.feature
+++ b/tests/route/prompt_suspects.feature
@@ -173,3 +173,12 @@
     And 0.2 s later entry "e2" reports that part "g" waited for <0.4> s at a crash of group 2
     And 0 s later entry "e3" reports that part "g" waited for <0.1> s at a crash of group 2
     Then a request with parts "g" is refused because of "g"
+
+  Scenario: A sound part that waited at the crashes of two others is let through to find out
+    When requests with parts "g" and "f" wait at the crash of group 1
+    And requests with parts "h" and "f" wait at the crash of group 2
+    And a request with parts "g" crashes group 3
+    And a request with parts "h" crashes group 4
+    And 2 s go by
+    Then a request with parts "g b" is refused because of "g"
+    And a request with parts "f b" is a probe of "f"
--- a/tests/steps/route_prompt_suspects.py
+++ b/tests/steps/route_prompt_suspects.py
@@ -262,3 +262,10 @@
     fleet = context.fleet
     assert fleet.sound > 500, fleet.sound
     assert fleet.sound_refused * 100 <= share * fleet.sound, (fleet.sound_refused, fleet.sound)
+
+
+@when('requests with parts "{parts}" and "{others}" wait at the crash of group {number:d}')
+def crash_one_group(context, parts, others, number):
+    get_suspects(context)
+    context.now += BETWEEN_SECONDS
+    crash(context, number, [*parts.split(), *others.split()])
