Keep blocked parts when suspects are dropped

Found by the review of the crashing prompts: after 256 parts had waited at heads that were lost at once, a blocked part was admitted again at every entry. Cause: of more than 256 suspects the one with the oldest crash was dropped. Change: those with the fewest crashes go first, and of these the oldest. Evidence: the new scenario of prompt_suspects.feature fails without the change.

--- a/src/galenavane/route/prompt_suspects.py
+++ b/src/galenavane/route/prompt_suspects.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import enum
+import functools
 import math
 from collections import abc
 
@@ -161,11 +162,16 @@
     suspects.suspected[part] = suspicion
     drop_expired(suspects, now)
     while len(suspects.suspected) > MAX_SUSPECTED:
-        oldest = min(suspects.suspected, key=lambda part: suspects.suspected[part].crashes[-1].at)
-        del suspects.suspected[oldest]
+        del suspects.suspected[min(suspects.suspected, key=functools.partial(_rank, suspects))]
     return part in suspects.suspected
 
 
+def _rank(suspects: Suspects, part: str) -> tuple[int, float]:
+    """Return the sort key of a suspected part: the least suspected and oldest first."""
+    suspicion = suspects.suspected[part]
+    return suspicion.counted, suspicion.crashes[-1].at
+
+
 def is_disproved(suspects: Suspects, part: str, crashed_at: float) -> bool:
     """Whether a request with the part succeeded after a crash."""
     return crashed_at <= suspects.proven.get(part, -math.inf)
--- a/tests/route/prompt_suspects.feature
+++ b/tests/route/prompt_suspects.feature
@@ -182,3 +182,9 @@
     And 2 s go by
     Then a request with parts "g b" is refused because of "g"
     And a request with parts "f b" is a probe of "f"
+
+  Scenario: A blocked part is not forgotten for parts that waited at one crash
+    When a request with parts "g" crashes group 1
+    And a request with parts "g" crashes group 2
+    And 300 parts wait at crashes of 30 heads that are lost at once
+    Then a request with parts "g" is refused because of "g"
--- a/tests/steps/route_prompt_suspects.py
+++ b/tests/steps/route_prompt_suspects.py
@@ -269,3 +269,10 @@
     get_suspects(context)
     context.now += BETWEEN_SECONDS
     crash(context, number, [*parts.split(), *others.split()])
+
+
+@when("{count:d} parts wait at crashes of {heads:d} heads that are lost at once")
+def lose_heads(context, count, heads):
+    get_suspects(context)
+    for number in range(count):
+        crash(context, 100 + number % heads, [f"part{number}"])
