Bound the ids and ages of suspected parts

Found by the review of the crashing prompts: ids of parts could be as long as a request's head, and 8,192 of them are kept; a report with an age that is no number was never dropped, and one from the future blocked a part for its age. Change: a prompt with a part id of more than 128 characters has no shared parts; news with an age out of range is logged and dropped. Evidence: the new scenarios of wire.feature and prompt_blocks.feature fail without the change (for an infinite age the scenario also held before).

--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -19,6 +19,8 @@
 """How often blocked parts are sent within the time in which entries have to hear of a change, for
 entries that have just started or were cut off."""
 MAX_SHARED_PARTS = 32
+MAX_AGE_SECONDS = 1e6
+MAX_CLOCK_SLACK_SECONDS = 1.0
 MIN_PREFILL_SHARE = 0.5
 """A head can't have begun to answer a request that it has had for less of the prefill time; targets
 differ in speed."""
@@ -99,6 +101,9 @@
 
 def handle_suspects(gw: states.Gateway, report: peer_message.SuspectParts) -> None:
     """Take over another entry's crashes and probes, and pass on those that are news."""
+    ages = [crash.age for crash in report.crashes] + [probe.age for probe in report.probes]
+    if not _are_plausible(report.sender, ages):
+        return
     now = trio.current_time()
     suspects = gw.prompt_suspects
     news = _record_crashes(gw, report.crashes, report.sender)
@@ -124,6 +129,8 @@
 
 def handle_cleared(gw: states.Gateway, report: peer_message.ClearedParts) -> None:
     """Clear parts that succeeded at another entry, and pass on which of them were suspected."""
+    if not _are_plausible(report.sender, [report.age]):
+        return
     succeeded_at = trio.current_time() - report.age
     suspected = gw.prompt_suspects.suspected
     outdated = [
@@ -140,6 +147,14 @@
     peer_updates.forward_part_news(gw, forwarded, report.sender)
 
 
+def _are_plausible(sender: str, ages: abc.Sequence[float]) -> bool:
+    """Whether all ages of a message are plausible; logs the message as damaged otherwise."""
+    if all(-MAX_CLOCK_SLACK_SECONDS <= age <= MAX_AGE_SECONDS for age in ages):
+        return True
+    events.log("peer.damaged", peer=sender, text="an age is out of range")
+    return False
+
+
 def share(gw: states.Gateway) -> None:
     """Send the blocked parts to subscribers, if there are any and some time has passed."""
     now = trio.current_time()
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -23,6 +23,7 @@
 # Parts of the prompt, as ID:TOKENS separated by commas; the last one is the request's own.
 _PROMPT_PARTS = "prompt-prefix"
 _MAX_PROMPT_PARTS = 64
+_MAX_PART_CHARACTERS = 128
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
 # Present when the target itself produced the response body.
@@ -119,9 +120,12 @@
 
 
 def _parse_parts(text: str) -> tuple[str, ...]:
-    """Return the ids of all parts but the last, up to a limit; none for a malformed list."""
+    """Return the ids of all parts but the last, up to a limit; none for a malformed list.
+
+    An id of more characters than the limit is malformed, since ids are kept and sent to peers.
+    """
     parts = [item.partition(":")[0].strip().lower() for item in text.split(",")]
-    if not all(parts):
+    if not all(0 < len(part) <= _MAX_PART_CHARACTERS for part in parts):
         return ()
     return tuple(dict.fromkeys(parts[:-1]))[:_MAX_PROMPT_PARTS]
 
--- a/tests/gateway/prompt_blocks.feature
+++ b/tests/gateway/prompt_blocks.feature
@@ -69,3 +69,15 @@
     When a request with part "s" and a prefill of 0.2 s waits at crashes of 2 groups at entry 8
     Then within 0.1 s every entry admits part "s"
     And all these steps hold
+
+  Scenario Outline: News with an implausible age is dropped
+    Given 9 entries in 3 data centres that block a part for 10 s
+    When entry 8 gets the news that part "s" waited at 2 crashes <age> s ago
+    Then within 0.1 s every entry admits part "s"
+    And all these steps hold
+
+    Examples:
+      | age   |
+      | nan   |
+      | inf   |
+      | -1e9  |
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -71,6 +71,9 @@
   Scenario: At most 64 parts of a prompt are decoded
     Then of a prompt with 200 parts the first 64 are decoded
 
+  Scenario: A prompt with a part id of more than 128 characters has no shared parts
+    Then a prompt with part ids of 128 and 129 characters has 2 and 0 shared parts
+
   Scenario: A resumed stream is sent with the highest priority
     Given a request with hop-by-hop fields and a field "X-Trace"
     When it is resumed on target "t1" after event 4
--- a/tests/steps/gateway_prompt_blocks.py
+++ b/tests/steps/gateway_prompt_blocks.py
@@ -230,3 +230,14 @@
     @plan_step(context)
     async def step(network):
         assert 8 <= network.news <= count, network.news
+
+
+@when('entry {entry:d} gets the news that part "{part}" waited at 2 crashes {age} s ago')
+def send_news(context, entry, part, age):
+    @plan_step(context)
+    async def step(network):
+        crashes = [
+            peer_message.PartCrash(part, f"g{n}", n, float(age), 0.0, f"x{n}", 0.0) for n in (1, 2)
+        ]
+        news = peer_message.SuspectParts("other", crashes, [])
+        prompt_blocks.handle_suspects(network.entries[entry - 1], news)
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -300,3 +300,9 @@
 def check_part_limit(context, count, limit):
     names = tuple(f"{number:x}" for number in range(count))
     assert decode_parts(",".join(f"{name}:1" for name in names)) == names[:limit]
+
+
+@then("a prompt with part ids of {allowed:d} and {excess:d} characters has 2 and 0 shared parts")
+def check_part_length(context, allowed, excess):
+    assert len(decode_parts(f"{'a' * allowed}:1,b:1,c:1")) == 2
+    assert decode_parts(f"{'a' * excess}:1,b:1,c:1") == ()
