Gather news about parts of prompts, so that messages grow with the entries

Cause: each report was news to the first relay of each data centre, which passed it on to everybody by itself. Successes carry an age for each part, since the oldest one would not clear parts that crashed after it.

--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -144,17 +144,23 @@
     probes: list[PartProbe]
 
 
-class ClearedParts(msgspec.Struct, frozen=True, tag="cleared-parts", array_like=True):
-    """Reports that requests with suspected parts of prompts succeeded.
+class ClearedPart(msgspec.Struct, frozen=True, array_like=True):
+    """A success of a request with a suspected part.
 
     :ivar age: seconds since then.
     """
 
-    sender: str
-    parts: list[str]
+    part: str
     age: float
 
 
+class ClearedParts(msgspec.Struct, frozen=True, tag="cleared-parts", array_like=True):
+    """Reports that requests with suspected parts of prompts succeeded."""
+
+    sender: str
+    parts: list[ClearedPart]
+
+
 Message = (
     Heartbeat
     | SyncRequest
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -94,38 +94,6 @@
     _send(gw, report, [gw.peers[name] for name in sorted(peer_names)])
 
 
-def send_part_news(
-    gw: states.Gateway, message: peer_message.SuspectParts | peer_message.ClearedParts
-) -> None:
-    """Send news about parts of prompts to this entry's relays and subscribers."""
-    now = boot_clock.now()
-    peer_names = choose_upstream_relays(gw, now) | {
-        peer.name for peer in peers.find_subscribers(gw.peers, now)
-    }
-    _send(gw, message, [gw.peers[name] for name in sorted(peer_names)])
-
-
-def forward_part_news(
-    gw: states.Gateway,
-    message: peer_message.SuspectParts | peer_message.ClearedParts,
-    sender_name: str,
-) -> None:
-    """Pass on what was news to this entry, if it is its data centre's first relay.
-
-    News from another data centre goes to the subscribers in this one only.
-    """
-    now = boot_clock.now()
-    if gw.choose_own_relays(now)[:1] != [gw.name]:
-        return
-    sender = gw.peers.get(sender_name)
-    recipients = {peer.name for peer in peers.find_subscribers(gw.peers, now)}
-    if sender is not None and sender.data_centre != gw.data_centre:
-        recipients = {name for name in recipients if gw.peers[name].data_centre == gw.data_centre}
-    else:
-        recipients |= choose_upstream_relays(gw, now)
-    _send(gw, message, [gw.peers[name] for name in sorted(recipients - {sender_name})])
-
-
 def share_blocked_parts(gw: states.Gateway, message: peer_message.SuspectParts) -> None:
     """Send the blocked parts to this entry's subscribers, some of which may have missed them."""
     _send(gw, message, peers.find_subscribers(gw.peers, boot_clock.now()))
--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -9,7 +9,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.fleet import replica_group
-from galenavane.gateway import boot_clock, peer_message, peer_updates, settings
+from galenavane.gateway import boot_clock, part_news, peer_message, peer_updates, settings
 from galenavane.gateway import state as states
 from galenavane.observe import events
 from galenavane.route import prompt_suspects
@@ -60,7 +60,7 @@
         return
     events.log("part.probed", parts=",".join(probed))
     probes = [peer_message.PartProbe(part, 0.0) for part in probed]
-    peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, [], probes))
+    part_news.queue_own(gw, peer_message.SuspectParts(gw.name, [], probes))
 
 
 def record_success(gw: states.Gateway, parts: abc.Sequence[str]) -> None:
@@ -70,7 +70,7 @@
         return
     gw.note_parts_changed()
     events.log("part.cleared", parts=",".join(cleared), source=gw.name)
-    peer_updates.send_part_news(gw, peer_message.ClearedParts(gw.name, list(cleared), 0.0))
+    part_news.queue_own(gw, _make_cleared(gw, dict.fromkeys(cleared, 0.0)))
 
 
 def report_crash(
@@ -96,7 +96,7 @@
     ]
     _record_crashes(gw, crashes, gw.name, is_own=True)
     if crashes:
-        peer_updates.send_part_news(gw, peer_message.SuspectParts(gw.name, crashes, []))
+        part_news.queue_own(gw, peer_message.SuspectParts(gw.name, crashes, []))
 
 
 def handle_suspects(gw: states.Gateway, report: peer_message.SuspectParts) -> None:
@@ -114,7 +114,7 @@
     ]
     if news or probes:
         forwarded = peer_message.SuspectParts(gw.name, news, probes)
-        peer_updates.forward_part_news(gw, forwarded, report.sender)
+        part_news.queue_forward(gw, forwarded, report.sender)
     disproved = {
         crash.part
         for crash in report.crashes
@@ -122,29 +122,36 @@
     }
     sender = gw.peers.get(report.sender)
     if disproved and sender is not None:
-        age = now - min(suspects.proven[part] for part in disproved)
-        cleared = peer_message.ClearedParts(gw.name, sorted(disproved), age)
+        ages_by_part = {part: now - suspects.proven[part] for part in sorted(disproved)}
+        cleared = _make_cleared(gw, ages_by_part)
         gw.transport.send(sender.address, peer_message.encode(cleared))
 
 
+def _make_cleared(
+    gw: states.Gateway, ages_by_part: abc.Mapping[str, float]
+) -> peer_message.ClearedParts:
+    parts = [peer_message.ClearedPart(part, age) for part, age in ages_by_part.items()]
+    return peer_message.ClearedParts(gw.name, parts)
+
+
 def handle_cleared(gw: states.Gateway, report: peer_message.ClearedParts) -> None:
     """Clear parts that succeeded at another entry, and pass on which of them were suspected."""
-    if not _are_plausible(report.sender, [report.age]):
+    if not _are_plausible(report.sender, [cleared.age for cleared in report.parts]):
         return
-    succeeded_at = trio.current_time() - report.age
+    now = trio.current_time()
     suspected = gw.prompt_suspects.suspected
-    outdated = [
-        part
-        for part in report.parts
-        if part in suspected and suspected[part].crashes[-1].at <= succeeded_at
-    ]
-    cleared = prompt_suspects.record_success(gw.prompt_suspects, outdated, succeeded_at)
-    if not cleared:
+    ages_by_part: dict[str, float] = {}
+    for cleared in report.parts:
+        suspicion = suspected.get(cleared.part)
+        succeeded_at = now - cleared.age
+        if suspicion is not None and suspicion.crashes[-1].at <= succeeded_at:
+            prompt_suspects.record_success(gw.prompt_suspects, [cleared.part], succeeded_at)
+            ages_by_part[cleared.part] = cleared.age
+    if not ages_by_part:
         return
     gw.note_parts_changed()
-    events.log("part.cleared", parts=",".join(cleared), source=report.sender)
-    forwarded = peer_message.ClearedParts(gw.name, list(cleared), report.age)
-    peer_updates.forward_part_news(gw, forwarded, report.sender)
+    events.log("part.cleared", parts=",".join(ages_by_part), source=report.sender)
+    part_news.queue_forward(gw, _make_cleared(gw, ages_by_part), report.sender)
 
 
 def _are_plausible(sender: str, ages: abc.Sequence[float]) -> bool:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -21,6 +21,7 @@
     gateway_metrics,
     lease,
     object_store,
+    peer_message,
     peers,
     settings,
 )
@@ -52,6 +53,34 @@
     is_probe: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class PartNewsQueue:
+    """News about parts of prompts that wait to be sent; times are on trio's clock.
+
+    :ivar crashes: each with the time at which it was queued.
+    :ivar probes: the same.
+    :ivar cleared: time of the success by part.
+    """
+
+    crashes: list[tuple[peer_message.PartCrash, float]] = dataclasses.field(default_factory=list)
+    probes: list[tuple[peer_message.PartProbe, float]] = dataclasses.field(default_factory=list)
+    cleared: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class PartNews:
+    """News about parts of prompts, by who gets them.
+
+    :ivar for_all: for this entry's relays and subscribers.
+    :ivar for_near: for its subscribers in its data centre.
+    :ivar is_filled: set when something was queued.
+    """
+
+    for_all: PartNewsQueue = dataclasses.field(default_factory=PartNewsQueue)
+    for_near: PartNewsQueue = dataclasses.field(default_factory=PartNewsQueue)
+    is_filled: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
 @dataclasses.dataclass(slots=True)
 class HeadRequests:
     """The requests of this entry at one head.
@@ -90,6 +119,7 @@
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
     :ivar stalls_in_check: stalled groups whose members are being checked.
     :ivar prompt_suspects: parts of prompts that are suspected to crash targets.
+    :ivar part_news: news about parts of prompts that wait to be sent.
     :ivar parts_changed: set and replaced when a part was suspected, blocked or cleared.
     :ivar blocks_shared_at: when blocked parts were last sent to peers, on trio's clock.
     :ivar target_in_flight: requests of this entry at each target without a group.
@@ -124,6 +154,7 @@
         "metrics",
         "name",
         "net",
+        "part_news",
         "parts_changed",
         "peers",
         "pending_stalls",
@@ -179,6 +210,7 @@
             probe_seconds=cfg.get(settings.CONTACT),
             hold_seconds=cfg.get(settings.CONTACT) / HOLDS_PER_CONTACT,
         )
+        self.part_news = PartNews()
         self.parts_changed = trio.Event()
         self.blocks_shared_at = float("-inf")
         self.send_budgets: dict[str, send_budget.SendBudget] = {}
--- a/tests/gateway/prompt_blocks.feature
+++ b/tests/gateway/prompt_blocks.feature
@@ -81,3 +81,14 @@
       | nan   |
       | inf   |
       | -1e9  |
+
+  Scenario Outline: Messages grow with the entries, not with their square, when many heads are lost
+    Given <count> entries in 3 data centres that block a part for 10 s
+    When at each entry a request with a part of its own waits at one of 8 heads that are lost at once
+    Then at most 10 messages about parts for each entry are sent within 1 s
+    And all these steps hold
+
+    Examples:
+      | count |
+      | 15    |
+      | 30    |
--- a/tests/steps/gateway_prompt_blocks.py
+++ b/tests/steps/gateway_prompt_blocks.py
@@ -13,6 +13,7 @@
 from galenavane.fleet import replica_group
 from galenavane.gateway import (
     boot_clock,
+    part_news,
     peer_message,
     peers,
     peers_task,
@@ -81,6 +82,7 @@
         self.entries.append(gateway)
         self.nursery.start_soon(peers_task.run_heartbeats, gateway)
         self.nursery.start_soon(peers_task.run_receiving, gateway)
+        self.nursery.start_soon(part_news.run, gateway)
 
     def introduce(self, gateway, other):
         """Let an entry know another one as if it had read its address from the store."""
@@ -241,3 +243,25 @@
         ]
         news = peer_message.SuspectParts("other", crashes, [])
         prompt_blocks.handle_suspects(network.entries[entry - 1], news)
+
+
+@when(
+    "at each entry a request with a part of its own waits at one of {count:d} heads that are lost "
+    "at once"
+)
+def lose_heads(context, count):
+    @plan_step(context)
+    async def step(network):
+        now = trio.current_time()
+        for number, entry in enumerate(network.entries):
+            key = replica_group.Key("lost", number % count)
+            waiting = [state.WaitingRequest((f"part{number}",), 100, now - 0.2, 0.0)]
+            prompt_blocks.report_crash(entry, key, waiting, now)
+
+
+@then("at most {count:d} messages about parts for each entry are sent within {seconds:g} s")
+def check_growth(context, count, seconds):
+    @plan_step(context)
+    async def step(network):
+        await trio.sleep(seconds)
+        assert network.news <= count * len(network.entries), network.news
