--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -5,10 +5,8 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import math
-from collections import abc
 
 import trio
 
@@ -23,13 +21,15 @@
     head_crash,
     heads_task,
     prompt_blocks,
+    stream_relay,
     target_exchange,
 )
 from galenavane.gateway import state as states
-from galenavane.net import disconnect, http_server, message, transport_error
+from galenavane.gateway import stream as streams
+from galenavane.net import http_server, message, transport_error
 from galenavane.observe import events
 from galenavane.route import head_capacity, head_choice, head_watch, prompt_suspects
-from galenavane.serve import event_splitter, inbound_request, target_response
+from galenavane.serve import inbound_request, target_response
 
 REFUSED_SUSPECT_SECONDS = 0.3
 """How long to avoid a head that refused a request: it is full, or its group is about to fail."""
@@ -41,36 +41,6 @@
 _Verdict = prompt_suspects.Verdict
 
 
-@dataclasses.dataclass(slots=True)
-class Stream:
-    """Progress of one client's stream.
-
-    :ivar last_event: number of the last event that the client has.
-    :ivar is_started: whether the client was sent any event.
-    :ivar events: number of events that targets sent.
-    :ivar sends: number of targets that may have run the request.
-    :ivar refusals: number of targets that refused the request or a connection.
-    :ivar parts: names of the shared parts of the prompt.
-    :ivar probed_parts: suspected parts of the prompt that this request is a probe of.
-    :ivar probe_sends: number of sends before it became a probe.
-    :ivar tried_heads: ids of the heads that were tried.
-    :ivar reported_failure: failure to answer with if no head serves the request.
-    """
-
-    request: admission.AdmittedRequest
-    constants: engine.Engine
-    last_event: int
-    is_started: bool = False
-    events: int = 0
-    sends: int = 0
-    refusals: int = 0
-    parts: tuple[str, ...] = ()
-    probed_parts: tuple[str, ...] = ()
-    probe_sends: int = 0
-    tried_heads: set[str] = dataclasses.field(default_factory=set)
-    reported_failure: failure.Failure | None = None
-
-
 async def serve(
     gw: states.Gateway,
     exchange: http_server.Exchange,
@@ -81,7 +51,7 @@
 
     :returns: the failure to answer with, or ``None`` if the request was answered.
     """
-    stream = Stream(request, constants, request.inbound.last_event_id)
+    stream = streams.Stream(request, constants, request.inbound.last_event_id)
     stream.parts = prompt_blocks.name_parts(request.inbound)
     if constants.find_model(request.inbound.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
@@ -110,7 +80,7 @@
             return stream.reported_failure
 
 
-async def _check_prompt(gw: states.Gateway, stream: Stream) -> failure.Failure | None:
+async def _check_prompt(gw: states.Gateway, stream: streams.Stream) -> failure.Failure | None:
     """Hold a request while its prompt is in doubt, and return the failure if it is blocked.
 
     A probe that no target has run is still the one probe.
@@ -134,7 +104,9 @@
     return stream.reported_failure
 
 
-def _check_queue(gw: states.Gateway, stream: Stream, in_flight: float) -> failure.Failure | None:
+def _check_queue(
+    gw: states.Gateway, stream: streams.Stream, in_flight: float
+) -> failure.Failure | None:
     """Return the failure for a new request that the least loaded head can't serve in time."""
     model = stream.constants.find_model(stream.request.inbound.model)
     limit = _compute_limit(stream)
@@ -150,7 +122,7 @@
     )
 
 
-def _compute_limit(stream: Stream) -> float:
+def _compute_limit(stream: streams.Stream) -> float:
     """Return how many requests one head of the stream's model may have."""
     model = stream.constants.find_model(stream.request.inbound.model)
     if model is None:
@@ -159,7 +131,9 @@
     return head_capacity.limit(stream.constants, model, target_seconds)
 
 
-def _choose_group(gw: states.Gateway, stream: Stream) -> tuple[replica_group.Group, float] | None:
+def _choose_group(
+    gw: states.Gateway, stream: streams.Stream
+) -> tuple[replica_group.Group, float] | None:
     loads = gw.sum_head_loads()
     groups_by_head: dict[str, replica_group.Group] = {}
     candidates: list[head_choice.Candidate] = []
@@ -193,7 +167,7 @@
     return (groups_by_head[choice.head], choice.in_flight) if choice is not None else None
 
 
-def _may_send(gw: states.Gateway, stream: Stream) -> bool:
+def _may_send(gw: states.Gateway, stream: streams.Stream) -> bool:
     if stream.request.account and not gw.may_use_keys():
         return False
     if stream.sends + stream.refusals == 0:
@@ -204,7 +178,7 @@
     )
 
 
-def _may_retry(stream: Stream, send_failure: failure.Failure) -> bool:
+def _may_retry(stream: streams.Stream, send_failure: failure.Failure) -> bool:
     if send_failure.outcome is _Outcome.NOT_RUN:
         return stream.refusals <= MAX_REFUSALS
     return stream.request.route.is_retryable and stream.sends < stream.request.route.max_sends
@@ -220,7 +194,7 @@
 
 
 def _log_sent(
-    gw: states.Gateway, stream: Stream, group: replica_group.Group, in_flight: float
+    gw: states.Gateway, stream: streams.Stream, group: replica_group.Group, in_flight: float
 ) -> None:
     head = group.head
     events.log(
@@ -237,7 +211,10 @@
 
 
 def _log_send_failed(
-    gw: states.Gateway, stream: Stream, group: replica_group.Group, send_failure: failure.Failure
+    gw: states.Gateway,
+    stream: streams.Stream,
+    group: replica_group.Group,
+    send_failure: failure.Failure,
 ) -> None:
     events.log(
         "request.send_failed",
@@ -253,7 +230,10 @@
 
 
 async def _send_to_group(
-    gw: states.Gateway, exchange: http_server.Exchange, stream: Stream, group: replica_group.Group
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    stream: streams.Stream,
+    group: replica_group.Group,
 ) -> failure.Failure | None:
     head = group.head
     head_requests = heads_task.track_head(gw, group, stream.constants)
@@ -286,7 +266,7 @@
         head_requests.ended.discard(request_id)
 
 
-def _predict_first_event_seconds(stream: Stream, group: replica_group.Group) -> float:
+def _predict_first_event_seconds(stream: streams.Stream, group: replica_group.Group) -> float:
     """Return the predicted time to the first event, in seconds."""
     model = stream.constants.find_model(group.model)
     if model is None:
@@ -296,7 +276,7 @@
     return FIRST_EVENT_MARGIN_SECONDS + prefill_seconds + 2 * pass_seconds
 
 
-def _compute_prefill_seconds(stream: Stream, group: replica_group.Group) -> float:
+def _compute_prefill_seconds(stream: streams.Stream, group: replica_group.Group) -> float:
     """Return how long the prefill of the prompt takes at least, in seconds."""
     model = stream.constants.find_model(group.model)
     if model is None:
@@ -308,7 +288,7 @@
 async def _run_attempt(
     gw: states.Gateway,
     exchange: http_server.Exchange,
-    stream: Stream,
+    stream: streams.Stream,
     group: replica_group.Group,
     head_requests: states.HeadRequests,
     read: cancellable_read.CancellableRead,
@@ -335,7 +315,7 @@
         response_failure = await _check_response(gw, exchange, stream, group, target_conn, response)
         if response_failure is not None or (exchange.is_answered and not stream.is_started):
             return response_failure
-        relay_failure = await _relay_stream(
+        relay_failure = await stream_relay.relay(
             gw, exchange, stream, head_requests, read, target_conn, response, check_crash
         )
         if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
@@ -353,7 +333,7 @@
 async def _check_response(
     gw: states.Gateway,
     exchange: http_server.Exchange,
-    stream: Stream,
+    stream: streams.Stream,
     group: replica_group.Group,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
@@ -392,99 +372,3 @@
     fields = target_exchange.make_client_headers(response)
     await exchange.respond(message.Response(response.status, fields, body))
     return None
-
-
-async def _relay_stream(
-    gw: states.Gateway,
-    exchange: http_server.Exchange,
-    stream: Stream,
-    head_requests: states.HeadRequests,
-    read: cancellable_read.CancellableRead,
-    target_conn: target_exchange.TargetExchange,
-    response: target_response.TargetResponse,
-    check_crash: abc.Callable[[], abc.Awaitable[bool]],
-) -> failure.Failure | None:
-    splitter = event_splitter.EventSplitter()
-    events_before = stream.events
-    request_id = stream.request.inbound.id
-    while (part := await read.run(target_conn.read_part)) is not None:
-        try:
-            whole_events = splitter.feed(part)
-        except ValueError as exc:
-            return failure.Failure(codes.Code.TARGET_FAILED, str(exc), _Outcome.FAILED)
-        if not whole_events:
-            continue
-        now = trio.current_time()
-        head_watch.record_event(head_requests.activity, request_id, now)
-        stream.events += len(whole_events)
-        if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
-            _record_proof(gw, stream, head_requests)
-        if not stream.is_started:
-            waited_seconds = now - stream.request.received_at
-            gw.metrics.first_event_seconds.observe(
-                {"model": stream.request.inbound.model}, waited_seconds
-            )
-        data = b""
-        for event in whole_events:
-            if event.number != stream.last_event + 1:
-                await _deliver(exchange, stream, response, data)
-                text = f"event {event.number} follows event {stream.last_event}"
-                return failure.Failure(codes.Code.TARGET_FAILED, text, _Outcome.FAILED)
-            stream.last_event = event.number
-            data += event.data
-        await _deliver(exchange, stream, response, data)
-    break_text = await _find_break(stream, splitter, target_conn, check_crash)
-    if break_text:
-        return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
-    if stream.events > events_before:
-        _record_proof(gw, stream, head_requests)
-    if not stream.is_started:
-        fields = target_exchange.make_client_headers(response)
-        await exchange.respond(message.Response(200, fields, b""))
-        return None
-    await exchange.end_stream()
-    return None
-
-
-async def _find_break(
-    stream: Stream,
-    splitter: event_splitter.EventSplitter,
-    target_conn: target_exchange.TargetExchange,
-    check_crash: abc.Callable[[], abc.Awaitable[bool]],
-) -> str:
-    """Return why a stream that has ended is incomplete; empty if it is complete.
-
-    The end of a connection also ends a stream without a length or chunks, so such a stream is
-    complete only if its head still works.
-    """
-    if splitter.is_empty and target_conn.has_framing:
-        return ""
-    has_crashed = await check_crash()
-    if not splitter.is_empty:
-        return "the stream ended in the middle of an event"
-    if stream.last_event == 0:
-        return "the connection was closed before the first event"
-    return "the head crashed" if has_crashed else ""
-
-
-def _record_proof(gw: states.Gateway, stream: Stream, head_requests: states.HeadRequests) -> None:
-    """Clear the parts of a prompt to which the head has written an answer."""
-    if head_requests.waiting.pop(stream.request.inbound.id, None) is not None:
-        prompt_blocks.record_success(gw, stream.parts)
-
-
-async def _deliver(
-    exchange: http_server.Exchange,
-    stream: Stream,
-    response: target_response.TargetResponse,
-    data: bytes,
-) -> None:
-    """Send complete events to the client at once; the headers are those of the first target."""
-    if not data:
-        return
-    stream.is_started = True
-    framed = exchange.frame_chunk(target_exchange.make_client_headers(response), data)
-    try:
-        await exchange.conn.stream.send_all(framed)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        raise disconnect.DisconnectError from None
