--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -50,7 +50,7 @@
         503,
         "requests with one part of this prompt have crashed targets",
         "no",
-        "change the prompt: a repeat is refused as well",
+        "change the prompt: a repeat is refused while the part is blocked",
     ),
     _C.TARGET_UNREACHABLE: Row(503, "no connection to the target", "no", "retry"),
     _C.TARGET_REFUSED: Row(503, "the target refused the request before running it", "no", "retry"),
--- a/src/galenavane/gateway/part_news.py
+++ b/src/galenavane/gateway/part_news.py
@@ -13,6 +13,7 @@
 from galenavane.gateway import state as states
 
 GATHER_SECONDS = 0.05
+"""Entries see the crash of one head within some milliseconds, and have to hear of it in seconds."""
 MAX_ITEMS = 128
 """Items in one message."""
 
