Keep a silent head's streams until another group has gone on with them

Callers saw a stream that was broken off, or a 504, although its head would have gone on within half a second: neither whole answer nor time used up. Cause: one decision for two questions. A limit of silence (0.8 s of started streams, 1.4 s before the first event, or members that accepted no connection) cancelled the reads of all streams at the head, whether or not another group could take them; a route that may not be repeated, sends that were used up, an empty budget or no other group then ended the answer.

Change: silence lets another group be tried beside the silent one (gateway/attempts.py), as far as the route, the sends and the budget allow, and again each 0.15 s while it lasts. The first attempt that has something for the client goes on alone; the others are closed. A stream that can't be tried elsewhere waits until its head goes on, its connection ends or its time is up. The head is reported no more as stalled for its silence alone, so the group isn't dissolved for it: if it can't go on, it says itself that it is broken. `head.resumed` logs the silence that ended, which tells a pause from a loss.

--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -38,7 +38,7 @@
         return head_requests.has_crashed
     head_requests.crash_check = trio.Event()
     waiting = dict(head_requests.waiting)
-    in_progress = set(head_requests.reads)
+    in_progress = set(head_requests.attempts)
     crashed_at = trio.current_time()
     # The client of this request may leave meanwhile, but the check is made for the others too.
     with trio.CancelScope(shield=True):
@@ -56,9 +56,9 @@
 async def _have_all_ended(head_requests: states.HeadRequests, request_ids: set[str]) -> bool:
     """Whether the connections of all these requests end within a moment."""
     with trio.move_on_after(END_SECONDS):
-        while request_ids & head_requests.reads.keys() - head_requests.ended:
+        while request_ids & head_requests.attempts.keys() - head_requests.ended:
             await trio.sleep(END_SECONDS / 10)
-    return not request_ids & head_requests.reads.keys() - head_requests.ended
+    return not request_ids & head_requests.attempts.keys() - head_requests.ended
 
 
 def _handle_crash(
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -68,11 +68,9 @@
 ) -> None:
     verdict = head_watch.evaluate(head_requests.activity, now)
     if verdict is head_watch.Verdict.STALLED:
-        if head_requests.activity.streaming:
-            _report_stall(gw, head_id, head_requests, ())
-        else:
-            # A full head also keeps requests waiting, so this alone doesn't show a stalled group.
-            _move_streams(gw, head_id, head_requests, ())
+        # A full head also keeps requests waiting, and a silent one may go on, so this alone doesn't
+        # show a stalled group.
+        _hedge_streams(gw, head_id, head_requests, ())
     elif verdict is head_watch.Verdict.CHECK and not head_requests.is_checking:
         head_requests.is_checking = True
         head_requests.activity.checked_at = now
@@ -82,14 +80,17 @@
 async def _check_members(
     gw: states.Gateway, head_id: str, head_requests: states.HeadRequests
 ) -> None:
+    activity = head_requests.activity
     started_at = trio.current_time()
     group = _find_group(gw, head_requests)
-    unreachable = (
-        await member_check.find_unreachable(gw, group.members) if group is not None else ()
-    )
+    unreachable: tuple[str, ...] = ()
+    if group is not None:
+        unreachable = await member_check.find_unreachable(gw, group.members)
     head_requests.is_checking = False
-    has_new_event = head_requests.activity.last_event_at > started_at
-    if unreachable and not has_new_event and gw.heads.get(head_id) is head_requests:
+    has_new_event = activity.last_event_at > started_at
+    if has_new_event or gw.heads.get(head_id) is not head_requests:
+        return
+    if unreachable:
         _report_stall(gw, head_id, head_requests, unreachable)
 
 
@@ -112,8 +113,13 @@
     head_requests: states.HeadRequests,
     unreachable: tuple[str, ...],
 ) -> None:
-    """Move the streams of a stalled head to other groups, and report the stall to all entries."""
-    _move_streams(gw, head_id, head_requests, unreachable)
+    """Hedge the streams of a stalled head, and report it to all entries."""
+    if head_requests.activity.is_stalled:
+        gw.suspect(head_id, SUSPECT_SECONDS)
+    else:
+        _hedge_streams(gw, head_id, head_requests, unreachable)
+    if not gw.record_stall(head_requests.group_key):
+        return
     service = _find_service(gw, head_id)
     gw.pending_stalls.append((service, head_requests.group_key, unreachable))
     gw.wake_control()
@@ -125,7 +131,6 @@
         head_requests.group_key.epoch,
         list(unreachable),
     )
-    gw.record_stall(head_requests.group_key)
     peer_updates.send_stall(gw, report)
 
 
@@ -140,17 +145,19 @@
         return
     silent_seconds = head_watch.silent_seconds(head_requests.activity, trio.current_time())
     if silent_seconds >= REPORTED_STALL_PASSES * head_requests.activity.pass_seconds:
-        _move_streams(gw, head_id, head_requests, ())
-    elif not head_requests.reads:
+        _hedge_streams(gw, head_id, head_requests, ())
+    elif not head_requests.attempts:
         gw.suspect(head_id, REPORTED_SUSPECT_SECONDS)
 
 
-def _move_streams(
+def _hedge_streams(
     gw: states.Gateway,
     head_id: str,
     head_requests: states.HeadRequests,
     unreachable: tuple[str, ...],
 ) -> None:
+    """Let other groups be tried for the streams of a silent head, which may still go on."""
+    head_requests.activity.is_stalled = True
     events.log(
         "head.still",
         head=head_id,
@@ -163,9 +170,31 @@
     )
     gw.metrics.stalls.inc({})
     gw.suspect(head_id, SUSPECT_SECONDS)
-    del gw.heads[head_id]
-    for read in list(head_requests.reads.values()):
-        read.cancel()
+    for attempt in head_requests.attempts.values():
+        attempt.note_silence()
+
+
+def record_event(
+    gw: states.Gateway,
+    group: replica_group.Group,
+    head_requests: states.HeadRequests,
+    request_id: str,
+    now: float,
+) -> None:
+    """Record that a head has sent an event, which may end a silence."""
+    silent_seconds = head_watch.record_event(head_requests.activity, request_id, now)
+    if silent_seconds is None or group.head is None:
+        return
+    gw.suspects.pop(group.head.id, None)
+    for attempt in head_requests.attempts.values():
+        attempt.is_silent = False
+    events.log(
+        "head.resumed",
+        head=group.head.id,
+        group=group.key.name,
+        epoch=group.key.epoch,
+        silent_seconds=round(silent_seconds, 3),
+    )
 
 
 def _find_service(gw: states.Gateway, head_id: str) -> str:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -17,26 +17,20 @@
 from galenavane.fleet import group_index, replica_group
 from galenavane.gateway import (
     admission,
-    cancellable_read,
-    head_crash,
-    heads_task,
+    attempts,
     prompt_blocks,
-    stream_relay,
-    target_exchange,
+    stream_attempt,
 )
 from galenavane.gateway import state as states
 from galenavane.gateway import stream as streams
-from galenavane.net import http_server, message, transport_error
+from galenavane.net import http_server
 from galenavane.observe import events
-from galenavane.route import head_capacity, head_choice, head_watch, prompt_suspects
-from galenavane.serve import inbound_request, target_response
+from galenavane.route import head_capacity, head_choice, prompt_suspects
 
-REFUSED_SUSPECT_SECONDS = 0.3
-"""How long to avoid a head that refused a request: it is full, or its group is about to fail."""
 NO_GROUP_RETRY_AFTER_SECONDS = (0.4, 1.0)
 """Range of retry-after times: a group re-forms in about a second, and retries are spread out."""
-FIRST_EVENT_MARGIN_SECONDS = 0.04
-MAX_REFUSALS = 2
+HEDGE_INTERVAL_SECONDS = 0.15
+"""How often another group is looked for while a stream's head is silent."""
 _Outcome = outcomes.Outcome
 _Verdict = prompt_suspects.Verdict
 
@@ -55,6 +49,31 @@
     stream.parts = prompt_blocks.name_parts(request.inbound)
     if constants.find_model(request.inbound.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
+    results: list[failure.Failure | None] = []
+    errors: list[Exception] = []
+    async with trio.open_nursery() as nursery:
+        # Caught here because the nursery would wrap it in an exception group.
+        try:
+            results.append(await _serve_attempts(gw, exchange, stream, attempts.Attempts(nursery)))
+        except Exception as exc:
+            errors.append(exc)
+        nursery.cancel_scope.cancel()
+    if errors:
+        raise errors[0]
+    return results[0]
+
+
+async def _serve_attempts(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    stream: streams.Stream,
+    tries: attempts.Attempts,
+) -> failure.Failure | None:
+    """Make attempts, one after the other unless a target is silent.
+
+    :returns: the failure to answer with, or ``None`` if the request was answered.
+    """
+    send = functools.partial(stream_attempt.run, gw, exchange, stream)
     while True:
         refusal = await _check_prompt(gw, stream)
         if refusal is not None:
@@ -62,24 +81,82 @@
         choice = _choose_group(gw, stream)
         if choice is None:
             return stream.reported_failure or _make_no_group_failure(gw)
-        group, in_flight = choice
-        queue_failure = _check_queue(gw, stream, in_flight)
+        queue_failure = _check_queue(gw, stream, choice[1])
         if queue_failure is not None:
             return queue_failure
         if not _may_send(gw, stream):
             return stream.reported_failure or _make_no_group_failure(gw)
         prompt_blocks.record_probe(gw, stream.probed_parts)
-        _log_sent(gw, stream, group, in_flight)
-        send_failure = await _send_to_group(gw, exchange, stream, group)
-        if send_failure is None:
+        _start_attempt(gw, stream, tries, choice, send)
+        last_failure = await _finish_attempts(gw, stream, tries, send)
+        if last_failure is None:
             return None
-        _log_send_failed(gw, stream, group, send_failure)
-        if stream.reported_failure is None or stream.reported_failure.outcome is _Outcome.NOT_RUN:
-            stream.reported_failure = send_failure
-        if not _may_retry(stream, send_failure):
+        if not streams.may_retry(stream, last_failure):
             return stream.reported_failure
 
 
+def _start_attempt(
+    gw: states.Gateway,
+    stream: streams.Stream,
+    tries: attempts.Attempts,
+    choice: tuple[replica_group.Group, float],
+    send: attempts.Function,
+) -> None:
+    group, in_flight = choice
+    _log_sent(gw, stream, group, in_flight, len(tries.in_progress))
+    if group.head is not None:
+        stream.tried_heads.add(group.head.id)
+    tries.start(group, send)
+
+
+async def _finish_attempts(
+    gw: states.Gateway,
+    stream: streams.Stream,
+    tries: attempts.Attempts,
+    send: attempts.Function,
+) -> failure.Failure | None:
+    """Wait for all attempts, and start another one when those in progress are silent.
+
+    :returns: the last failure, or ``None`` if the request was answered.
+    """
+    last_failure: failure.Failure | None = None
+    while tries.in_progress:
+        for ended in await tries.wait(HEDGE_INTERVAL_SECONDS if tries.is_silent else math.inf):
+            if ended.error is not None:
+                raise ended.error
+            if ended.failure is None:
+                return None
+            last_failure = ended.failure
+            _log_send_failed(gw, stream, ended.group, last_failure)
+            streams.record_failure(stream, last_failure)
+        if tries.in_progress and tries.is_silent:
+            _start_hedge(gw, stream, tries, send)
+    return last_failure
+
+
+def _start_hedge(
+    gw: states.Gateway,
+    stream: streams.Stream,
+    tries: attempts.Attempts,
+    send: attempts.Function,
+) -> None:
+    """Try another group beside a silent one, which may also go on by itself."""
+    if not streams.may_hedge(stream) or not _is_prompt_trusted(gw, stream):
+        return
+    choice = _choose_group(gw, stream)
+    if choice is not None and _may_send(gw, stream):
+        _start_attempt(gw, stream, tries, choice, send)
+
+
+def _is_prompt_trusted(gw: states.Gateway, stream: streams.Stream) -> bool:
+    """Whether no part of a stream's prompt is suspected to crash targets."""
+    if stream.events >= prompt_suspects.PROVING_EVENTS:
+        return True
+    return (
+        not stream.probed_parts and prompt_blocks.decide(gw, stream.parts).verdict is _Verdict.ADMIT
+    )
+
+
 async def _check_prompt(gw: states.Gateway, stream: streams.Stream) -> failure.Failure | None:
     """Hold a request while its prompt is in doubt, and return the failure if it is blocked.
 
@@ -178,12 +255,6 @@
     )
 
 
-def _may_retry(stream: streams.Stream, send_failure: failure.Failure) -> bool:
-    if send_failure.outcome is _Outcome.NOT_RUN:
-        return stream.refusals <= MAX_REFUSALS
-    return stream.request.route.is_retryable and stream.sends < stream.request.route.max_sends
-
-
 def _make_no_group_failure(gw: states.Gateway) -> failure.Failure:
     low, high = NO_GROUP_RETRY_AFTER_SECONDS
     return failure.Failure(
@@ -194,7 +265,11 @@
 
 
 def _log_sent(
-    gw: states.Gateway, stream: streams.Stream, group: replica_group.Group, in_flight: float
+    gw: states.Gateway,
+    stream: streams.Stream,
+    group: replica_group.Group,
+    in_flight: float,
+    beside: int,
 ) -> None:
     head = group.head
     events.log(
@@ -205,6 +280,7 @@
         epoch=group.key.epoch,
         in_flight=in_flight,
         sends=stream.sends,
+        beside=beside,
         last_event=stream.last_event,
         revision=gw.registry.revision,
     )
@@ -227,148 +303,3 @@
         outcome=send_failure.outcome.value,
         text=send_failure.message,
     )
-
-
-async def _send_to_group(
-    gw: states.Gateway,
-    exchange: http_server.Exchange,
-    stream: streams.Stream,
-    group: replica_group.Group,
-) -> failure.Failure | None:
-    head = group.head
-    head_requests = heads_task.track_head(gw, group, stream.constants)
-    if head is None or head_requests is None:
-        return _make_no_group_failure(gw)
-    request_id = stream.request.inbound.id
-    stream.tried_heads.add(head.id)
-    read = head_requests.reads[request_id] = cancellable_read.CancellableRead()
-    now = trio.current_time()
-    head_watch.record_send(
-        head_requests.activity, request_id, _predict_first_event_seconds(stream, group), now
-    )
-    if stream.events < prompt_suspects.PROVING_EVENTS:
-        head_requests.waiting[request_id] = states.WaitingRequest(
-            stream.parts,
-            stream.request.inbound.prompt_tokens,
-            now,
-            _compute_prefill_seconds(stream, group),
-            is_probe=bool(stream.probed_parts),
-        )
-    try:
-        return await _run_attempt(gw, exchange, stream, group, head_requests, read)
-    except cancellable_read.ReadCancelledError:
-        text = "the group stalled, or a part of the prompt was blocked"
-        return failure.Failure(codes.Code.TARGET_SILENT, text, _Outcome.UNKNOWN)
-    finally:
-        head_watch.record_end(head_requests.activity, request_id)
-        head_requests.reads.pop(request_id, None)
-        head_requests.waiting.pop(request_id, None)
-        head_requests.ended.discard(request_id)
-
-
-def _predict_first_event_seconds(stream: streams.Stream, group: replica_group.Group) -> float:
-    """Return the predicted time to the first event, in seconds."""
-    model = stream.constants.find_model(group.model)
-    if model is None:
-        return FIRST_EVENT_MARGIN_SECONDS
-    pass_seconds = stream.constants.pass_seconds(model, stream.constants.slots // 2)
-    prefill_seconds = _compute_prefill_seconds(stream, group)
-    return FIRST_EVENT_MARGIN_SECONDS + prefill_seconds + 2 * pass_seconds
-
-
-def _compute_prefill_seconds(stream: streams.Stream, group: replica_group.Group) -> float:
-    """Return how long the prefill of the prompt takes at least, in seconds."""
-    model = stream.constants.find_model(group.model)
-    if model is None:
-        return 0.0
-    prompt_tokens = stream.request.inbound.prompt_tokens
-    return prompt_tokens / stream.constants.prefill_tokens_per_second * model.time_factor
-
-
-async def _run_attempt(
-    gw: states.Gateway,
-    exchange: http_server.Exchange,
-    stream: streams.Stream,
-    group: replica_group.Group,
-    head_requests: states.HeadRequests,
-    read: cancellable_read.CancellableRead,
-) -> failure.Failure | None:
-    head = group.head
-    assert head is not None
-    check_crash = functools.partial(
-        head_crash.check, gw, group, head, head_requests, stream.request.inbound.id
-    )
-    try:
-        target_conn = await target_exchange.connect(gw, head, stream.request.inbound)
-    except transport_error.TransportError as exc:
-        gw.suspect(head.id, heads_task.SUSPECT_SECONDS)
-        stream.refusals += 1
-        return failure.Failure(codes.Code.TARGET_UNREACHABLE, str(exc))
-    try:
-        seconds_left = stream.request.deadline - trio.current_time()
-        is_resumed = stream.sends > 0
-        options = inbound_request.SendOptions(
-            head.id, stream.request.account, seconds_left, stream.last_event, is_resumed
-        )
-        stream.sends += 1
-        response = await read.run(lambda: target_conn.send(options))
-        response_failure = await _check_response(gw, exchange, stream, group, target_conn, response)
-        if response_failure is not None or (exchange.is_answered and not stream.is_started):
-            return response_failure
-        relay_failure = await stream_relay.relay(
-            gw, exchange, stream, head_requests, read, target_conn, response, check_crash
-        )
-        if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
-            target_exchange.avoid_malformed(gw, head, relay_failure.message)
-        return relay_failure
-    except transport_error.TransportError as exc:
-        target_exchange.note_failure(gw, head, exc)
-        if exc.kind is transport_error.Kind.RESET:
-            await check_crash()
-        return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
-    finally:
-        await target_conn.close()
-
-
-async def _check_response(
-    gw: states.Gateway,
-    exchange: http_server.Exchange,
-    stream: streams.Stream,
-    group: replica_group.Group,
-    target_conn: target_exchange.TargetExchange,
-    response: target_response.TargetResponse,
-) -> failure.Failure | None:
-    """Check a target's response before its stream is relayed.
-
-    :returns: the failure, or ``None`` if the response is a stream or was sent to the client.
-    """
-    head = group.head
-    assert head is not None
-    if not response.matches_request:
-        return failure.Failure(
-            codes.Code.WRONG_ANSWER, "the response belongs to another request", _Outcome.UNKNOWN
-        )
-    if response.is_not_run:
-        stream.sends -= 1
-        stream.refusals += 1
-        gw.suspect(head.id, REFUSED_SUSPECT_SECONDS)
-        if response.faulty_member:
-            gw.pending_stalls.append((stream.request.service, group.key, (response.faulty_member,)))
-            gw.wake_control()
-        return failure.Failure(codes.Code.TARGET_REFUSED, f"status {response.status}")
-    if response.status == 200:
-        if response.is_signed:
-            return None
-        return failure.Failure(
-            codes.Code.TARGET_FAILED, "the response is not signed", _Outcome.FAILED
-        )
-    response_failure = failure.Failure(
-        codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.FAILED
-    )
-    is_final = not _may_retry(stream, response_failure) and not stream.is_started
-    if not is_final or response.status in (408, 429, 503):
-        return response_failure
-    body = await target_conn.read_body()
-    fields = target_exchange.make_client_headers(response)
-    await exchange.respond(message.Response(response.status, fields, body))
-    return None
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -129,9 +129,9 @@
 def count_own_loads(gw: states.Gateway) -> dict[str, int]:
     """Return the number of this entry's requests by head."""
     return {
-        head_id: len(head_requests.reads)
+        head_id: len(head_requests.attempts)
         for head_id, head_requests in gw.heads.items()
-        if head_requests.reads
+        if head_requests.attempts
     }
 
 
--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -249,8 +249,8 @@
     for head_requests in gw.heads.values():
         for request_id, request in list(head_requests.waiting.items()):
             decision = prompt_suspects.decide(gw.prompt_suspects, request.parts, now)
-            read = head_requests.reads.get(request_id)
-            if decision.verdict is _REFUSE and read is not None:
-                read.cancel()
+            attempt = head_requests.attempts.get(request_id)
+            if decision.verdict is _REFUSE and attempt is not None:
+                attempt.cancel()
                 taken_back += 1
     events.log("part.blocked", parts=",".join(parts), taken_back=taken_back)
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -14,8 +14,8 @@
 from galenavane.control import controller_state
 from galenavane.fleet import group_index, replica_group, target_registry
 from galenavane.gateway import (
+    attempts,
     boot_clock,
-    cancellable_read,
     codec,
     config_state,
     gateway_metrics,
@@ -85,7 +85,7 @@
 class HeadRequests:
     """The requests of this entry at one head.
 
-    :ivar reads: reads of responses by request id, cancelled when the group stalls.
+    :ivar attempts: attempts by request id.
     :ivar is_checking: whether the group's members are being checked now.
     :ivar waiting: waiting requests by id.
     :ivar ended: requests whose connections were reset, until they are sent elsewhere.
@@ -95,7 +95,7 @@
 
     group_key: replica_group.Key
     activity: head_watch.Activity
-    reads: dict[str, cancellable_read.CancellableRead] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, attempts.Attempt] = dataclasses.field(default_factory=dict)
     is_checking: bool = False
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
@@ -284,9 +284,9 @@
             (self.peers[relay_name] for relay_name in relay_names if relay_name in self.peers), None
         )
         own_loads = {
-            head_id: len(head_requests.reads)
+            head_id: len(head_requests.attempts)
             for head_id, head_requests in self.heads.items()
-            if head_requests.reads
+            if head_requests.attempts
         }
         if self.name in relay_names or relay is None or relay.heartbeat is None:
             local_loads = peers.sum_local_loads(self.peers, self.data_centre, own_loads, now)
--- a/src/galenavane/gateway/stream.py
+++ b/src/galenavane/gateway/stream.py
@@ -6,8 +6,12 @@
 
 from galenavane.catalog import engine
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.gateway import admission
 
+MAX_REFUSALS = 2
+_Outcome = outcomes.Outcome
+
 
 @dataclasses.dataclass(slots=True)
 class Stream:
@@ -37,3 +41,26 @@
     probe_sends: int = 0
     tried_heads: set[str] = dataclasses.field(default_factory=set)
     reported_failure: failure.Failure | None = None
+
+
+def record_failure(stream: Stream, send_failure: failure.Failure) -> None:
+    """Record an attempt's failure; the first one after which the request may have run counts."""
+    if stream.reported_failure is None or stream.reported_failure.outcome is _Outcome.NOT_RUN:
+        stream.reported_failure = send_failure
+
+
+def may_retry(stream: Stream, send_failure: failure.Failure) -> bool:
+    """Whether another target may be tried after a failure."""
+    if send_failure.outcome is _Outcome.NOT_RUN:
+        return stream.refusals <= MAX_REFUSALS
+    return may_send_again(stream)
+
+
+def may_send_again(stream: Stream) -> bool:
+    """Whether a target may be tried although another one may have run the request."""
+    return stream.request.route.is_retryable and stream.sends < stream.request.route.max_sends
+
+
+def may_hedge(stream: Stream) -> bool:
+    """Whether another target may be tried beside one that may still answer."""
+    return may_send_again(stream) and stream.refusals <= MAX_REFUSALS
--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -9,11 +9,11 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.gateway import cancellable_read, prompt_blocks, target_exchange
+from galenavane.gateway import attempts, heads_task, prompt_blocks, target_exchange
 from galenavane.gateway import state as states
 from galenavane.gateway import stream as streams
 from galenavane.net import disconnect, http_server, message
-from galenavane.route import head_watch, prompt_suspects
+from galenavane.route import prompt_suspects
 from galenavane.serve import event_splitter, target_response
 
 _Outcome = outcomes.Outcome
@@ -23,8 +23,8 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
+    attempt: attempts.Attempt,
     head_requests: states.HeadRequests,
-    read: cancellable_read.CancellableRead,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
     check_crash: abc.Callable[[], abc.Awaitable[bool]],
@@ -37,7 +37,7 @@
     splitter = event_splitter.EventSplitter()
     events_before = stream.events
     request_id = stream.request.inbound.id
-    while (part := await read.run(target_conn.read_part)) is not None:
+    while (part := await target_conn.read_part()) is not None:
         try:
             whole_events = splitter.feed(part)
         except ValueError as exc:
@@ -45,7 +45,8 @@
         if not whole_events:
             continue
         now = trio.current_time()
-        head_watch.record_event(head_requests.activity, request_id, now)
+        heads_task.record_event(gw, attempt.group, head_requests, request_id, now)
+        await attempt.claim()
         stream.events += len(whole_events)
         if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
             _record_proof(gw, stream, head_requests)
@@ -57,22 +58,23 @@
         data = b""
         for event in whole_events:
             if event.number != stream.last_event + 1:
-                await _deliver(exchange, stream, response, data)
+                await attempt.deliver(_send_events, exchange, stream, response, data)
                 text = f"event {event.number} follows event {stream.last_event}"
                 return failure.Failure(codes.Code.TARGET_FAILED, text, _Outcome.FAILED)
             stream.last_event = event.number
             data += event.data
-        await _deliver(exchange, stream, response, data)
+        await attempt.deliver(_send_events, exchange, stream, response, data)
     break_text = await _find_break(stream, splitter, target_conn, check_crash)
     if break_text:
         return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
     if stream.events > events_before:
         _record_proof(gw, stream, head_requests)
+    await attempt.claim()
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
-        await exchange.respond(message.Response(200, fields, b""))
+        await attempt.deliver(exchange.respond, message.Response(200, fields, b""))
         return None
-    await exchange.end_stream()
+    await attempt.deliver(exchange.end_stream)
     return None
 
 
@@ -105,7 +107,7 @@
         prompt_blocks.record_success(gw, stream.parts)
 
 
-async def _deliver(
+async def _send_events(
     exchange: http_server.Exchange,
     stream: streams.Stream,
     response: target_response.TargetResponse,
--- a/src/galenavane/route/head_watch.py
+++ b/src/galenavane/route/head_watch.py
@@ -20,7 +20,7 @@
 FIRST_EVENT_FACTOR = 1.5
 RECHECK_SECONDS = 0.3
 STALL_SECONDS = 0.8
-"""Silence of started streams after which the group counts as stalled in any case."""
+"""Silence of started streams after which the head counts as stalled whatever its members answer."""
 FIRST_EVENT_STALL_SECONDS = 1.4
 """The same limit when no stream has started, since requests may be queued at the head."""
 
@@ -28,7 +28,9 @@
 class Verdict(enum.Enum):
     """Assessment of a head.
 
-    ``CHECK`` means that the members of its group are to be checked.
+    ``CHECK`` means that the members of its group are to be checked. ``STALLED`` is returned until
+    ``Activity.is_stalled`` is set: other groups are to be tried for its streams, while it may still
+    go on.
     """
 
     HEALTHY = "healthy"
@@ -55,6 +57,7 @@
     :ivar pass_seconds: time between two events of a stream, from the engine's constants.
     :ivar last_event_at: monotonic time of the last event of any stream.
     :ivar checked_at: monotonic time of the last check of the members.
+    :ivar is_stalled: whether the head has been assessed as stalled since its last event.
     :ivar streaming: requests that have had an event.
     :ivar pending: requests without an event by request id.
     """
@@ -62,6 +65,7 @@
     pass_seconds: float
     last_event_at: float = float("-inf")
     checked_at: float = float("-inf")
+    is_stalled: bool = False
     streaming: set[str] = dataclasses.field(default_factory=set)
     pending: dict[str, PendingRequest] = dataclasses.field(default_factory=dict)
 
@@ -71,18 +75,26 @@
     activity.pending[request_id] = PendingRequest(now, expected_seconds)
 
 
-def record_event(activity: Activity, request_id: str, now: float) -> None:
-    """Record an event of a request."""
+def record_event(activity: Activity, request_id: str, now: float) -> float | None:
+    """Record an event of a request.
+
+    :returns: the silence in seconds that it has ended, if the head was assessed as stalled.
+    """
+    ended_seconds = silent_seconds(activity, now) if activity.is_stalled else None
     activity.last_event_at = now
+    activity.is_stalled = False
     if request_id not in activity.streaming:
         activity.pending.pop(request_id, None)
         activity.streaming.add(request_id)
+    return ended_seconds
 
 
 def record_end(activity: Activity, request_id: str) -> None:
     """Record that a request has ended."""
     activity.pending.pop(request_id, None)
     activity.streaming.discard(request_id)
+    if not activity.pending and not activity.streaming:
+        activity.is_stalled = False
 
 
 def silent_seconds(activity: Activity, now: float) -> float:
@@ -102,7 +114,7 @@
         return Verdict.HEALTHY
     check_seconds, stall_seconds = limits
     silence = silent_seconds(activity, now)
-    if silence >= stall_seconds:
+    if silence >= stall_seconds and not activity.is_stalled:
         return Verdict.STALLED
     if silence >= check_seconds and now >= activity.checked_at + RECHECK_SECONDS:
         return Verdict.CHECK
@@ -117,7 +129,7 @@
     check_seconds, stall_seconds = limits
     silent_since = now - silent_seconds(activity, now)
     check_at = max(silent_since + check_seconds, activity.checked_at + RECHECK_SECONDS)
-    return min(check_at, silent_since + stall_seconds)
+    return check_at if activity.is_stalled else min(check_at, silent_since + stall_seconds)
 
 
 def _compute_limits(activity: Activity) -> tuple[float, float] | None:
--- a/tests/route/head_watch.feature
+++ b/tests/route/head_watch.feature
@@ -12,6 +12,27 @@
     Then its members are to be checked within 0.2 s
     And the head counts as stalled after 0.8 s whatever they answer
 
+  Scenario: A stalled head is not reported again during the same silence, but is checked
+    Given a head with 3 streams that send an event every 50 ms
+    When 1 s passes with events
+    And its streams stop sending events
+    And it is reported as stalled after 0.8 s
+    Then it does not count as stalled within 3 s
+    And its members are to be checked within 1.2 s
+
+  Scenario Outline: A head that goes on after a silence can stall again
+    Given a head with 3 streams that send an event every 50 ms
+    When 1 s passes with events
+    And its streams stop sending events
+    And it is reported as stalled after 0.8 s
+    And <end> after 1.2 s
+    Then a silence of <silence> s has ended
+
+    Examples:
+      | end                        | silence |
+      | a stream sends an event    | 1.2     |
+      | all its requests are ended | 0       |
+
   Scenario: The prefill of a prompt makes a pass longer
     Given a head with 3 streams that send an event every 50 ms
     When 1 s passes with events
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -313,6 +313,14 @@
         fields = self._answer_headers(exchange)
         await exchange.respond(message.Response(200, fields, b"done"))
 
+    def _is_held_up(self):
+        """Whether a member is lost or silent, which stops all streams of the group."""
+        now = trio.current_time()
+        is_silent = any(now < self.world.silent_until.get(name, 0.0) for name in self.members)
+        if self.group is None:
+            return False
+        return is_silent or not set(self.members) <= self.world.alive
+
     async def _stream(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
         if await self._send_raw(exchange):
@@ -335,8 +343,12 @@
         try:
             for number in range(first, last + 1):
                 await trio.sleep(EVENT_SECONDS)
-                while not set(self.members) <= self.world.alive:
+                self.world.announce_event(self.name, number)
+                while self._is_held_up():
                     await trio.sleep(EVENT_SECONDS)
+                if self.group is None:
+                    await exchange.conn.close()
+                    return
                 event = b"id: %d\ndata: %d\n\n" % (number, number)
                 if number == self.world.break_at:
                     self.world.break_at = 0
@@ -349,6 +361,28 @@
             self.world.left_at.append(trio.current_time())
 
 
+class SilencedNetwork:
+    """TCP, on which connections to some addresses are not accepted for a while."""
+
+    def __init__(self, net, unreachable_until):
+        self._net = net
+        self._unreachable_until = unreachable_until
+
+    async def dial(self, destination, timeout_seconds):
+        """Open a connection, or wait for one that is not accepted."""
+        until = self._unreachable_until.get(str(destination), 0.0)
+        waited_seconds = max(0.0, until - trio.current_time())
+        await trio.sleep(min(waited_seconds, timeout_seconds))
+        if waited_seconds > timeout_seconds:
+            kind = transport_error.Kind.NOT_CONNECTED
+            raise transport_error.TransportError(kind, False, f"{destination}: timed out")
+        return await self._net.dial(destination, timeout_seconds - waited_seconds)
+
+    async def listen(self, *args, **kwargs):
+        """Serve connections until cancelled."""
+        await self._net.listen(*args, **kwargs)
+
+
 class World:
     """The store, the targets and one entry process."""
 
@@ -368,6 +402,9 @@
         self.crashed = []
         self.crash_answer = ""
         self.dropped_answers = 0
+        self.silent_until = {}
+        self.unreachable_until = {}
+        self.event_listeners = []
         self.version = 1
         self.routes = [
             self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
@@ -390,6 +427,19 @@
             **changes,
         }
 
+    def silence(self, names, seconds, is_reachable):
+        """Let targets make no events for a while, and accept connections or none meanwhile."""
+        until = trio.current_time() + seconds
+        self.silent_until.update(dict.fromkeys(names, until))
+        if not is_reachable:
+            addresses = [self.targets[name].published_address for name in names]
+            self.unreachable_until.update(dict.fromkeys(addresses, until))
+
+    def announce_event(self, head, number):
+        """Tell the listeners that a head is about to send an event."""
+        for listener in self.event_listeners:
+            listener(head, number)
+
     def publish_config(self, keys):
         """Write the configuration to the store."""
         self.version += 1
@@ -437,7 +487,7 @@
         path = self.folder / "entry.ini"
         path.write_text(text)
         cfg = settings_files.load(path, settings.ALL)
-        net = tcp.make()
+        net = SilencedNetwork(tcp.make(), self.unreachable_until)
         store = store_client.make(connection_pool.make(net), cfg.get(settings.STORE))
         peer_address = address.Address(HOST, cfg.get(settings.PEER_PORT))
         messages = zmq_transport.make(peer_address)
--- a/tests/steps/route_head_watch.py
+++ b/tests/steps/route_head_watch.py
@@ -93,3 +93,37 @@
 @then("its next evaluation is never")
 def check_never_due(context):
     assert head_watch.next_evaluation_at(context.head, context.now) == math.inf
+
+
+@when("it is reported as stalled after {seconds:g} s")
+def report_stalled(context, seconds):
+    assert head_watch.evaluate(context.head, context.silent_at + seconds) is Verdict.STALLED
+    context.head.is_stalled = True
+
+
+@when("a stream sends an event after {seconds:g} s")
+def send_event(context, seconds):
+    at = context.silent_at + seconds
+    context.ended_silence = head_watch.record_event(context.head, "0", at)
+    context.silent_at = at
+
+
+@when("all its requests are ended after {seconds:g} s")
+def end_requests(context, seconds):
+    for request in list(context.head.streaming):
+        head_watch.record_end(context.head, request)
+    context.silent_at += seconds
+    head_watch.record_send(context.head, "later", 0.15, context.silent_at)
+    context.ended_silence = head_watch.record_event(context.head, "later", context.silent_at)
+
+
+@then("it does not count as stalled within {seconds:g} s")
+def check_not_stalled(context, seconds):
+    assert find_verdict(context, Verdict.STALLED, seconds) is None
+
+
+@then("a silence of {seconds:g} s has ended")
+def check_silence_ended(context, seconds):
+    assert abs((context.ended_silence or 0.0) - seconds) < 1e-6, context.ended_silence
+    assert not context.head.is_stalled
+    assert find_verdict(context, Verdict.STALLED, 0.9) is not None
