Dissolve a group for members that are gone, not for members that pause

Callers saw streams broken off that waited for a group whose member accepted no connection for a second: 0.35 s into the silence (2 x 70 ms of connecting here, 70 ms at the holder) the holder commanded its members to leave. Cause: a connection that is not answered counted like one that is refused, and the command was given whoever still waited. The same check ended groups of members whose records had lapsed.

Change: a member that refuses connections is gone, and its group is dissolved at once as before. Lapsed members go the same way. Members that were left out for not answering are checked each 0.3 s and used again when they do, not 4.5 s later. Stall reports are repeated each second while the silence lasts, and peers avoid the head as long.

--- a/src/galenavane/control/controller.py
+++ b/src/galenavane/control/controller.py
@@ -47,6 +47,11 @@
     state.unreachable_until[target_id] = now + UNREACHABLE_SECONDS
 
 
+def report_reachable(state: controller_state.ControllerState, target_id: str) -> bool:
+    """Record that a target answers; return whether it counted as unreachable."""
+    return state.unreachable_until.pop(target_id, None) is not None
+
+
 def record_load(
     state: controller_state.ControllerState,
     in_flight: abc.Mapping[str, float],
--- a/src/galenavane/gateway/control_task.py
+++ b/src/galenavane/gateway/control_task.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 import trio
 
 from galenavane.catalog import engine
 from galenavane.control import controller, controller_state
 from galenavane.fleet import group_index, replica_group, target, target_registry
-from galenavane.gateway import boot_clock, command_sender, member_check
+from galenavane.gateway import boot_clock, command_sender, member_check, stall_check
 from galenavane.gateway import state as states
 from galenavane.net import transport_error
 from galenavane.observe import events
@@ -20,8 +22,8 @@
 list of targets does not show the effect of commands, so the targets themselves are polled."""
 SUMMARY_INTERVAL_SECONDS = 1.0
 """Only the lease holder logs the summary: two lines a second."""
-UNLISTED_CHECK_INTERVAL_SECONDS = 0.3
-"""Delay between checks of members whose list entries expired; an unreachable one ends its group."""
+MEMBER_CHECK_INTERVAL_SECONDS = 0.3
+"""Delay between checks of members whose list entries expired and of targets that don't answer."""
 REPORT_INTERVAL_SECONDS = 0.25
 """Reports are a few hundred milliseconds old, so polling more often shows nothing new."""
 
@@ -30,11 +32,11 @@
     """Run the controller while this entry holds the lease, and the tasks that support it."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_run_report_polling, gw)
-        nursery.start_soon(_run_unlisted_checks, gw)
+        nursery.start_soon(_run_member_checks, gw)
         nursery.start_soon(_run_summary, gw)
         while True:
             wakeup = gw.control_wakeup
-            _start_stall_checks(gw, nursery)
+            stall_check.start(gw, nursery)
             if gw.control is not None and not gw.is_stopping:
                 _start_commands(gw, gw.control, nursery)
             with trio.move_on_after(TICK_SECONDS if gw.control is not None else IDLE_TICK_SECONDS):
@@ -72,62 +74,6 @@
     return counts
 
 
-def _start_stall_checks(gw: states.Gateway, nursery: trio.Nursery) -> None:
-    """Start one check for each group that entries report as stalled."""
-    stalls, gw.pending_stalls = gw.pending_stalls, []
-    if gw.control is None:
-        return
-    for service, key, missing in stalls:
-        if key not in gw.stalls_in_check:
-            gw.stalls_in_check.add(key)
-            nursery.start_soon(_check_stall, gw, service, key, missing)
-
-
-async def _check_stall(
-    gw: states.Gateway, service: str, key: replica_group.Key, missing: tuple[str, ...]
-) -> None:
-    """Check a stalled group's members from this entry, and dissolve the group if necessary."""
-    stalled_group = _find_group(gw, service, key)
-    if (
-        stalled_group is None
-        or gw.control is None
-        or key in controller_state.find_service(gw.control, service).dissolving
-    ):
-        gw.stalls_in_check.discard(key)
-        return
-    # The entry that reported the stall has already tried twice.
-    unreachable = await member_check.find_unreachable(gw, stalled_group.members, attempts=1)
-    gw.stalls_in_check.discard(key)
-    if gw.control is None:
-        return
-    state = controller_state.find_service(gw.control, service)
-    # A member that this entry can reach is alive, whatever another entry reaches. A group without
-    # an unreachable member is dissolved only if its head was reported silent for long, which is a
-    # report without missing members.
-    if unreachable or not missing:
-        events.log(
-            "group.dissolved",
-            group=key.name,
-            epoch=key.epoch,
-            silent=",".join(unreachable),
-            told=",".join(missing),
-        )
-        controller.report_stalled_group(state, key, unreachable, trio.current_time())
-        gw.wake_control()
-    else:
-        events.log("group.kept", group=key.name, epoch=key.epoch, told=",".join(missing))
-
-
-def _find_group(
-    gw: states.Gateway, service: str, key: replica_group.Key
-) -> replica_group.Group | None:
-    catalog = gw.config_state.catalog
-    declared = catalog.services.get(service) if catalog is not None else None
-    if declared is None or declared.engine is None:
-        return None
-    return gw.find_groups(service, declared.engine).get(key)
-
-
 async def _run_summary(gw: states.Gateway) -> None:
     """Log how many groups are serving, so that refused requests can be traced to missing groups."""
     while True:
@@ -167,26 +113,47 @@
     )
 
 
-async def _run_unlisted_checks(gw: states.Gateway) -> None:
-    """Check members whose list entries expired; one that answers has only lost the store."""
+async def _run_member_checks(gw: states.Gateway) -> None:
+    """Check members whose list entries expired, and targets that did not answer, again and again.
+
+    A member that answers has only lost the store.
+    """
     while True:
-        await trio.sleep(UNLISTED_CHECK_INTERVAL_SECONDS)
-        unlisted = [unlisted_member.target for unlisted_member in gw.registry.unlisted.values()]
-        if gw.control is None or not unlisted:
-            continue
-        unreachable = await member_check.find_unreachable(gw, unlisted)
+        await trio.sleep(MEMBER_CHECK_INTERVAL_SECONDS)
         if gw.control is None:
             continue
+        unlisted = [unlisted_member.target for unlisted_member in gw.registry.unlisted.values()]
+        unanswering = [
+            gw.registry.targets[target_id]
+            for state in gw.control.services.values()
+            for target_id in state.unreachable_until
+            if target_id in gw.registry.targets
+        ]
+        if not unlisted and not unanswering:
+            continue
+        unreachable = await member_check.find_unreachable(gw, [*unlisted, *unanswering])
         for member in unlisted:
             membership = member.membership
-            if member.id in unreachable and membership is not None:
+            if member.id in unreachable.all and membership is not None:
                 key = replica_group.Key(membership.group, membership.epoch)
-                events.log(
-                    "member.lost", target=member.id, group=membership.group, epoch=membership.epoch
-                )
-                target_registry.drop_unlisted(gw.registry, member.id)
-                state = controller_state.find_service(gw.control, member.service)
-                controller.report_stalled_group(state, key, [member.id], trio.current_time())
+                gw.pending_stalls.append((member.service, key, (member.id,)))
+                gw.wake_control()
+        _note_answers(gw, unanswering, unreachable)
+
+
+def _note_answers(
+    gw: states.Gateway,
+    unanswering: abc.Sequence[target.Target],
+    unreachable: member_check.Unreachable,
+) -> None:
+    """Use targets again that answer after all: they have paused or started again."""
+    if gw.control is None:
+        return
+    for listed_target in unanswering:
+        if listed_target.id not in unreachable.all:
+            state = controller_state.find_service(gw.control, listed_target.service)
+            if controller.report_reachable(state, listed_target.id):
+                events.log("target.answers", target=listed_target.id)
                 gw.wake_control()
 
 
--- a/src/galenavane/gateway/head_crash.py
+++ b/src/galenavane/gateway/head_crash.py
@@ -42,9 +42,8 @@
     crashed_at = trio.current_time()
     # The client of this request may leave meanwhile, but the check is made for the others too.
     with trio.CancelScope(shield=True):
-        has_crashed = bool(
-            await member_check.find_unreachable(gw, (head,))
-        ) and await _have_all_ended(head_requests, in_progress)
+        unreachable = await member_check.find_unreachable(gw, (head,))
+        has_crashed = bool(unreachable.all) and await _have_all_ended(head_requests, in_progress)
     head_requests.has_crashed = has_crashed
     head_requests.crash_check.set()
     head_requests.crash_check = None
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -18,8 +18,8 @@
 """No head is due for a check sooner than this after the first request at it."""
 MAX_LOOP_LAG_SECONDS = 0.1
 """If the event loop runs later than this, events may wait unread, so silence proves nothing."""
-REPORTED_SUSPECT_SECONDS = 0.5
-"""How long a head is avoided after a peer's stall report: until the lease holder has decided."""
+REPORTED_SUSPECT_SECONDS = 1.2
+"""How long a head is avoided after a peer's stall report, which is repeated each second."""
 REPORTED_STALL_PASSES = 1.3
 """Silence of a head, in engine passes, with which this entry confirms a peer's stall report."""
 SUSPECT_SECONDS = 2.0
@@ -68,9 +68,11 @@
 ) -> None:
     verdict = head_watch.evaluate(head_requests.activity, now)
     if verdict is head_watch.Verdict.STALLED:
-        # A full head also keeps requests waiting, and a silent one may go on, so this alone doesn't
-        # show a stalled group.
-        _hedge_streams(gw, head_id, head_requests, ())
+        if head_requests.activity.streaming:
+            _report_stall(gw, head_id, head_requests, ())
+        else:
+            # A full head also keeps requests waiting, so this alone doesn't show a stalled group.
+            _hedge_streams(gw, head_id, head_requests, ())
     elif verdict is head_watch.Verdict.CHECK and not head_requests.is_checking:
         head_requests.is_checking = True
         head_requests.activity.checked_at = now
@@ -85,12 +87,12 @@
     group = _find_group(gw, head_requests)
     unreachable: tuple[str, ...] = ()
     if group is not None:
-        unreachable = await member_check.find_unreachable(gw, group.members)
+        unreachable = (await member_check.find_unreachable(gw, group.members)).all
     head_requests.is_checking = False
     has_new_event = activity.last_event_at > started_at
     if has_new_event or gw.heads.get(head_id) is not head_requests:
         return
-    if unreachable:
+    if unreachable or (activity.is_stalled and activity.streaming):
         _report_stall(gw, head_id, head_requests, unreachable)
 
 
--- a/src/galenavane/gateway/member_check.py
+++ b/src/galenavane/gateway/member_check.py
@@ -5,6 +5,7 @@
 import functools
 from collections import abc
 
+import msgspec
 import trio
 
 from galenavane.fleet import target
@@ -19,28 +20,47 @@
 """If the event loop itself runs later than this, a timeout proves nothing."""
 
 
+class Unreachable(msgspec.Struct, frozen=True):
+    """Sorted ids of the targets that accepted no connection.
+
+    :ivar gone: those whose hosts refuse connections: no process listens there.
+    :ivar silent: those that did not answer; they may be lost, or pause.
+    """
+
+    gone: tuple[str, ...]
+    silent: tuple[str, ...]
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """The ids of both kinds."""
+        return tuple(sorted((*self.gone, *self.silent)))
+
+
 async def find_unreachable(
-    gw: states.Gateway, members: abc.Sequence[target.Target], attempts: int = ATTEMPTS
-) -> tuple[str, ...]:
-    """Return the sorted ids of the members that no connection could be opened to."""
-    unreachable: list[str] = []
+    gw: states.Gateway, members: abc.Iterable[target.Target], attempts: int = ATTEMPTS
+) -> Unreachable:
+    """Return the members that no connection could be opened to."""
+    gone: list[str] = []
+    silent: list[str] = []
     async with trio.open_nursery() as nursery:
         for member in members:
-            nursery.start_soon(functools.partial(_check, gw, member, attempts, unreachable))
-    return tuple(sorted(unreachable))
+            nursery.start_soon(functools.partial(_check, gw, member, attempts, gone, silent))
+    return Unreachable(tuple(sorted(gone)), tuple(sorted(silent)))
 
 
 async def _check(
-    gw: states.Gateway, member: target.Target, attempts: int, unreachable: list[str]
+    gw: states.Gateway, member: target.Target, attempts: int, gone: list[str], silent: list[str]
 ) -> None:
+    is_refused = False
     for _ in range(attempts):
         started_at = trio.current_time()
         try:
             conn = await gw.net.dial(member.address, CONNECT_TIMEOUT_SECONDS)
-        except transport_error.TransportError:
+        except transport_error.TransportError as exc:
             if trio.current_time() - started_at > CONNECT_TIMEOUT_SECONDS + MAX_LOOP_LAG_SECONDS:
                 return
+            is_refused = exc.is_refused
             continue
         await conn.close()
         return
-    unreachable.append(member.id)
+    (gone if is_refused else silent).append(member.id)
--- a/src/galenavane/net/tcp.py
+++ b/src/galenavane/net/tcp.py
@@ -24,7 +24,9 @@
                 stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as exc:
             kind = transport_error.Kind.NOT_CONNECTED
-            raise transport_error.TransportError(kind, False, f"{address}: {exc}") from exc
+            raise transport_error.TransportError(
+                kind, False, f"{address}: {exc}", is_refused=_is_refused(exc)
+            ) from exc
         return http_connection.HttpConnection(stream, h11.CLIENT)
 
     async def listen(
@@ -44,6 +46,12 @@
         await trio.serve_listeners(serve, listeners)
 
 
+def _is_refused(exc: BaseException) -> bool:
+    """Whether an attempt to connect was refused; trio puts its reason into a group."""
+    reasons = exc.__cause__.exceptions if isinstance(exc.__cause__, ExceptionGroup) else (exc,)
+    return any(isinstance(reason, ConnectionRefusedError) for reason in reasons)
+
+
 async def _open_listeners(address: addresses.Address) -> list[trio.SocketListener]:
     """Bind an address and listen on it.
 
--- a/src/galenavane/net/transport_error.py
+++ b/src/galenavane/net/transport_error.py
@@ -21,9 +21,13 @@
 
     :ivar kind: kind of the failure.
     :ivar has_sent_bytes: whether any byte of the request was passed to the socket.
+    :ivar is_refused: whether the peer's host refused the connection, so that no process listens.
     """
 
-    def __init__(self, kind: Kind, has_sent_bytes: bool, message: str = "") -> None:
+    def __init__(
+        self, kind: Kind, has_sent_bytes: bool, message: str = "", is_refused: bool = False
+    ) -> None:
         super().__init__(message or kind.value)
+        self.is_refused = is_refused
         self.kind = kind
         self.has_sent_bytes = has_sent_bytes
