End attempts at groups that have lost a member, and leave dissolved groups unwatched

An attempt that can't be made elsewhere waited at a group with a crashed member until its time was up, where its client could have tried again at once: a refused connection of a member that isn't the head proves that the group can't go on, so the attempts there are given up. A head that refuses connections while its streams are open may only have too many, so it counts as silent. And streams that still waited at a dissolved group kept its head under suspicion as long as they waited, although it was in a new group by then: a group that isn't listed is no longer watched.

Not shown by a scenario of its own.

--- a/src/galenavane/gateway/attempts.py
+++ b/src/galenavane/gateway/attempts.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "_attempts",
+        "_cancel_reason",
         "_is_cancelled",
         "_scope",
         "error",
@@ -44,6 +45,7 @@
         self._attempts = attempts
         self._scope = trio.CancelScope()
         self._is_cancelled = False
+        self._cancel_reason = ""
         self.group = group
         self.is_silent = False
         self.is_delivering = False
@@ -61,9 +63,10 @@
         self.is_silent = True
         self._attempts.wake()
 
-    def cancel(self) -> None:
+    def cancel(self, reason: str) -> None:
         """Give the attempt up, but not in the middle of what it sends to the client."""
         self._is_cancelled = True
+        self._cancel_reason = reason
         if not self.is_delivering:
             self._scope.cancel()
 
@@ -98,7 +101,7 @@
                 self.error = exc
         if self._scope.cancelled_caught:
             self.failure = failure.Failure(
-                codes.Code.TARGET_SILENT, "the attempt was given up", outcomes.Outcome.UNKNOWN
+                codes.Code.TARGET_SILENT, self._cancel_reason, outcomes.Outcome.UNKNOWN
             )
 
 
@@ -157,4 +160,4 @@
         for attempt in self.in_progress:
             if attempt is not leader:
                 attempt.is_superseded = True
-                attempt.cancel()
+                attempt.cancel("another group has gone on")
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import abc
 
 import trio
 
@@ -85,15 +86,25 @@
     activity = head_requests.activity
     started_at = trio.current_time()
     group = _find_group(gw, head_requests)
-    unreachable: tuple[str, ...] = ()
-    if group is not None:
-        unreachable = (await member_check.find_unreachable(gw, group.members)).all
+    unreachable = await member_check.find_unreachable(gw, group.members if group else ())
     head_requests.is_checking = False
     has_new_event = activity.last_event_at > started_at
     if has_new_event or gw.heads.get(head_id) is not head_requests:
         return
-    if unreachable or (activity.is_stalled and activity.streaming):
-        _report_stall(gw, head_id, head_requests, unreachable)
+    if group is None:
+        # The head may be in another group already, whose requests don't wait for these.
+        del gw.heads[head_id]
+    elif unreachable.all or (activity.is_stalled and activity.streaming):
+        _report_stall(gw, head_id, head_requests, unreachable.all)
+        _end_attempts(head_requests, [member for member in unreachable.gone if member != head_id])
+
+
+def _end_attempts(head_requests: states.HeadRequests, gone: abc.Sequence[str]) -> None:
+    """Give up the attempts at a group that has lost members, which can't go on."""
+    if not gone:
+        return
+    for attempt in list(head_requests.attempts.values()):
+        attempt.cancel(f"members {', '.join(gone)} of the group are gone")
 
 
 def _find_group(
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -249,10 +249,11 @@
         return False
     if stream.sends + stream.refusals == 0:
         return True
+    budget = gw.get_send_budget(stream.request.service)
+    if not budget.try_spend(gw.count_entries(), trio.current_time()):
+        return False
     gw.metrics.further_sends.inc({"service": stream.request.service})
-    return gw.get_send_budget(stream.request.service).try_spend(
-        gw.count_entries(), trio.current_time()
-    )
+    return True
 
 
 def _make_no_group_failure(gw: states.Gateway) -> failure.Failure:
--- a/src/galenavane/gateway/prompt_blocks.py
+++ b/src/galenavane/gateway/prompt_blocks.py
@@ -251,6 +251,6 @@
             decision = prompt_suspects.decide(gw.prompt_suspects, request.parts, now)
             attempt = head_requests.attempts.get(request_id)
             if decision.verdict is _REFUSE and attempt is not None:
-                attempt.cancel()
+                attempt.cancel("a part of the prompt was blocked")
                 taken_back += 1
     events.log("part.blocked", parts=",".join(parts), taken_back=taken_back)
--- a/src/galenavane/gateway/stall_check.py
+++ b/src/galenavane/gateway/stall_check.py
@@ -40,9 +40,8 @@
             unreachable = await member_check.find_unreachable(gw, group.members, attempts=1)
             silent_seconds = trio.current_time() - began_at
             requests = gw.sum_head_loads().get(group.head.id, 0) if group.head is not None else 0
-            verdict = stall_decision.decide(
-                unreachable.gone, unreachable.silent, requests, silent_seconds
-            )
+            gone, silent = _sort_by_evidence(group, unreachable)
+            verdict = stall_decision.decide(gone, silent, requests, silent_seconds)
             if verdict is _Verdict.WAIT:
                 await trio.sleep(RECHECK_INTERVAL_SECONDS)
         _carry_out(gw, service, key, verdict, missing, unreachable, silent_seconds)
@@ -50,6 +49,18 @@
         gw.stalls_in_check.discard(key)
 
 
+def _sort_by_evidence(
+    group: replica_group.Group, unreachable: member_check.Unreachable
+) -> tuple[list[str], list[str]]:
+    """Return the members that are gone, and those that may go on.
+
+    A head with too many connections refuses more of them, while it goes on with its streams.
+    """
+    head_id = group.head.id if group.head is not None else ""
+    gone = [member for member in unreachable.gone if member != head_id]
+    return gone, [member for member in unreachable.all if member not in gone]
+
+
 def _find_undecided_group(
     gw: states.Gateway, service: str, key: replica_group.Key
 ) -> replica_group.Group | None:
