Count an attempt at its head before the next request chooses one

Cause: an attempt was counted at its head when its task first ran, so requests that chose in between saw neither its load nor its probe.

--- a/src/galenavane/gateway/attempts.py
+++ b/src/galenavane/gateway/attempts.py
@@ -124,13 +124,17 @@
         """Whether the stream stands still because its targets are silent."""
         return all(attempt.is_silent and not attempt.is_delivering for attempt in self.in_progress)
 
-    def start(self, group: replica_group.Group, function: Function) -> None:
+    def add(self, group: replica_group.Group) -> Attempt:
+        """Return a new attempt, which counts as in progress."""
+        attempt = Attempt(self, group)
+        self.in_progress.append(attempt)
+        return attempt
+
+    def start(self, attempt: Attempt, function: Function) -> None:
         """Start an attempt.
 
         :param function: serves the stream; returns the failure, or ``None`` if it has answered.
         """
-        attempt = Attempt(self, group)
-        self.in_progress.append(attempt)
         self._nursery.start_soon(self._run, attempt, function)
 
     async def _run(self, attempt: Attempt, function: Function) -> None:
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -73,7 +73,6 @@
 
     :returns: the failure to answer with, or ``None`` if the request was answered.
     """
-    send = functools.partial(stream_attempt.run, gw, exchange, stream)
     while True:
         refusal = await _check_prompt(gw, stream)
         if refusal is not None:
@@ -87,8 +86,8 @@
         if not _may_send(gw, stream):
             return stream.reported_failure or _make_no_group_failure(gw)
         prompt_blocks.record_probe(gw, stream.probed_parts)
-        _start_attempt(gw, stream, tries, choice, send)
-        last_failure = await _finish_attempts(gw, stream, tries, send)
+        _start_attempt(gw, exchange, stream, tries, choice)
+        last_failure = await _finish_attempts(gw, exchange, stream, tries)
         if last_failure is None:
             return None
         if not streams.may_retry(stream, last_failure):
@@ -97,23 +96,25 @@
 
 def _start_attempt(
     gw: states.Gateway,
+    exchange: http_server.Exchange,
     stream: streams.Stream,
     tries: attempts.Attempts,
     choice: tuple[replica_group.Group, float],
-    send: attempts.Function,
 ) -> None:
     group, in_flight = choice
     _log_sent(gw, stream, group, in_flight, len(tries.in_progress))
     if group.head is not None:
         stream.tried_heads.add(group.head.id)
-    tries.start(group, send)
+    attempt = tries.add(group)
+    head_requests = stream_attempt.register(gw, stream, attempt)
+    tries.start(attempt, functools.partial(stream_attempt.run, gw, exchange, stream, head_requests))
 
 
 async def _finish_attempts(
     gw: states.Gateway,
+    exchange: http_server.Exchange,
     stream: streams.Stream,
     tries: attempts.Attempts,
-    send: attempts.Function,
 ) -> failure.Failure | None:
     """Wait for all attempts, and start another one when those in progress are silent.
 
@@ -130,22 +131,22 @@
             _log_send_failed(gw, stream, ended.group, last_failure)
             streams.record_failure(stream, last_failure)
         if tries.in_progress and tries.is_silent:
-            _start_hedge(gw, stream, tries, send)
+            _start_hedge(gw, exchange, stream, tries)
     return last_failure
 
 
 def _start_hedge(
     gw: states.Gateway,
+    exchange: http_server.Exchange,
     stream: streams.Stream,
     tries: attempts.Attempts,
-    send: attempts.Function,
 ) -> None:
     """Try another group beside a silent one, which may also go on by itself."""
     if not streams.may_hedge(stream) or not _is_prompt_trusted(gw, stream):
         return
     choice = _choose_group(gw, stream)
     if choice is not None and _may_send(gw, stream):
-        _start_attempt(gw, stream, tries, choice, send)
+        _start_attempt(gw, exchange, stream, tries, choice)
 
 
 def _is_prompt_trusted(gw: states.Gateway, stream: streams.Stream) -> bool:
--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -29,21 +29,17 @@
 _Outcome = outcomes.Outcome
 
 
-async def run(
-    gw: states.Gateway,
-    exchange: http_server.Exchange,
-    stream: streams.Stream,
-    attempt: attempts.Attempt,
-) -> failure.Failure | None:
-    """Make one attempt to serve a stream.
+def register(
+    gw: states.Gateway, stream: streams.Stream, attempt: attempts.Attempt
+) -> states.HeadRequests | None:
+    """Count an attempt at its head from now on, so that the next choice of a head sees it.
 
-    :returns: the failure, or ``None`` if the request was answered.
+    :returns: the requests at the head, ``None`` if it is no longer listed.
     """
     group = attempt.group
-    head = group.head
     head_requests = heads_task.track_head(gw, group, stream.constants)
-    if head is None or head_requests is None:
-        return failure.Failure(codes.Code.NO_GROUP, "the group's head is not listed")
+    if head_requests is None:
+        return None
     request_id = stream.request.inbound.id
     head_requests.attempts[request_id] = attempt
     now = trio.current_time()
@@ -58,6 +54,23 @@
             _compute_prefill_seconds(stream, group),
             is_probe=bool(stream.probed_parts),
         )
+    return head_requests
+
+
+async def run(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    stream: streams.Stream,
+    head_requests: states.HeadRequests | None,
+    attempt: attempts.Attempt,
+) -> failure.Failure | None:
+    """Make one attempt to serve a stream.
+
+    :returns: the failure, or ``None`` if the request was answered.
+    """
+    if head_requests is None:
+        return failure.Failure(codes.Code.NO_GROUP, "the group's head is not listed")
+    request_id = stream.request.inbound.id
     try:
         return await _exchange(gw, exchange, stream, attempt, head_requests)
     finally:
--- a/tests/gateway/whole_path.feature
+++ b/tests/gateway/whole_path.feature
@@ -82,3 +82,10 @@
     When the entry chooses a relay with a wide link and drops it
     Then it does not choose that relay again
     And all these steps succeed
+
+  Scenario: Streams that begin at the same moment are spread evenly over the heads
+    Given a platform with 2 domains of 6 targets, and an entry
+    When 24 clients ask for streams of 8 events that may be resumed
+    Then each gets events 1 to 8 and the end
+    And 2 heads have got 12 requests each
+    And all these steps succeed
--- a/tests/steps/gateway_silent.py
+++ b/tests/steps/gateway_silent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import trio
 from behave import then, when
 from steps import gateway_unframed, gateway_whole_path
@@ -96,3 +98,11 @@
         await trio.sleep(0.5)
         orders = [order for member in world.targets.values() for order in member.orders]
         assert not [order for order in orders if order["operation"] == "leave"]
+
+
+@then("{heads:d} heads have got {count:d} requests each")
+def check_spread(context, heads, count):
+    @plan_step(context)
+    async def step(world):
+        counts = collections.Counter(name for name, _ in world.arrivals)
+        assert sorted(counts.values()) == [count] * heads, counts
