Let attempts have destinations other than groups

No behaviour changes. A request to a service without groups is to be tried at two targets at once like a stream at two groups. The nursery around the attempts of one request moves from model_serving to attempts.serve.

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -29,8 +29,6 @@
 
 NO_GROUP_RETRY_AFTER_SECONDS = (0.4, 1.0)
 """Range of retry-after times: a group re-forms in about a second, and retries are spread out."""
-HEDGE_INTERVAL_SECONDS = 0.15
-"""How often another group is looked for while a stream's head is silent."""
 _Outcome = outcomes.Outcome
 _Verdict = prompt_suspects.Verdict
 
@@ -49,25 +47,14 @@
     stream.parts = prompt_blocks.name_parts(request.inbound)
     if constants.find_model(request.inbound.model) is None:
         return failure.Failure(codes.Code.UNKNOWN_MODEL, "no such model is declared")
-    results: list[failure.Failure | None] = []
-    errors: list[Exception] = []
-    async with trio.open_nursery() as nursery:
-        # Caught here because the nursery would wrap it in an exception group.
-        try:
-            results.append(await _serve_attempts(gw, exchange, stream, attempts.Attempts(nursery)))
-        except Exception as exc:
-            errors.append(exc)
-        nursery.cancel_scope.cancel()
-    if errors:
-        raise errors[0]
-    return results[0]
+    return await attempts.serve(functools.partial(_serve_attempts, gw, exchange, stream))
 
 
 async def _serve_attempts(
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    tries: attempts.Attempts,
+    tries: attempts.GroupAttempts,
 ) -> failure.Failure | None:
     """Make attempts, one after the other unless a target is silent.
 
@@ -98,9 +85,9 @@
 def _start_attempt(
     gw: states.Gateway,
     stream: streams.Stream,
-    tries: attempts.Attempts,
+    tries: attempts.GroupAttempts,
     choice: tuple[replica_group.Group, float],
-    send: attempts.Function,
+    send: attempts.GroupFunction,
 ) -> None:
     group, in_flight = choice
     _log_sent(gw, stream, group, in_flight, len(tries.in_progress))
@@ -112,8 +99,8 @@
 async def _finish_attempts(
     gw: states.Gateway,
     stream: streams.Stream,
-    tries: attempts.Attempts,
-    send: attempts.Function,
+    tries: attempts.GroupAttempts,
+    send: attempts.GroupFunction,
 ) -> failure.Failure | None:
     """Wait for all attempts, and start another one when those in progress are silent.
 
@@ -121,13 +108,14 @@
     """
     last_failure: failure.Failure | None = None
     while tries.in_progress:
-        for ended in await tries.wait(HEDGE_INTERVAL_SECONDS if tries.is_silent else math.inf):
+        wait_seconds = attempts.HEDGE_INTERVAL_SECONDS if tries.is_silent else math.inf
+        for ended in await tries.wait(wait_seconds):
             if ended.error is not None:
                 raise ended.error
             if ended.failure is None:
                 return None
             last_failure = ended.failure
-            _log_send_failed(gw, stream, ended.group, last_failure)
+            _log_send_failed(gw, stream, ended.destination, last_failure)
             streams.record_failure(stream, last_failure)
         if tries.in_progress and tries.is_silent:
             _start_hedge(gw, stream, tries, send)
@@ -137,8 +125,8 @@
 def _start_hedge(
     gw: states.Gateway,
     stream: streams.Stream,
-    tries: attempts.Attempts,
-    send: attempts.Function,
+    tries: attempts.GroupAttempts,
+    send: attempts.GroupFunction,
 ) -> None:
     """Try another group beside a silent one, which may also go on by itself."""
     if not streams.may_hedge(stream) or not _is_prompt_trusted(gw, stream):
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -95,7 +95,7 @@
 
     group_key: replica_group.Key
     activity: head_watch.Activity
-    attempts: dict[str, attempts.Attempt] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, attempts.GroupAttempt] = dataclasses.field(default_factory=dict)
     is_checking: bool = False
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -33,13 +33,13 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
 ) -> failure.Failure | None:
     """Make one attempt to serve a stream.
 
     :returns: the failure, or ``None`` if the request was answered.
     """
-    group = attempt.group
+    group = attempt.destination
     head = group.head
     head_requests = heads_task.track_head(gw, group, stream.constants)
     if head is None or head_requests is None:
@@ -90,10 +90,10 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     head_requests: states.HeadRequests,
 ) -> failure.Failure | None:
-    group = attempt.group
+    group = attempt.destination
     head = group.head
     assert head is not None
     check_crash = functools.partial(
@@ -137,7 +137,7 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
 ) -> failure.Failure | None:
@@ -145,7 +145,7 @@
 
     :returns: the failure, or ``None`` if the response is a stream or was sent to the client.
     """
-    group = attempt.group
+    group = attempt.destination
     head = group.head
     assert head is not None
     if not response.matches_request:
--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -23,7 +23,7 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     head_requests: states.HeadRequests,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
@@ -45,7 +45,7 @@
         if not whole_events:
             continue
         now = trio.current_time()
-        heads_task.record_event(gw, attempt.group, head_requests, request_id, now)
+        heads_task.record_event(gw, attempt.destination, head_requests, request_id, now)
         await attempt.claim()
         stream.events += len(whole_events)
         if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
