--- a/src/galenavane/gateway/attempts.py
+++ b/src/galenavane/gateway/attempts.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "_attempts",
+        "_cancel_reason",
         "_is_cancelled",
         "_scope",
         "_silent_at",
@@ -50,6 +51,7 @@
         self._attempts = attempts
         self._scope = trio.CancelScope()
         self._is_cancelled = False
+        self._cancel_reason = ""
         self._silent_at = math.inf
         self.destination = destination
         self.has_begun = False
@@ -87,9 +89,10 @@
         self.is_silent = False
         self._attempts.supersede_others(self, has_begun=False)
 
-    def cancel(self) -> None:
+    def cancel(self, reason: str) -> None:
         """Give the attempt up, but not in the middle of what it sends to the client."""
         self._is_cancelled = True
+        self._cancel_reason = reason
         if not self.is_delivering:
             self._scope.cancel()
 
@@ -124,7 +127,7 @@
                 self.error = exc
         if self._scope.cancelled_caught:
             self.failure = failure.Failure(
-                codes.Code.TARGET_SILENT, "the attempt was given up", outcomes.Outcome.UNKNOWN
+                codes.Code.TARGET_SILENT, self._cancel_reason, outcomes.Outcome.UNKNOWN
             )
 
 
@@ -197,7 +200,7 @@
         for attempt in self.in_progress:
             if attempt is not leader and has_begun in (None, attempt.has_begun):
                 attempt.is_superseded = True
-                attempt.cancel()
+                attempt.cancel("another attempt has gone on")
 
 
 GroupAttempts = Attempts[replica_group.Group]
