Wait for a silent target of a plain service while another one is tried beside it

Callers saw a 504 for a look-up although the target that had it would have answered within its time. Cause: the first attempt of a request that may be repeated was cut after 45% of the time left, whether or not another target could take it. With no other target or no budget the failure was reported at once; with another target that refused or failed, the first one's answer was lost as well.

Change: moving on and giving up are two decisions. The first complete answer is sent to the client, and the other connections are closed. What may not be sent again waits until its time is up. A failed attempt beside a silent one doesn't end the request, also a 500: the failure that is reported when none answers is the first one after which the request may have run. Whether the target is still listed and the key still known is checked between connecting and sending.

--- /dev/null
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -0,0 +1,163 @@
+"""Sends a request to one target without a replica group, and forwards the response."""
+
+from __future__ import annotations
+
+import trio
+
+from galenavane.catalog import route
+from galenavane.failure import code as codes
+from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
+from galenavane.fleet import target
+from galenavane.gateway import admission, attempts, plain_call, target_exchange
+from galenavane.gateway import state as states
+from galenavane.net import headers as header_lists
+from galenavane.net import http_server, message, transport_error
+from galenavane.observe import events
+from galenavane.serve import inbound_request, target_response
+
+SILENCE_SHARE = 0.45
+"""Share of the remaining time after which another target is tried beside a silent one."""
+SUSPECT_SECONDS = 1.5
+RETRY_AFTER_SECONDS = 0.1
+"""Targets without replica groups have capacity again within tens of milliseconds."""
+Attempt = attempts.Attempt[target.Target]
+_Outcome = outcomes.Outcome
+
+
+async def run(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    call: plain_call.PlainCall,
+    attempt: Attempt,
+) -> failure.Failure | None:
+    """Make one attempt to serve a request.
+
+    :returns: the failure, or ``None`` if the request was answered.
+    """
+    target_id = attempt.destination.id
+    gw.target_in_flight[target_id] = gw.target_in_flight.get(target_id, 0) + 1
+    try:
+        return await _exchange(gw, exchange, call, attempt)
+    finally:
+        gw.target_in_flight[target_id] -= 1
+
+
+async def _exchange(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    call: plain_call.PlainCall,
+    attempt: Attempt,
+) -> failure.Failure | None:
+    destination = attempt.destination
+    try:
+        target_conn = await target_exchange.connect(gw, destination, call.request.inbound)
+    except transport_error.TransportError as exc:
+        gw.suspect(destination.id, SUSPECT_SECONDS)
+        return _make_unreachable(str(exc))
+    try:
+        if not _may_send(gw, call.request, destination):
+            return _make_unreachable("the target or the account may no longer be used")
+        await attempt.begin()
+        response = await _send(call, attempt, target_conn)
+        body = await target_conn.read_body()
+    except transport_error.TransportError as exc:
+        target_exchange.note_failure(gw, destination, exc)
+        return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
+    finally:
+        await target_conn.close()
+    response_failure = _check_response(gw, call, attempt, response)
+    if response_failure is None:
+        await _forward(gw, exchange, call, attempt, response, body)
+    return response_failure
+
+
+def _make_unreachable(text: str) -> failure.Failure:
+    return failure.Failure(
+        codes.Code.TARGET_UNREACHABLE, text, retry_after_seconds=RETRY_AFTER_SECONDS
+    )
+
+
+def _may_send(
+    gw: states.Gateway, request: admission.AdmittedRequest, destination: target.Target
+) -> bool:
+    """Whether a target is still listed as it was chosen, and the client's key still known."""
+    known = gw.registry.targets.get(destination.id)
+    is_listed = known is not None and not known.is_leaving and known.address == destination.address
+    return is_listed and may_use_account(gw, request)
+
+
+def may_use_account(gw: states.Gateway, request: admission.AdmittedRequest) -> bool:
+    """Whether a request's account is known well enough to send the request."""
+    return not request.account or gw.may_use_keys()
+
+
+async def _send(
+    call: plain_call.PlainCall, attempt: Attempt, target_conn: target_exchange.TargetExchange
+) -> target_response.TargetResponse:
+    request = call.request
+    call.sends += 1
+    call.tried_ids.add(attempt.destination.id)
+    seconds_left = request.deadline - trio.current_time()
+    if not plain_call.is_last(call):
+        share_seconds = seconds_left * SILENCE_SHARE
+        attempt.expect_answer(max(share_seconds, request.route.latency_target_seconds))
+    options = inbound_request.SendOptions(attempt.destination.id, request.account, seconds_left, 0)
+    return await target_conn.send(options)
+
+
+def _check_response(
+    gw: states.Gateway,
+    call: plain_call.PlainCall,
+    attempt: Attempt,
+    response: target_response.TargetResponse,
+) -> failure.Failure | None:
+    """Return the failure that a response means, unless it is for the client."""
+    if not response.matches_request:
+        return failure.Failure(
+            codes.Code.WRONG_ANSWER, "the response belongs to another request", _Outcome.UNKNOWN
+        )
+    if response.is_not_run:
+        if response.status == 421:
+            gw.suspect(attempt.destination.id, SUSPECT_SECONDS)
+        return failure.Failure(
+            codes.Code.TARGET_REFUSED,
+            f"status {response.status}",
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+        )
+    if response.status < 300 and not response.is_signed:
+        return failure.Failure(
+            codes.Code.TARGET_FAILED, "the response is not signed", _Outcome.FAILED
+        )
+    is_idempotent = call.request.route.kind is route.Kind.IDEMPOTENT
+    may_improve = attempt.has_others or not plain_call.is_last(call)
+    if response.status >= 500 and is_idempotent and may_improve:
+        return failure.Failure(
+            codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.FAILED
+        )
+    if response.status in (408, 429, 503):
+        # These statuses promise that the request was not run, but the target doesn't say that.
+        return failure.Failure(
+            codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.UNKNOWN
+        )
+    return None
+
+
+async def _forward(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    call: plain_call.PlainCall,
+    attempt: Attempt,
+    response: target_response.TargetResponse,
+    body: bytes,
+) -> None:
+    """Send a complete response to the client, and give up the other attempts."""
+    if attempt.has_others:
+        events.log(
+            "request.first_answer", request=call.request.inbound.id, target=attempt.destination.id
+        )
+    await attempt.claim()
+    fields = header_lists.Headers(response.headers.pairs)
+    if gw.is_closing:
+        fields.add("connection", "close")
+    await attempt.deliver(exchange.respond, message.Response(response.status, fields, body))
--- /dev/null
+++ b/tests/steps/gateway_silent_plain.py
@@ -0,0 +1,146 @@
+"""Steps for targets without replica groups that fall silent for a while and go on."""
+
+from __future__ import annotations
+
+import types
+
+import trio
+from behave import then, when
+from steps import gateway_whole_path, platform_world
+
+from galenavane.route import send_budget
+
+plan_step = gateway_whole_path.plan_step
+NAMES = {"one plain target": ["p0"], "each plain target": ["p0", "p1"]}
+PATHS = {"a look-up": ("/status/x", "GET"), "an order": ("/order/x", "POST")}
+
+
+@when("requests have {seconds:g} s, and {count:d} plain targets are in use")
+def prepare(context, seconds, count):
+    @plan_step(context)
+    async def step(world):
+        for route in world.routes:
+            route["timeout_ms"] = round(seconds * 1000)
+        world.publish_config([platform_world.KEY])
+        if count == 1:
+            world.targets["p1"].is_leaving = True
+            world.targets["p1"].publish()
+        # The target that falls silent is the first choice.
+        world.entry.target_in_flight["p1"] = 3
+        with trio.fail_after(2.0):
+            while world.entry.config_state.version < world.version or _count_usable(world) != count:
+                await trio.sleep(0.01)
+
+
+def _count_usable(world):
+    targets = world.entry.registry.targets.values()
+    return sum(found.service == "desk" and not found.is_leaving for found in targets)
+
+
+@when("{which} sends nothing for {seconds:g} s")
+def silence(context, which, seconds):
+    @plan_step(context)
+    async def step(world):
+        world.silence(NAMES[which], seconds, is_reachable=True)
+
+
+@when("no further sends are left in the budget")
+def use_budget_up(context):
+    @plan_step(context)
+    async def step(world):
+        world.entry.send_budgets["desk"] = send_budget.SendBudget(0.0, 0.0, 10.0)
+
+
+@when("the next plain target refuses a request")
+def refuse_once(context):
+    _plan_answer(context, b"HTTP/1.1 503 Full", b"Not-Executed: 1\r\nContent-Length: 0\r\n")
+
+
+@when("the next plain target breaks its answer off")
+def break_off_once(context):
+    _plan_answer(context, b"HTTP/1.1 200 OK", b"Content-Length: 4\r\n")
+
+
+@when("the next plain target fails a request")
+def fail_once(context):
+    _plan_answer(context, b"HTTP/1.1 500 Failed", b"Content-Length: 0\r\n")
+
+
+def _plan_answer(context, status_line, fields):
+    """Prepare the answer of the plain target that answers next."""
+
+    @plan_step(context)
+    async def step(world):
+        answer = types.SimpleNamespace(
+            status_line=status_line, fields=fields, body=b"", end="closes", pause_seconds=0.0
+        )
+        world.raw_answers.append(answer)
+
+
+@when("a client sends {request} and waits")
+def send(context, request):
+    @plan_step(context)
+    async def step(world):
+        path, method = PATHS[request]
+        sent_at = trio.current_time()
+        world.answer = await world.call(path, method=method)
+        world.seconds = trio.current_time() - sent_at
+
+
+@when("a client sends {request} and leaves after {seconds:g} s")
+def send_and_leave(context, request, seconds):
+    @plan_step(context)
+    async def step(world):
+        path, method = PATHS[request]
+        with trio.move_on_after(seconds):
+            await world.call(path, method=method)
+
+
+@then("it gets the target's answer after {low:g} to {high:g} s")
+def check_answer(context, low, high):
+    @plan_step(context)
+    async def step(world):
+        assert (world.answer.status, world.answer.body) == (200, b"done"), world.answer
+        assert world.answer.is_whole and world.answer.headers.get("replica-signature")
+        assert low <= world.seconds <= high, world.seconds
+
+
+@then("it gets status {status:d} after {low:g} to {high:g} s")
+def check_failure(context, status, low, high):
+    @plan_step(context)
+    async def step(world):
+        assert world.answer.status == status, world.answer
+        assert low <= world.seconds <= high, world.seconds
+        if status == 503:
+            assert float(world.answer.headers.get("retry-after")) > 0, world.answer.headers
+
+
+@then("it was sent to {names}")
+def check_sent_to(context, names):
+    @plan_step(context)
+    async def step(world):
+        expected = [] if names == "no target" else names.split(" and ")
+        assert [name for name, _ in world.arrivals] == expected, world.arrivals
+
+
+@then("the connection to {name} was closed")
+def check_closed(context, name):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(0.1)
+        assert world.closed_early == [name], world.closed_early
+
+
+@then("no connection was closed before its answer")
+def check_kept(context):
+    @plan_step(context)
+    async def step(world):
+        assert not world.closed_early, world.closed_early
+
+
+@then("the connections to {first} and {second} were closed")
+def check_both_closed(context, first, second):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(0.1)
+        assert sorted(world.closed_early) == [first, second], world.closed_early
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -293,8 +293,21 @@
             await exchange.conn.stream.send_all(exchange.frame_chunk(fields, event))
         await trio.sleep(EVENT_SECONDS)
 
+    async def _pause(self, exchange):
+        """Wait while the target is silent; return whether the entry has closed the connection."""
+        with trio.move_on_at(self.world.silent_until.get(self.name, 0.0)):
+            try:
+                await exchange.conn.stream.receive_some(1)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            self.world.closed_early.append(self.name)
+            return True
+        return False
+
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        if await self._pause(exchange):
+            return
         if await self._send_raw(exchange):
             return
         if self.world.flood and await self._flood(exchange):
@@ -403,6 +416,7 @@
         self.crash_answer = ""
         self.dropped_answers = 0
         self.silent_until = {}
+        self.closed_early = []
         self.unreachable_until = {}
         self.event_listeners = []
         self.version = 1
