Let a request wait for a plain target that accepts no connection for a moment

Callers saw a 503 after 0.25 s, or 0.5 s with two targets, while all targets of a service accepted no connection for a second, though seconds were left. Cause: an attempt to connect that is not answered within 0.25 s counted like one that is refused.

Change: the evidence tells these apart. A refused connection proves that no process listens: the next target is tried at once, and without one the request is refused at once, as before. No answer may be a pause: the next target is tried after 0.25 s as before, and the first one is asked again each 0.25 s meanwhile, with a new connection, which is answered sooner than the system's own repeats after 1 and 3 s. Whichever accepts first gets the request; the attempts that have sent nothing are given up, so nothing is sent twice. A request waits for half of its time at most, and ends with a 503, as it hasn't run and can be tried again. A target that leaves meanwhile gets nothing.

--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -14,6 +14,7 @@
 from galenavane.net import headers as header_lists
 from galenavane.net import http_server, message, transport_error
 from galenavane.observe import events
+from galenavane.route import accept_pause
 from galenavane.serve import inbound_request, target_response
 
 SILENCE_SHARE = 0.45
@@ -51,9 +52,8 @@
 ) -> failure.Failure | None:
     destination = attempt.destination
     try:
-        target_conn = await target_exchange.connect(gw, destination, call.request.inbound)
+        target_conn = await _connect(gw, call, attempt)
     except transport_error.TransportError as exc:
-        gw.suspect(destination.id, SUSPECT_SECONDS)
         return _make_unreachable(str(exc))
     try:
         if not _may_send(gw, call.request, destination):
@@ -78,6 +78,39 @@
     )
 
 
+async def _connect(
+    gw: states.Gateway, call: plain_call.PlainCall, attempt: Attempt
+) -> target_exchange.TargetExchange:
+    """Connect to a target, and wait for one that may only pause; another may be tried meanwhile.
+
+    :raises TransportError: with kind ``NOT_CONNECTED``.
+    """
+    request = call.request
+    destination = attempt.destination
+    while True:
+        began_at = trio.current_time()
+        try:
+            target_conn = await target_exchange.connect(gw, destination, request.inbound)
+        except transport_error.TransportError as exc:
+            gw.suspect(destination.id, SUSPECT_SECONDS)
+            if exc.is_refused:
+                accept_pause.record_answered(gw.accept_pauses, destination.id)
+                raise
+            accept_pause.record_unanswered(gw.accept_pauses, destination.id, began_at)
+            until = accept_pause.wait_until(
+                gw.accept_pauses, destination.id, request.received_at, request.deadline
+            )
+            if trio.current_time() >= until or not _may_send(gw, request, destination):
+                raise
+        else:
+            accept_pause.record_answered(gw.accept_pauses, destination.id)
+            return target_conn
+        if not attempt.is_silent:
+            events.log("request.not_accepted", request=request.inbound.id, target=destination.id)
+            attempt.note_silence()
+        await trio.sleep_until(began_at + target_exchange.CONNECT_TIMEOUT_SECONDS)
+
+
 def _may_send(
     gw: states.Gateway, request: admission.AdmittedRequest, destination: target.Target
 ) -> bool:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -27,7 +27,7 @@
 )
 from galenavane.net import connection_pool, network
 from galenavane.peer import transport
-from galenavane.route import head_watch, prompt_suspects, send_budget
+from galenavane.route import accept_pause, head_watch, prompt_suspects, send_budget
 
 STALL_DEDUP_SECONDS = 1.0
 """Reports of the same stall by several entries within this time are forwarded once."""
@@ -114,6 +114,7 @@
     :ivar control: state of the controller, ``None`` while this entry may not command.
     :ivar lapsed_control: state of the controller while this entry's lease has lapsed.
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
+    :ivar accept_pauses: targets without a group that answered no attempt to connect.
     :ivar reported_loads: requests of this entry by head, as last sent to relays.
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
@@ -132,6 +133,7 @@
     __slots__ = (
         "_own_relays",
         "_own_relays_until",
+        "accept_pauses",
         "active_requests",
         "behind_since",
         "blocks_shared_at",
@@ -204,6 +206,7 @@
         self.stalls_in_check: set[replica_group.Key] = set()
         self.heads: dict[str, HeadRequests] = {}
         self.suspects: dict[str, float] = {}
+        self.accept_pauses: dict[str, accept_pause.Pause] = {}
         self.prompt_suspects = prompt_suspects.Suspects(
             proof_seconds=cfg.get(settings.CONTACT),
             block_seconds=cfg.get(settings.PROMPT_BLOCK),
--- a/tests/gateway/silent_plain_targets.feature
+++ b/tests/gateway/silent_plain_targets.feature
@@ -103,3 +103,77 @@
     And a client sends a look-up and leaves after 1.2 s
     Then the connections to p0 and p1 were closed
     And all these steps succeed
+
+  Scenario Outline: A target that accepts no connection is waited for if there is no other
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 8 s, and <count> plain targets are in use
+    And <which> accepts no connection for 1.3 s
+    And a client sends <request> and waits
+    Then it gets the target's answer after 1.3 to 1.7 s
+    And it was sent once
+    And all these steps succeed
+
+    Examples:
+      | count | which             | request   |
+      | 1     | one plain target  | a look-up |
+      | 1     | one plain target  | an order  |
+      | 2     | each plain target | a look-up |
+      | 2     | each plain target | an order  |
+
+  Scenario Outline: Another target replaces one that accepts no connection
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 8 s, and 2 plain targets are in use
+    And one plain target accepts no connection for 1.3 s
+    And a client sends <request> and waits
+    Then it gets the target's answer after 0.2 to 0.5 s
+    And it was sent to p1
+    And all these steps succeed
+
+    Examples:
+      | request   |
+      | a look-up |
+      | an order  |
+
+  Scenario Outline: A request is refused if its target accepts no connection for longer
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have <time> s, and 1 plain targets are in use
+    And one plain target accepts no connection for 9 s
+    And a client sends an order and waits
+    Then it gets status 503 after <low> to <high> s
+    When a client sends an order and waits
+    Then it gets status 503 after 0 to <next> s
+    And it was sent to no target
+    And all these steps succeed
+
+    Examples:
+      | time | low | high | next |
+      | 8    | 1.5 | 2.6  | 0.5  |
+      | 2    | 0.9 | 1.3  | 1.3  |
+
+  Scenario: A target that starts to leave while it accepts no connection gets no request
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 8 s, and 1 plain targets are in use
+    And one plain target accepts no connection for 1.3 s
+    And the plain target starts to leave after 0.5 s
+    And a client sends an order and waits
+    Then it gets status 503 after 0.5 to 1.1 s
+    And it was sent to no target
+    And all these steps succeed
+
+  Scenario: A target that has died is replaced at once
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 8 s, and 2 plain targets are in use
+    And one plain target dies
+    And a client sends an order and waits
+    Then it gets the target's answer after 0 to 0.2 s
+    And it was sent to p1
+    And all these steps succeed
+
+  Scenario: A request is refused at once if all targets have died
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 8 s, and 2 plain targets are in use
+    And each plain target dies
+    And a client sends a look-up and waits
+    Then it gets status 503 after 0 to 0.2 s
+    And it was sent to no target
+    And all these steps succeed
--- a/tests/steps/gateway_silent_plain.py
+++ b/tests/steps/gateway_silent_plain.py
@@ -44,6 +44,21 @@
         world.silence(NAMES[which], seconds, is_reachable=True)
 
 
+@when("{which} accepts no connection for {seconds:g} s")
+def block_connections(context, which, seconds):
+    @plan_step(context)
+    async def step(world):
+        world.silence(NAMES[which], seconds, is_reachable=False)
+
+
+@when("{which} dies")
+def kill(context, which):
+    @plan_step(context)
+    async def step(world):
+        for name in NAMES[which]:
+            world.targets[name].kill()
+
+
 @when("no further sends are left in the budget")
 def use_budget_up(context):
     @plan_step(context)
@@ -77,6 +92,18 @@
         world.raw_answers.append(answer)
 
 
+@when("the plain target starts to leave after {seconds:g} s")
+def leave(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        async def run():
+            await trio.sleep(seconds)
+            world.targets["p0"].is_leaving = True
+            world.targets["p0"].publish()
+
+        world.nursery.start_soon(run)
+
+
 @when("a client sends {request} and waits")
 def send(context, request):
     @plan_step(context)
@@ -144,3 +171,10 @@
     async def step(world):
         await trio.sleep(0.1)
         assert sorted(world.closed_early) == [first, second], world.closed_early
+
+
+@then("it was sent once")
+def check_sent_once(context):
+    @plan_step(context)
+    async def step(world):
+        assert len(world.arrivals) == 1, world.arrivals
