Test that pauses of plain targets lead to no send too many and to no false refusal

Guards what attempts beside each other put at risk: an order that arrives twice, a look-up that arrives more often than its route allows, a 503 for a request that has arrived. Pauses are at random, with and without accepting connections.

--- a/tests/gateway/silent_plain_targets.feature
+++ b/tests/gateway/silent_plain_targets.feature
@@ -177,3 +177,18 @@
     Then it gets status 503 after 0 to 0.2 s
     And it was sent to no target
     And all these steps succeed
+
+  Scenario Outline: Pauses lead to no send too many, and to no refusal of what was sent
+    Given a platform with 0 domains of 0 targets, and an entry
+    When requests have 2 s, and 2 plain targets are in use
+    And 150 clients each send <request> while targets pause at random, seed <seed>
+    Then each arrived <sends> times at most, and never if it was refused
+    And at least 120 got the target's answer
+    And all these steps succeed
+
+    Examples:
+      | request   | sends | seed |
+      | an order  | 1     | 1    |
+      | an order  | 1     | 2    |
+      | a look-up | 2     | 3    |
+      | a look-up | 2     | 4    |
--- a/tests/steps/gateway_silent_plain.py
+++ b/tests/steps/gateway_silent_plain.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+import json
+import random
 import types
 
 import trio
@@ -178,3 +181,49 @@
     @plan_step(context)
     async def step(world):
         assert len(world.arrivals) == 1, world.arrivals
+
+
+@when("{count:d} clients each send {request} while targets pause at random, seed {seed:d}")
+def send_beside_pauses(context, count, request, seed):
+    @plan_step(context)
+    async def step(world):
+        rng = random.Random(seed)
+        path, method = PATHS[request]
+        world.answers = []
+
+        async def pause():
+            while True:
+                names = rng.choice([["p0"], ["p1"], ["p0", "p1"]])
+                world.silence(names, rng.uniform(0.1, 1.3), is_reachable=rng.random() < 0.4)
+                await trio.sleep(rng.uniform(0.1, 0.8))
+
+        async def ask(delay):
+            await trio.sleep(delay)
+            world.answers.append(await world.call(path, method=method))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pause)
+            async with trio.open_nursery() as clients:
+                for _ in range(count):
+                    clients.start_soon(ask, rng.uniform(0.0, 4.0))
+            nursery.cancel_scope.cancel()
+
+
+@then("each arrived {limit:d} times at most, and never if it was refused")
+def check_arrivals(context, limit):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(0.3)
+        counts = collections.Counter(fields.get("attempt-id") for _, fields in world.arrivals)
+        assert max(counts.values()) <= limit, counts
+        refused = [answer.body for answer in world.answers if answer.status in (408, 421, 429, 503)]
+        ids = {json.loads(body)["error"]["request_id"] for body in refused}
+        assert len(ids) == len(refused) and not ids & counts.keys(), ids & counts.keys()
+
+
+@then("at least {count:d} got the target's answer")
+def check_answered(context, count):
+    @plan_step(context)
+    async def step(world):
+        statuses = collections.Counter(answer.status for answer in world.answers)
+        assert statuses[200] >= count, statuses
