--- a/src/galenavane/gateway/attempts.py
+++ b/src/galenavane/gateway/attempts.py
@@ -155,13 +155,17 @@
         """Whether the request stands still: no destination is tried, or all are silent."""
         return all(attempt.is_silent and not attempt.is_delivering for attempt in self.in_progress)
 
-    def start(self, destination: _Destination, function: Function[_Destination]) -> None:
+    def add(self, destination: _Destination) -> Attempt[_Destination]:
+        """Return a new attempt, which counts as in progress."""
+        attempt = Attempt(self, destination)
+        self.in_progress.append(attempt)
+        return attempt
+
+    def start(self, attempt: Attempt[_Destination], function: Function[_Destination]) -> None:
         """Start an attempt.
 
         :param function: serves the request; returns the failure, or ``None`` if it has answered.
         """
-        attempt = Attempt(self, destination)
-        self.in_progress.append(attempt)
         self._nursery.start_soon(self._run, attempt, function)
 
     async def _run(self, attempt: Attempt[_Destination], function: Function[_Destination]) -> None:
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -75,7 +75,7 @@
         beside=len(tries.in_progress),
         revision=gw.registry.revision,
     )
-    tries.start(destination, send)
+    tries.start(tries.add(destination), send)
     return True
 
 
