--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -30,13 +30,13 @@
 
 
 def register(
-    gw: states.Gateway, stream: streams.Stream, attempt: attempts.Attempt
+    gw: states.Gateway, stream: streams.Stream, attempt: attempts.GroupAttempt
 ) -> states.HeadRequests | None:
     """Count an attempt at its head from now on, so that the next choice of a head sees it.
 
     :returns: the requests at the head, ``None`` if it is no longer listed.
     """
-    group = attempt.group
+    group = attempt.destination
     head_requests = heads_task.track_head(gw, group, stream.constants)
     if head_requests is None:
         return None
@@ -62,7 +62,7 @@
     exchange: http_server.Exchange,
     stream: streams.Stream,
     head_requests: states.HeadRequests | None,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
 ) -> failure.Failure | None:
     """Make one attempt to serve a stream.
 
@@ -103,10 +103,10 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     head_requests: states.HeadRequests,
 ) -> failure.Failure | None:
-    group = attempt.group
+    group = attempt.destination
     head = group.head
     assert head is not None
     check_crash = functools.partial(
@@ -150,7 +150,7 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
 ) -> failure.Failure | None:
@@ -158,7 +158,7 @@
 
     :returns: the failure, or ``None`` if the response is a stream or was sent to the client.
     """
-    group = attempt.group
+    group = attempt.destination
     head = group.head
     assert head is not None
     if not response.matches_request:
