Answer requests that can't be passed on, and tell their failure from the client's

What callers saw: a whole request whose Connection field names Host got no byte, whatever its route: the connection was closed, and the log had neither an end of the request nor a defect. The same held for an answer that h11 refuses to send, and any transport error of the target's side that reached the frontend counted as a client that has left.

Cause: HttpConnection.send turned an event that can't be encoded into a TransportError, as it does for a broken connection; the frontend took every TransportError for the client's, and serve_stream ended on TransportError and LocalProtocolError without a line. Exchange set is_answered before anything was encoded, so no error could follow. A client's reset while an answer was written was in turn taken for the target's failure by plain and model serving (TARGET_LOST, and a check whether the head has crashed).

Change: the origin is in the type. Exchange raises DisconnectError for the client's connection and nothing else; http_encoding raises EncodingError for a message that is not valid HTTP, of which nothing was sent; TransportError is left to connections to targets. is_answered is set once a response is encoded, and a state machine that refused one is replaced for the error answer, which closes the connection. The frontend answers EncodingError as INTERNAL and TransportError as TARGET_LOST, both 502 with outcome unknown, and logs them. INTERNAL is 502 instead of 500, since 500 is also a target's own answer, which counts as run.

--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -92,7 +92,7 @@
     _C.BAD_DECLARATION: Row(0, "a declaration is invalid", "no", "correct the file"),
     _C.FILE_MISSING: Row(0, "a file does not exist", "no", "correct the path"),
     _C.NOT_ACCEPTED: Row(0, "the configuration was not accepted", "no", "see the message"),
-    _C.INTERNAL: Row(500, "a defect in galenavane", "perhaps", "report it with the request id"),
+    _C.INTERNAL: Row(502, "a defect in galenavane", "perhaps", "report it with the request id"),
 }
 
 
--- a/src/galenavane/gateway/frontend.py
+++ b/src/galenavane/gateway/frontend.py
@@ -9,7 +9,7 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.gateway import admission, model_serving, plain_serving
 from galenavane.gateway import state as states
-from galenavane.net import disconnect, http_server, transport_error
+from galenavane.net import disconnect, http_encoding, http_server, transport_error
 from galenavane.observe import events
 from galenavane.serve import errors, inbound_request
 
@@ -35,14 +35,7 @@
 async def _serve(gw: states.Gateway, exchange: http_server.Exchange) -> None:
     began_at = trio.current_time()
     inbound = gw.codec.decode_request(exchange.request)
-    try:
-        error = await disconnect.cancel_on_disconnect(
-            exchange.conn, _answer, gw, exchange, inbound, began_at
-        )
-    except disconnect.DisconnectError:
-        error = failure.Failure(codes.Code.CALLER_GONE, "the client disconnected", _Outcome.UNKNOWN)
-    except transport_error.TransportError as exc:
-        error = failure.Failure(codes.Code.CALLER_GONE, str(exc), _Outcome.UNKNOWN)
+    error = await _answer_guarded(gw, exchange, inbound, began_at)
     _log_end(gw, inbound, error, trio.current_time() - began_at)
     if error is None or exchange.is_answered or error.code is codes.Code.CALLER_GONE:
         return
@@ -52,6 +45,28 @@
     await exchange.respond(response)
 
 
+async def _answer_guarded(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    inbound: inbound_request.InboundRequest,
+    began_at: float,
+) -> failure.Failure | None:
+    """Answer a request; only a failure of the client's connection means that it has gone.
+
+    :returns: the failure to answer with, or ``None`` if the request was answered.
+    """
+    try:
+        return await disconnect.cancel_on_disconnect(
+            exchange.conn, _answer, gw, exchange, inbound, began_at
+        )
+    except disconnect.DisconnectError as exc:
+        return failure.Failure(codes.Code.CALLER_GONE, str(exc), _Outcome.UNKNOWN)
+    except transport_error.TransportError as exc:
+        return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
+    except http_encoding.EncodingError as exc:
+        return failure.Failure(codes.Code.INTERNAL, str(exc), _Outcome.UNKNOWN)
+
+
 async def _answer(
     gw: states.Gateway,
     exchange: http_server.Exchange,
--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -114,9 +114,9 @@
     """Send complete events to the client at once; the headers are those of the first target."""
     if not data:
         return
-    stream.is_started = True
     framed = exchange.frame_chunk(target_exchange.make_client_headers(response), data)
+    stream.is_started = True
     try:
         await exchange.conn.stream.send_all(framed)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        raise disconnect.DisconnectError from None
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+        raise disconnect.DisconnectError(str(exc)) from None
--- a/src/galenavane/gateway/target_exchange.py
+++ b/src/galenavane/gateway/target_exchange.py
@@ -8,7 +8,7 @@
 from galenavane.fleet import target
 from galenavane.gateway import state as states
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, transport_error
+from galenavane.net import http_connection, http_encoding, message, transport_error
 from galenavane.observe import events
 from galenavane.serve import inbound_request, target_response
 
@@ -50,10 +50,11 @@
         body is being sent.
 
         :raises TransportError: if the connection fails.
+        :raises EncodingError: if the request is not valid HTTP; nothing of it was sent.
         """
         headers = self._gw.codec.make_target_headers(self._inbound, options)
-        request_head = h11.Request(
-            method=self._inbound.method, target=self._inbound.request_target, headers=headers.pairs
+        request_head = http_encoding.make_request(
+            self._inbound.method, self._inbound.request_target, headers
         )
         self.is_sent = True
         parts: list[h11.Event] = [request_head, h11.EndOfMessage()]
--- a/src/galenavane/net/disconnect.py
+++ b/src/galenavane/net/disconnect.py
@@ -50,7 +50,7 @@
     if errors:
         raise errors[0]
     if not results:
-        raise DisconnectError
+        raise DisconnectError("the client disconnected")
     return results[0]
 
 
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -8,7 +8,7 @@
 import trio
 
 from galenavane.net import headers as header_lists
-from galenavane.net import message, transport_error
+from galenavane.net import http_encoding, message, transport_error
 from galenavane.observe import events
 
 READ_SIZE_BYTES = 65536
@@ -44,9 +44,16 @@
             an event is not valid HTTP, in which case nothing was sent.
         """
         try:
-            data = b"".join(self.machine.send(event) or b"" for event in events)
-        except h11.LocalProtocolError as exc:
+            data = http_encoding.encode(self.machine, *events)
+        except http_encoding.EncodingError as exc:
             raise self._make_error(transport_error.Kind.MALFORMED, str(exc)) from exc
+        await self.write(data)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes to the stream.
+
+        :raises TransportError: ``RESET`` when the peer closed the connection.
+        """
         if not data:
             return
         self.has_sent_bytes = True
@@ -149,6 +156,13 @@
         events.receive_stamp(fields.get(CLOCK_HEADER.decode()))
         return message.Response(event.status_code, fields.without({CLOCK_HEADER}))
 
+    def renew_machine(self) -> None:
+        """Replace a server's state machine that failed before anything was sent.
+
+        Its new state allows one response, after which the connection has to be closed.
+        """
+        self.machine = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+
     async def close(self) -> None:
         """Close the stream without waiting; never raises."""
         await trio.aclose_forcefully(self.stream)
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -10,8 +10,8 @@
 
 from galenavane.failure import code as codes
 from galenavane.failure import error_body, failure
+from galenavane.net import disconnect, http_connection, http_encoding, message, transport_error
 from galenavane.net import headers as header_lists
-from galenavane.net import http_connection, message, transport_error
 from galenavane.observe import events
 
 WRITE_TIMEOUT_SECONDS = 20.0
@@ -36,10 +36,11 @@
 class Exchange:
     """One request and the methods to respond to it.
 
-    Sending raises ``TransportError`` when the client does not read for ``write_seconds``.
+    Sending raises ``DisconnectError`` when the client disconnected or did not read for
+    ``write_seconds``, and ``EncodingError`` when a response is not valid HTTP.
 
     :ivar conn: connection to the client.
-    :ivar is_answered: whether a response was started.
+    :ivar is_answered: whether a response was started; until then another one may be sent.
     """
 
     __slots__ = ("_write_seconds", "conn", "is_answered", "request")
@@ -58,14 +59,24 @@
     async def respond(self, response: message.Response) -> None:
         """Send a complete response.
 
-        :raises TransportError: when the client disconnected or stopped reading.
+        :raises DisconnectError: when the client disconnected or stopped reading.
+        :raises EncodingError: when the response is not valid HTTP.
         """
-        self.is_answered = True
+        if not self.is_answered and self.conn.machine.our_state is h11.ERROR:
+            response = self._renew(response)
         fields = self._add_clock_header(self._set_length(response))
-        head = h11.Response(status_code=response.status, headers=fields.pairs)
+        head = http_encoding.make_response(response.status, fields)
         body = b"" if self.request.method == "HEAD" else response.body
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
+    def _renew(self, response: message.Response) -> message.Response:
+        """Return a response as it can be sent after one that could not be encoded."""
+        self.conn.renew_machine()
+        fields = response.headers.without({b"connection"}).add("connection", "close")
+        # The new state machine doesn't know that the request was a HEAD request.
+        body = b"" if self.request.method == "HEAD" else response.body
+        return message.Response(response.status, fields, body)
+
     def _set_length(self, response: message.Response) -> header_lists.Headers:
         """Return a response's fields with the length of its body.
 
@@ -89,23 +100,23 @@
 
         :param fields: header fields of the response.
         :returns: bytes to write to the socket.
+        :raises EncodingError: when the response is not valid HTTP.
         """
         chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
         if self.is_answered:
             return chunk
-        self.is_answered = True
         self._add_clock_header(fields).add("transfer-encoding", "chunked")
-        head = self.conn.machine.send(h11.Response(status_code=200, headers=fields.pairs))
-        return (head or b"") + chunk
+        head = self._encode(http_encoding.make_response(200, fields))
+        return head + chunk
 
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response.
 
-        :raises TransportError: when the client disconnected or stopped reading.
+        :raises DisconnectError: when the client disconnected or stopped reading.
+        :raises EncodingError: when the response is not valid HTTP.
         """
-        self.is_answered = True
         self._add_clock_header(fields).add("transfer-encoding", "chunked")
-        await self._send(h11.Response(status_code=status, headers=fields.pairs))
+        await self._send(http_encoding.make_response(status, fields))
 
     def _add_clock_header(self, fields: header_lists.Headers) -> header_lists.Headers:
         """Add a clock timestamp if the request carried one."""
@@ -115,25 +126,32 @@
     async def send_chunk(self, data: bytes) -> None:
         """Send one chunk of a started stream.
 
-        :raises TransportError: when the client disconnected or stopped reading.
+        :raises DisconnectError: when the client disconnected or stopped reading.
         """
         await self._send(h11.Data(data=data))
 
     async def end_stream(self, data: bytes = b"") -> None:
         """Send an optional last chunk and end a started stream.
 
-        :raises TransportError: when the client disconnected or stopped reading.
+        :raises DisconnectError: when the client disconnected or stopped reading.
         """
         await self._send(h11.Data(data=data), h11.EndOfMessage())
 
     async def _send(self, *parts: h11.Event) -> None:
+        data = self._encode(*parts)
         try:
             with trio.fail_after(self._write_seconds):
-                await self.conn.send(*parts)
+                await self.conn.write(data)
         except trio.TooSlowError:
-            kind = transport_error.Kind.SILENT
             text = f"the client read nothing for {self._write_seconds} s"
-            raise transport_error.TransportError(kind, True, text) from None
+            raise disconnect.DisconnectError(text) from None
+        except transport_error.TransportError as exc:
+            raise disconnect.DisconnectError(str(exc)) from exc
+
+    def _encode(self, *parts: h11.Event) -> bytes:
+        data = http_encoding.encode(self.conn.machine, *parts)
+        self.is_answered = True
+        return data
 
 
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
@@ -145,7 +163,8 @@
     try:
         while await _serve_request(conn, handler, limits):
             conn.machine.start_next_cycle()
-    except (transport_error.TransportError, h11.LocalProtocolError):
+    except disconnect.DisconnectError:
+        # Nobody is left to answer; the handler logs the end of its request.
         pass
     except Exception as exc:
         # An unexpected exception ends this connection, but must not end the others.
--- a/src/galenavane/serve/caller_handler.py
+++ b/src/galenavane/serve/caller_handler.py
@@ -9,7 +9,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.net import http_server, message, transport_error
+from galenavane.net import disconnect, http_server, message
 from galenavane.observe import events
 from galenavane.serve import authenticated_request, errors, model_request, plain_request
 
@@ -54,7 +54,7 @@
             if view.is_leaving.value:
                 response.headers.add("connection", "close")
             await exchange.respond(response)
-    except transport_error.TransportError:
+    except disconnect.DisconnectError:
         events.log("request.end", request=request_id, code="caller_gone")
         _count_request(view, "caller_gone", "unknown")
 
@@ -74,11 +74,11 @@
     """Answer a request; an unexpected exception fails this request and not the process.
 
     :returns: the failure to report, or ``None`` when the request was answered.
-    :raises TransportError: when the caller disconnected.
+    :raises DisconnectError: when the caller disconnected.
     """
     try:
         return await _answer_request(view, exchange, request_id)
-    except transport_error.TransportError:
+    except disconnect.DisconnectError:
         raise
     except invariant.ViolationError as exc:
         is_wrong_answer = exc.number is invariant.Number.OWN_ANSWER
--- /dev/null
+++ b/tests/steps/gateway_ends_without_answer.py
@@ -0,0 +1,105 @@
+"""Steps for whole requests that an entry can't serve as usual."""
+
+from __future__ import annotations
+
+import types
+
+import eliot
+import h11
+import msgspec
+from behave import then, when
+from steps import gateway_unframed, gateway_whole_path, platform_world
+
+from galenavane.net import headers, tcp, transport_error
+
+plan_step = gateway_whole_path.plan_step
+
+
+class ChangedCodec:
+    """The codec of an entry with one function replaced."""
+
+    def __init__(self, codec, **replaced):
+        self._codec = codec
+        self._replaced = replaced
+
+    def __getattr__(self, name):
+        return self._replaced.get(name) or getattr(self._codec, name)
+
+
+def collect_log(world):
+    """Return the list of log lines from now on."""
+    if not hasattr(world, "log_lines"):
+        world.log_lines = []
+        eliot.add_destinations(world.log_lines.append)
+        world.stop_collecting = lambda: eliot.remove_destination(world.log_lines.append)
+    return world.log_lines
+
+
+@when("a client sends {request} whose Connection field names Host")
+def call_without_host(context, request):
+    @plan_step(context)
+    async def step(world):
+        collect_log(world)
+        path, events, method = gateway_unframed.REQUESTS[request]
+        fields = [
+            (b"host", b"h.example"),
+            (b"connection", b"host"),
+            (b"attempt-id", b"a1"),
+            (b"deadline-ms", b"8000"),
+            (b"authorization", b"Bearer " + platform_world.KEY.encode()),
+            (b"content-length", b"0"),
+        ]
+        if events:
+            fields += [(b"model", platform_world.MODEL.encode())]
+            fields += [(b"token-usage", b"10,%d" % events), (b"prompt-prefix", b"a:1")]
+        conn = await tcp.make().dial(world.callers, 1.0)
+        head = h11.Request(method=method, target=path, headers=fields)
+        await conn.send(head, h11.EndOfMessage())
+        world.answer = await read_answer(conn)
+        await conn.close()
+
+
+async def read_answer(conn):
+    """Return the status of an answer, 0 if the connection ended without one."""
+    try:
+        response = await conn.read_response_head()
+    except transport_error.TransportError:
+        return types.SimpleNamespace(status=0, body=b"")
+    return types.SimpleNamespace(status=response.status, body=await conn.read_body(100_000))
+
+
+@when("answers of targets get a field that can't be sent")
+def spoil_answers(context):
+    @plan_step(context)
+    async def step(world):
+        collect_log(world)
+        codec = world.entry.codec
+
+        def decode_response(inbound, head):
+            response = codec.decode_response(inbound, head)
+            fields = headers.Headers([*response.headers.pairs, (b"x-a", b"a\nb")])
+            return msgspec.structs.replace(response, headers=fields)
+
+        world.entry.codec = ChangedCodec(codec, decode_response=decode_response)
+
+
+@when("the choice of a target fails with a reset")
+def spoil_choice(context):
+    @plan_step(context)
+    async def step(world):
+        collect_log(world)
+
+        def fail(service):
+            kind = transport_error.Kind.RESET
+            raise transport_error.TransportError(kind, True, "reset by the target")
+
+        world.entry.send_budgets = types.SimpleNamespace(get=fail)
+
+
+@then("the log has its end as {code} with outcome {outcome}")
+def check_log(context, code, outcome):
+    @plan_step(context)
+    async def step(world):
+        ends = [line for line in world.log_lines if line["message_type"] == "request.end"]
+        world.stop_collecting()
+        assert [(line["code"], line["outcome"]) for line in ends] == [(code, outcome)], ends
--- /dev/null
+++ b/tests/steps/net_failed_answers.py
@@ -0,0 +1,79 @@
+"""Steps for requests that the HTTP server or its handler can't serve as usual."""
+
+from __future__ import annotations
+
+import h11
+import trio
+import trio.testing
+from behave import then
+
+from galenavane.net import headers, http_encoding, http_server, message
+from galenavane.simulate import virtual_clock
+
+SECONDS = 120
+
+
+def serve(handle, client_task, limits=None):
+    """Serve one connection in virtual time.
+
+    :param client_task: async function of the client's end.
+    :returns: all bytes that the client got, and the elapsed seconds.
+    """
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        answer = b""
+        with trio.fail_after(SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    http_server.serve_stream, server, handle, limits or http_server.Limits()
+                )
+                nursery.start_soon(client_task, client)
+                async for part in client:
+                    answer += part
+        return answer, trio.current_time()
+
+    return virtual_clock.run(main, 1)
+
+
+def send_once(data):
+    """Return a client that sends bytes and waits."""
+
+    async def client_task(client):
+        await client.send_all(data)
+
+    return client_task
+
+
+async def respond_badly(exchange, fault):
+    """Send a response that is not valid HTTP."""
+    if fault == "a line end in a field":
+        fields = headers.Headers([(b"x-a", b"a\r\nb")])
+        await exchange.respond(message.Response(200, fields, b"ok"))
+    else:
+        # The state machine has accepted the head when it refuses the body.
+        exchange.conn.machine.send(h11.Response(status_code=200, headers=[("content-length", "1")]))
+        await exchange.respond(message.Response(200, body=b"ok"))
+
+
+@then(
+    "after a {method} response with {fault} the handler can answer with status {status:d}, "
+    "and the connection {end}"
+)
+def check_answers_after(context, method, fault, status, end):
+    seen = []
+
+    async def handle(exchange):
+        try:
+            await respond_badly(exchange, fault)
+        except http_encoding.EncodingError:
+            seen.append(exchange.is_answered)
+            await exchange.respond(message.Response(status, body=b"why"))
+
+    answer, seconds = serve(handle, send_once(method.encode() + b" / HTTP/1.1\r\nhost: x\r\n\r\n"))
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert seen == [False], seen
+    assert head.startswith(b"HTTP/1.1 %d " % status), answer
+    assert (b"connection: close" in head.lower()) == (end == "closes"), answer
+    assert (seconds < 1) == (end == "closes"), seconds
+    assert body == (b"" if method == "HEAD" else b"why"), answer
