Answer a request whose handling fails unexpectedly

What callers saw: where the configuration names an account with characters beyond Latin-1, each order, look-up and stream of that account ended with a closed connection and not a byte, although nothing had been sent to a target. The log had one line without the request's id, and no end of the request.

Cause: serve_stream logged an exception of the handler and closed the connection; the frontend let it pass, so request.end and its count were missing too.

Change: the frontend turns an unexpected exception into INTERNAL (502, outcome unknown), and logs it with the request's id and the end of its trace (request.defect). The HTTP server does the same for every handler that fails before its answer has begun, and closes the connection. One that has begun is broken off as before, and nothing is added to it. A request that the frontend is told was answered, and wasn't, counts as a defect as well.

Open: an account's name beyond Latin-1 can't be sent to targets; its requests get 502.

--- a/src/galenavane/gateway/frontend.py
+++ b/src/galenavane/gateway/frontend.py
@@ -10,7 +10,7 @@
 from galenavane.gateway import admission, model_serving, plain_serving
 from galenavane.gateway import state as states
 from galenavane.net import disconnect, http_encoding, http_server, transport_error
-from galenavane.observe import events
+from galenavane.observe import events, trace_text
 from galenavane.serve import errors, inbound_request
 
 _Outcome = outcomes.Outcome
@@ -56,7 +56,7 @@
     :returns: the failure to answer with, or ``None`` if the request was answered.
     """
     try:
-        return await disconnect.cancel_on_disconnect(
+        error = await disconnect.cancel_on_disconnect(
             exchange.conn, _answer, gw, exchange, inbound, began_at
         )
     except disconnect.DisconnectError as exc:
@@ -65,6 +65,13 @@
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
     except http_encoding.EncodingError as exc:
         return failure.Failure(codes.Code.INTERNAL, str(exc), _Outcome.UNKNOWN)
+    except Exception as exc:
+        events.log("request.defect", request=inbound.id, text=trace_text.make(exc))
+        text = f"internal error: {type(exc).__name__}"
+        return failure.Failure(codes.Code.INTERNAL, text, _Outcome.UNKNOWN)
+    if error is None and not exchange.is_answered:
+        return failure.Failure(codes.Code.INTERNAL, "there is no answer", _Outcome.UNKNOWN)
+    return error
 
 
 async def _answer(
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import traceback
 from collections import abc
 
 import trio
@@ -23,7 +22,7 @@
 )
 from galenavane.gateway import state as states
 from galenavane.net import http_server, message
-from galenavane.observe import events, log_sink
+from galenavane.observe import events, log_sink, trace_text
 
 FLUSH_INTERVAL_SECONDS = 0.2
 BALANCER_DELAY_SECONDS = 2.6
@@ -36,7 +35,6 @@
 READ_TIMEOUT_SECONDS = 20.0
 RESTART_DELAY_SECONDS = 0.3
 """Delay before a failed task runs again, as it may fail at once."""
-MAX_TRACE_CHARACTERS = 2_000
 
 Task = abc.Callable[[states.Gateway], abc.Awaitable[None]]
 
@@ -89,8 +87,7 @@
             await task(gw)
             return
         except Exception as exc:
-            text = "".join(traceback.format_exception(exc))[-MAX_TRACE_CHARACTERS:]
-            events.log("task.defect", task=task.__module__, text=text)
+            events.log("task.defect", task=task.__module__, text=trace_text.make(exc))
         await trio.sleep(RESTART_DELAY_SECONDS)
 
 
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -9,10 +9,11 @@
 import trio
 
 from galenavane.failure import code as codes
-from galenavane.failure import error_body, failure
+from galenavane.failure import error_body, failure, table
+from galenavane.failure import outcome as outcomes
 from galenavane.net import disconnect, http_connection, http_encoding, message, transport_error
 from galenavane.net import headers as header_lists
-from galenavane.observe import events
+from galenavane.observe import events, trace_text
 
 WRITE_TIMEOUT_SECONDS = 20.0
 
@@ -168,7 +169,7 @@
         pass
     except Exception as exc:
         # An unexpected exception ends this connection, but must not end the others.
-        events.log("connection.defect", text=f"{type(exc).__name__}: {exc}")
+        events.log("connection.defect", text=trace_text.make(exc))
     finally:
         await conn.close()
 
@@ -185,7 +186,14 @@
     if req is None:
         return False
     exchange = Exchange(conn, req, limits.write_seconds)
-    await handler(exchange)
+    try:
+        await handler(exchange)
+    except disconnect.DisconnectError:
+        raise
+    except Exception as exc:
+        events.log("connection.defect", text=trace_text.make(exc))
+        await _respond_defect(exchange, exc)
+        return False
     return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
 
 
@@ -224,6 +232,22 @@
         raise transport_error.TransportError(transport_error.Kind.MALFORMED, False, text)
 
 
+async def _respond_defect(exchange: Exchange, exc: Exception) -> None:
+    """Answer for a handler that failed before its answer began."""
+    if exchange.is_answered:
+        return
+    text = f"internal error: {type(exc).__name__}"
+    error = failure.Failure(codes.Code.INTERNAL, text, outcomes.Outcome.UNKNOWN)
+    await exchange.respond(_make_last_response(table.ROWS[error.code].status, error))
+
+
+def _make_last_response(status: int, error: failure.Failure) -> message.Response:
+    """Return an error response after which the connection is closed."""
+    response = message.json_response(status, error_body.make(error, ""))
+    response.headers.add("connection", "close")
+    return response
+
+
 async def _respond_error(
     conn: http_connection.HttpConnection, exc: transport_error.TransportError
 ) -> None:
@@ -231,7 +255,6 @@
         return
     is_too_large = exc.kind is transport_error.Kind.TOO_LARGE
     code = codes.Code.BODY_TOO_LARGE if is_too_large else codes.Code.BAD_REQUEST
-    body = error_body.make(failure.Failure(code, str(exc)), "")
-    response = message.json_response(413 if is_too_large else conn.error_status, body)
-    response.headers.add("connection", "close")
+    status = 413 if is_too_large else conn.error_status
+    response = _make_last_response(status, failure.Failure(code, str(exc)))
     await Exchange(conn, message.Request("", "")).respond(response)
--- a/tests/gateway/ends_without_answer.feature
+++ b/tests/gateway/ends_without_answer.feature
@@ -31,6 +31,22 @@
       | a request for 8 events      |
       | a request that may run once |
 
+  Scenario Outline: An unexpected exception does not end a request without an answer
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the configuration names the client's account in Greek
+    And a client sends <request> over a connection of its own
+    Then it gets status 502
+    And the log has its end as INTERNAL with outcome unknown
+    And the log has a line on the defect
+    And all these steps succeed
+
+    Examples:
+      | request                     |
+      | an order                    |
+      | a look-up                   |
+      | a request for 8 events      |
+      | a request that may run once |
+
   Scenario: A failure of the target's side outside of a send is not taken for the client's
     Given a platform with 2 domains of 6 targets, and an entry
     When the choice of a target fails with a reset
--- a/tests/net/failed_answers.feature
+++ b/tests/net/failed_answers.feature
@@ -9,3 +9,14 @@
       | GET    | too short a length    | closes     |
       | HEAD   | a line end in a field | stays open |
       | HEAD   | too short a length    | closes     |
+
+  Scenario Outline: An unexpected exception of a handler does not end a request without an answer
+    Then a handler that raises <error> before its answer is answered for with status 502 and code 9001
+    And a handler that raises <error> after its answer has begun adds nothing to it
+
+    Examples:
+      | error          |
+      | ValueError     |
+      | TransportError |
+      | EncodingError  |
+      | LocalProtocolError |
--- a/tests/steps/gateway_ends_without_answer.py
+++ b/tests/steps/gateway_ends_without_answer.py
@@ -7,6 +7,7 @@
 import eliot
 import h11
 import msgspec
+import trio
 from behave import then, when
 from steps import gateway_unframed, gateway_whole_path, platform_world
 
@@ -103,3 +104,24 @@
         ends = [line for line in world.log_lines if line["message_type"] == "request.end"]
         world.stop_collecting()
         assert [(line["code"], line["outcome"]) for line in ends] == [(code, outcome)], ends
+
+
+@when("the configuration names the client's account in Greek")
+def rename_account(context):
+    @plan_step(context)
+    async def step(world):
+        collect_log(world)
+        spec = dict(world.store.objects["config"]["main"]["spec"])
+        spec["version"] = world.version = world.version + 1
+        spec["tenants"] = [{"name": "\u03b1", "api_keys": [platform_world.KEY]}]
+        world.store.put("config", "main", spec)
+        while world.entry.config_state.catalog.version < world.version:
+            await trio.sleep(0.01)
+
+
+@then("the log has a line on the defect")
+def check_defect(context):
+    @plan_step(context)
+    async def step(world):
+        lines = [line for line in world.log_lines if line["message_type"] == "request.defect"]
+        assert len(lines) == 1 and "UnicodeEncodeError" in lines[0]["text"], lines
--- a/tests/steps/net_failed_answers.py
+++ b/tests/steps/net_failed_answers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
+
 import h11
 import trio
 import trio.testing
 from behave import then
 
-from galenavane.net import headers, http_encoding, http_server, message
+from galenavane.net import headers, http_encoding, http_server, message, transport_error
 from galenavane.simulate import virtual_clock
 
 SECONDS = 120
@@ -77,3 +79,39 @@
     assert (b"connection: close" in head.lower()) == (end == "closes"), answer
     assert (seconds < 1) == (end == "closes"), seconds
     assert body == (b"" if method == "HEAD" else b"why"), answer
+
+
+ERRORS = {
+    "ValueError": ValueError("x"),
+    "TransportError": transport_error.TransportError(transport_error.Kind.RESET, True, "x"),
+    "EncodingError": http_encoding.EncodingError("x"),
+    "LocalProtocolError": h11.LocalProtocolError("x"),
+}
+GET = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+@then(
+    "a handler that raises {error} before its answer is answered for with status {status:d} "
+    "and code {code:d}"
+)
+def check_raises_before(context, error, status, code):
+    async def handle(exchange):
+        raise ERRORS[error]
+
+    answer, seconds = serve(handle, send_once(GET))
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), answer
+    assert b"connection: close" in head.lower() and seconds < 1, (answer, seconds)
+    detail = json.loads(body)["error"]
+    assert (detail["code"], detail["outcome"]) == (code, "unknown"), detail
+
+
+@then("a handler that raises {error} after its answer has begun adds nothing to it")
+def check_raises_after(context, error):
+    async def handle(exchange):
+        await exchange.start_stream(200, headers.Headers())
+        await exchange.send_chunk(b"ok")
+        raise ERRORS[error]
+
+    answer, seconds = serve(handle, send_once(GET))
+    assert answer.endswith(b"\r\n\r\n2\r\nok\r\n") and seconds < 1, (answer, seconds)
