Let a deadline that passes before the first byte of an answer be answered

What callers saw (by reading, shown in a test of the server): when the deadline, or the time of one send, had passed in the pass of the event loop in which the target's answer was read, the request ended with a closed connection and no byte. It takes a loop that is late to be likely.

Cause: a response counted as begun, and the state machine had accepted it, before the first write; the cancellation then came at the checkpoint inside that write, so nothing was sent and no error could follow. A repeat of a look-up would even have failed on the state machine when its answer was sent.

Change: a cancellation that is due comes right before the response is encoded. From there to the first write nothing is scheduled, so a response that counts as begun has bytes on the way. Streams are written through Exchange.deliver, which does the same.

Evidence: the three scenarios (response, start of a stream, first chunk) failed before (ASSERT FAILED: b''), pass now; tests/net failed_answers and http_server, tests/gateway whole_path and ends_without_answer: 61 scenarios pass.

Open: an answer that is ready is replaced by 504 then, not delivered late; and a deadline during a write that a client takes slowly still cuts it.

--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -12,7 +12,7 @@
 from galenavane.gateway import cancellable_read, prompt_blocks, target_exchange
 from galenavane.gateway import state as states
 from galenavane.gateway import stream as streams
-from galenavane.net import disconnect, http_server, message
+from galenavane.net import http_server, message
 from galenavane.route import head_watch, prompt_suspects
 from galenavane.serve import event_splitter, target_response
 
@@ -114,9 +114,5 @@
     """Send complete events to the client at once; the headers are those of the first target."""
     if not data:
         return
-    framed = exchange.frame_chunk(target_exchange.make_client_headers(response), data)
+    await exchange.deliver(target_exchange.make_client_headers(response), data)
     stream.is_started = True
-    try:
-        await exchange.conn.stream.send_all(framed)
-    except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-        raise disconnect.DisconnectError(str(exc)) from None
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -110,6 +110,20 @@
         head = self._encode(http_encoding.make_response(200, fields))
         return head + chunk
 
+    async def deliver(self, fields: header_lists.Headers, data: bytes) -> None:
+        """Send data as an HTTP chunk, preceded by the response head for the first chunk.
+
+        :param fields: header fields of the response.
+        :raises DisconnectError: when the client disconnected.
+        :raises EncodingError: when the response is not valid HTTP.
+        """
+        await _let_cancel()
+        framed = self.frame_chunk(fields, data)
+        try:
+            await self.conn.write(framed)
+        except transport_error.TransportError as exc:
+            raise disconnect.DisconnectError(str(exc)) from exc
+
     async def start_stream(self, status: int, fields: header_lists.Headers) -> None:
         """Send the head of a chunked response.
 
@@ -139,6 +153,7 @@
         await self._send(h11.Data(data=data), h11.EndOfMessage())
 
     async def _send(self, *parts: h11.Event) -> None:
+        await _let_cancel()
         data = self._encode(*parts)
         try:
             with trio.fail_after(self._write_seconds):
@@ -155,6 +170,14 @@
         return data
 
 
+async def _let_cancel() -> None:
+    """Let a cancellation that is due happen before anything counts as sent.
+
+    Without it, the first write would be cancelled after the response counts as begun.
+    """
+    await trio.lowlevel.checkpoint_if_cancelled()
+
+
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
 
 
--- a/tests/net/failed_answers.feature
+++ b/tests/net/failed_answers.feature
@@ -20,3 +20,12 @@
       | TransportError |
       | EncodingError  |
       | LocalProtocolError |
+
+  Scenario Outline: An answer that is cancelled before its first byte can be replaced by another
+    Then a handler whose <answer> is cancelled at its first byte can answer with status 504
+
+    Examples:
+      | answer      |
+      | response    |
+      | stream      |
+      | first chunk |
--- a/tests/steps/net_failed_answers.py
+++ b/tests/steps/net_failed_answers.py
@@ -115,3 +115,21 @@
 
     answer, seconds = serve(handle, send_once(GET))
     assert answer.endswith(b"\r\n\r\n2\r\nok\r\n") and seconds < 1, (answer, seconds)
+
+
+@then("a handler whose {answer} is cancelled at its first byte can answer with status {status:d}")
+def check_cancelled(context, answer, status):
+    async def handle(exchange):
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            if answer == "response":
+                await exchange.respond(message.Response(200, body=b"ok"))
+            elif answer == "stream":
+                await exchange.start_stream(200, headers.Headers())
+            else:
+                await exchange.deliver(headers.Headers(), b"ok")
+        if not exchange.is_answered:
+            await exchange.respond(message.Response(status, body=b"late"))
+
+    got, _ = serve(handle, send_once(GET * 2))
+    assert got.count(b"HTTP/1.1 %d " % status) == 2 and b"HTTP/1.1 200" not in got, got
