Refuse a request that does not arrive in time instead of closing its connection

What callers saw: a client whose head or body took longer than 20 s, or whose head was on its way when the connection's idle time of 60 s ended, got a closed connection and no byte, and the log had no line. A request whose first bytes came 0.1 s before the end of the idle time was cut off in the middle of its head.

Cause: one scope of idle_seconds covered both the wait for a request and the reading of its head, and the ends of this scope and of that of the body returned without an answer.

Change: the idle time ends with the first byte of a request. Refusals of requests that were not read to their end are logged as request.unread. A connection that is idle or reset between requests is closed as before.

Open: the limits header_timeout_ms and idle_timeout_ms of the configuration are still not applied.

--- a/src/galenavane/failure/table.py
+++ b/src/galenavane/failure/table.py
@@ -35,6 +35,7 @@
         422, "the idempotency key was used with another body", "no", "use a new key"
     ),
     _C.NO_SUCH_PATH: Row(404, "the path or method is not served", "no", "correct the path"),
+    _C.REQUEST_TIMEOUT: Row(408, "the request did not arrive in time", "no", "send it again"),
     _C.NO_GROUP: Row(
         503, "no complete group serves the model", "no", "retry after the stated time"
     ),
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -78,7 +78,7 @@
                 raise self._make_error(kind, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return typing.cast("h11.Event | type[h11.PAUSED]", event)
-            await self._feed_machine()
+            await self.feed_machine()
 
     async def receive(self) -> bytes:
         """Return the next bytes from the peer, or empty bytes at the end of the stream.
@@ -90,13 +90,18 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._make_error(transport_error.Kind.RESET, str(exc)) from exc
 
-    async def _feed_machine(self) -> None:
+    async def feed_machine(self) -> bool:
+        """Receive bytes for the state machine; return whether there were any.
+
+        :raises TransportError: ``RESET``.
+        """
         data = await self.receive()
         self._is_eof = not data
         try:
             self.machine.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._make_error(transport_error.Kind.RESET, str(exc)) from exc
+        return bool(data)
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Read a body up to the end of the message.
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -24,7 +24,7 @@
 
     :ivar body_bytes: maximum size of a request body.
     :ivar idle_seconds: maximum wait for the next request on an open connection.
-    :ivar read_seconds: maximum time in which a client must send a request body.
+    :ivar read_seconds: maximum time in which a client must send a request that it has begun.
     :ivar write_seconds: maximum time for sending a response, or one part of a streamed one.
     """
 
@@ -201,11 +201,9 @@
     conn: http_connection.HttpConnection, handler: Handler, limits: Limits
 ) -> bool:
     """Serve one request; return whether the connection can be reused."""
-    try:
-        req = await _read_request(conn, limits)
-    except transport_error.TransportError as exc:
-        await _respond_error(conn, exc)
+    if not await _wait_for_request(conn, limits.idle_seconds):
         return False
+    req = await _read_whole_request(conn, limits)
     if req is None:
         return False
     exchange = Exchange(conn, req, limits.write_seconds)
@@ -220,20 +218,44 @@
     return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
 
 
+async def _wait_for_request(conn: http_connection.HttpConnection, idle_seconds: float) -> bool:
+    """Wait for the first byte of a request; return whether it came."""
+    if conn.machine.trailing_data[0]:
+        return True
+    with trio.move_on_after(idle_seconds):
+        try:
+            return await conn.feed_machine()
+        except transport_error.TransportError:
+            # A client may leave in any way while it waits for nothing.
+            return False
+    return False
+
+
+async def _read_whole_request(
+    conn: http_connection.HttpConnection, limits: Limits
+) -> message.Request | None:
+    """Read a request that has begun; refuse it and return ``None`` when it does not arrive."""
+    try:
+        with trio.move_on_after(limits.read_seconds):
+            return await _read_request(conn, limits)
+    except transport_error.TransportError as exc:
+        await _respond_error(conn, exc)
+        return None
+    text = f"the request did not arrive within {limits.read_seconds} s"
+    await _refuse(conn, 408, failure.Failure(codes.Code.REQUEST_TIMEOUT, text))
+    return None
+
+
 async def _read_request(
     conn: http_connection.HttpConnection, limits: Limits
 ) -> message.Request | None:
-    with trio.move_on_after(limits.idle_seconds) as idle_scope:
-        event = await conn.next_event()
-    if idle_scope.cancelled_caught or not isinstance(event, h11.Request):
+    event = await conn.next_event()
+    if not isinstance(event, h11.Request):
         return None
     _check_framing(event)
     if conn.machine.they_are_waiting_for_100_continue:
         await conn.send(h11.InformationalResponse(status_code=100, headers=[]))
-    with trio.move_on_after(limits.read_seconds) as read_scope:
-        body = await conn.read_body(limits.body_bytes)
-    if read_scope.cancelled_caught:
-        return None
+    body = await conn.read_body(limits.body_bytes)
     method = event.method.decode("ascii")
     target = event.target.decode("latin-1")
     fields = header_lists.Headers(event.headers)
@@ -274,10 +296,17 @@
 async def _respond_error(
     conn: http_connection.HttpConnection, exc: transport_error.TransportError
 ) -> None:
-    if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
     is_too_large = exc.kind is transport_error.Kind.TOO_LARGE
     code = codes.Code.BODY_TOO_LARGE if is_too_large else codes.Code.BAD_REQUEST
     status = 413 if is_too_large else conn.error_status
-    response = _make_last_response(status, failure.Failure(code, str(exc)))
-    await Exchange(conn, message.Request("", "")).respond(response)
+    await _refuse(conn, status, failure.Failure(code, str(exc)))
+
+
+async def _refuse(
+    conn: http_connection.HttpConnection, status: int, error: failure.Failure
+) -> None:
+    """Answer a request that was not read to its end, and log why."""
+    if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    events.log("request.unread", code=error.code.name, status=status, text=error.message)
+    await Exchange(conn, message.Request("", "")).respond(_make_last_response(status, error))
--- a/tests/net/failed_answers.feature
+++ b/tests/net/failed_answers.feature
@@ -29,3 +29,23 @@
       | response    |
       | stream      |
       | first chunk |
+
+  Scenario Outline: A request that doesn't arrive in time is refused as not run
+    Then a client that stops after <part> gets status 408 as not run after <seconds> s
+
+    Examples:
+      | part             | seconds |
+      | one byte         | 20      |
+      | half a head      | 20      |
+      | half a body      | 20      |
+      | half a chunk     | 20      |
+      | a second head    | 20      |
+
+  Scenario: A request that begins at the end of the idle time is read and answered
+    Then a head whose parts arrive 0.1 s before and 0.1 s after the idle time is answered
+
+  Scenario: A client that sends its request byte by byte can't keep a connection for longer
+    Then a client that sends a byte of its head each second is refused after 20 s
+
+  Scenario: A connection without a request is closed after the idle time, without an answer
+    Then a client that sends nothing gets no byte and is closed after 60 s
--- a/tests/steps/net_failed_answers.py
+++ b/tests/steps/net_failed_answers.py
@@ -133,3 +133,69 @@
 
     got, _ = serve(handle, send_once(GET * 2))
     assert got.count(b"HTTP/1.1 %d " % status) == 2 and b"HTTP/1.1 200" not in got, got
+
+
+PARTS = {
+    "one byte": b"G",
+    "half a head": GET[:20],
+    "half a body": b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab",
+    "half a chunk": b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+    "a second head": GET + GET[:20],
+}
+
+
+async def respond_ok(exchange):
+    """Handle a request with a response of status 200."""
+    await exchange.respond(message.Response(200, body=b"ok"))
+
+
+def check_not_run(answer):
+    """Check that an answer refuses a request as not run and closes the connection."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 408 ") and b"connection: close" in head.lower(), answer
+    assert json.loads(body)["error"]["outcome"] == "not_run", body
+
+
+@then("a client that stops after {part} gets status 408 as not run after {limit:d} s")
+def check_stops(context, part, limit):
+    answer, seconds = serve(respond_ok, send_once(PARTS[part]))
+    if part == "a second head":
+        first, _, answer = answer.partition(b"\r\n\r\nok")
+        assert first.startswith(b"HTTP/1.1 200 "), first
+    check_not_run(answer)
+    assert limit - 1 < seconds < limit + 1, seconds
+
+
+@then("a head whose parts arrive 0.1 s before and 0.1 s after the idle time is answered")
+def check_late_head(context):
+    limits = http_server.Limits(idle_seconds=5.0)
+
+    async def client_task(client):
+        await trio.sleep(4.9)
+        await client.send_all(GET[:20])
+        await trio.sleep(0.2)
+        await client.send_all(GET[20:])
+
+    answer, _ = serve(respond_ok, client_task, limits)
+    assert answer.startswith(b"HTTP/1.1 200 "), answer
+
+
+@then("a client that sends a byte of its head each second is refused after {limit:d} s")
+def check_slow_head(context, limit):
+    async def client_task(client):
+        try:
+            for number in range(len(GET)):
+                await client.send_all(GET[number : number + 1])
+                await trio.sleep(1)
+        except trio.BrokenResourceError:
+            return
+
+    answer, seconds = serve(respond_ok, client_task)
+    check_not_run(answer)
+    assert limit - 1 < seconds < limit + 2, seconds
+
+
+@then("a client that sends nothing gets no byte and is closed after {limit:d} s")
+def check_idle(context, limit):
+    answer, seconds = serve(respond_ok, send_once(b""))
+    assert answer == b"" and limit - 1 < seconds < limit + 1, (answer, seconds)
