Count requests that are being read when an entry stops, and refuse the late ones

What callers saw: a request whose head or body was still arriving when the last request in service had ended got a closed connection and no byte, though seconds of the grace time were left; so did one that arrived just before the end.

Cause: _drain counted the requests in the handler only, and the end cancelled all connections at once.

Change: net/connections.py keeps account of a listener's connections: how many wait for a request or read one, and on how many the first byte of one has arrived. _drain waits for both counts within the grace time. At its end the connections are closed together: a request that is being read is refused as LEAVING (503, not run, which is true: no handler has seen it), an idle connection is looked at once more for 10 ms, in which a request that has arrived is read and answered, and is closed then. This takes at most 0.2 s of the 0.4 s that are kept for the last answers.

Open: connections that the kernel has accepted and the process hasn't are reset by the end of the listener.

--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -21,7 +21,7 @@
     targets_task,
 )
 from galenavane.gateway import state as states
-from galenavane.net import http_server, message
+from galenavane.net import connections, http_server, message
 from galenavane.observe import events, log_sink, trace_text
 
 FLUSH_INTERVAL_SECONDS = 0.2
@@ -29,6 +29,9 @@
 """The load balancer checks readiness once a second and removes an entry after two failed checks."""
 STOP_MARGIN_SECONDS = 0.4
 """Reserved before the process is killed, for sending the last answers."""
+LAST_ANSWERS_SECONDS = 0.2
+"""For the last refusals, as most of their requests have arrived."""
+DRAIN_CHECK_SECONDS = 0.05
 METRICS_PATH = "/metrics"
 MAX_BODY_BYTES = 8_388_608
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -70,12 +73,13 @@
             nursery.start_soon(_supervise, task, gw)
         await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness_handler(gw))
         limits = http_server.Limits(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS)
+        group = connections.Connections()
         await nursery.start(
-            gw.net.listen, cfg.get(settings.CALLERS), frontend.make_handler(gw), limits
+            gw.net.listen, cfg.get(settings.CALLERS), frontend.make_handler(gw), limits, group
         )
         await _wait_for_stop_signal()
-        await _drain(gw)
-        events.log("entry.stop", active=gw.active_requests)
+        await _drain(gw, group)
+        events.log("entry.stop", active=gw.active_requests, reading=group.reading)
         sink.flush()
         nursery.cancel_scope.cancel()
 
@@ -104,20 +108,28 @@
             events.log("entry.reload", text="settings are read at the next start")
 
 
-async def _drain(gw: states.Gateway) -> None:
-    """Wait until the load balancer sends no more requests, then for the requests in flight."""
+async def _drain(gw: states.Gateway, group: connections.Connections) -> None:
+    """Wait until the load balancer sends no more requests, then for the requests in flight.
+
+    Those that are still being read then are refused, and idle connections are closed.
+    """
     grace = gw.cfg.get(settings.GRACE)
     stop_at = trio.current_time() + grace - STOP_MARGIN_SECONDS
-    events.log("entry.leaving", active=gw.active_requests)
+    events.log("entry.leaving", active=gw.active_requests, reading=group.reading)
     gw.is_stopping = True
     gw.wake_control()
     await trio.sleep(min(BALANCER_DELAY_SECONDS, grace / 2))
     gw.is_closing = True
     quiet_at = trio.current_time() + 1.0
     while trio.current_time() < stop_at:
-        if gw.active_requests == 0 and trio.current_time() >= quiet_at:
-            return
-        await trio.sleep(0.05)
+        is_quiet = gw.active_requests == 0 and group.reading == 0
+        if is_quiet and trio.current_time() >= quiet_at:
+            break
+        await trio.sleep(DRAIN_CHECK_SECONDS)
+    group.close()
+    with trio.move_on_after(LAST_ANSWERS_SECONDS):
+        while group.open or gw.active_requests:
+            await trio.sleep(http_server.LAST_RECEIVE_SECONDS)
 
 
 async def _run_flush(gw: states.Gateway, sink: log_sink.LogSink) -> None:
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -11,11 +11,20 @@
 from galenavane.failure import code as codes
 from galenavane.failure import error_body, failure, table
 from galenavane.failure import outcome as outcomes
-from galenavane.net import disconnect, http_connection, http_encoding, message, transport_error
+from galenavane.net import (
+    connections,
+    disconnect,
+    http_connection,
+    http_encoding,
+    message,
+    transport_error,
+)
 from galenavane.net import headers as header_lists
 from galenavane.observe import events, trace_text
 
 WRITE_TIMEOUT_SECONDS = 20.0
+LAST_RECEIVE_SECONDS = 0.01
+"""For bytes of a request that have arrived when no more requests are waited for."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -181,11 +190,20 @@
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
 
 
-async def serve_stream(stream: trio.abc.Stream, handler: Handler, limits: Limits) -> None:
-    """Serve requests on one connection until it closes."""
+async def serve_stream(
+    stream: trio.abc.Stream,
+    handler: Handler,
+    limits: Limits,
+    group: connections.Connections | None = None,
+) -> None:
+    """Serve requests on one connection until it closes.
+
+    :param group: the connections of the same listener, which can be closed together.
+    """
     conn = http_connection.HttpConnection(stream, h11.SERVER)
+    group = group or connections.Connections()
     try:
-        while await _serve_request(conn, handler, limits):
+        while await _serve_request(conn, handler, limits, group):
             conn.machine.start_next_cycle()
     except disconnect.DisconnectError:
         # Nobody is left to answer; the handler logs the end of its request.
@@ -198,12 +216,13 @@
 
 
 async def _serve_request(
-    conn: http_connection.HttpConnection, handler: Handler, limits: Limits
+    conn: http_connection.HttpConnection,
+    handler: Handler,
+    limits: Limits,
+    group: connections.Connections,
 ) -> bool:
     """Serve one request; return whether the connection can be reused."""
-    if not await _wait_for_request(conn, limits.idle_seconds):
-        return False
-    req = await _read_whole_request(conn, limits)
+    req = await _receive_request(conn, limits, group)
     if req is None:
         return False
     exchange = Exchange(conn, req, limits.write_seconds)
@@ -218,31 +237,59 @@
     return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
 
 
-async def _wait_for_request(conn: http_connection.HttpConnection, idle_seconds: float) -> bool:
+async def _receive_request(
+    conn: http_connection.HttpConnection, limits: Limits, group: connections.Connections
+) -> message.Request | None:
+    """Receive the next request; return ``None`` when there is none to be handled."""
+    group.open += 1
+    try:
+        if not await _wait_for_request(conn, limits.idle_seconds, group):
+            return None
+        group.reading += 1
+        try:
+            return await _read_whole_request(conn, limits, group)
+        finally:
+            group.reading -= 1
+    finally:
+        group.open -= 1
+
+
+async def _wait_for_request(
+    conn: http_connection.HttpConnection, idle_seconds: float, group: connections.Connections
+) -> bool:
     """Wait for the first byte of a request; return whether it came."""
     if conn.machine.trailing_data[0]:
         return True
-    with trio.move_on_after(idle_seconds):
-        try:
-            return await conn.feed_machine()
-        except transport_error.TransportError:
-            # A client may leave in any way while it waits for nothing.
-            return False
+    try:
+        if not group.is_closed:
+            with group.receive(idle_seconds):
+                return await conn.feed_machine()
+        if group.is_closed:
+            with trio.move_on_after(LAST_RECEIVE_SECONDS):
+                return await conn.feed_machine()
+    except transport_error.TransportError:
+        # A client may leave in any way while it waits for nothing.
+        return False
     return False
 
 
 async def _read_whole_request(
-    conn: http_connection.HttpConnection, limits: Limits
+    conn: http_connection.HttpConnection, limits: Limits, group: connections.Connections
 ) -> message.Request | None:
     """Read a request that has begun; refuse it and return ``None`` when it does not arrive."""
+    seconds = LAST_RECEIVE_SECONDS if group.is_closed else limits.read_seconds
     try:
-        with trio.move_on_after(limits.read_seconds):
+        with group.receive(seconds):
             return await _read_request(conn, limits)
     except transport_error.TransportError as exc:
         await _respond_error(conn, exc)
         return None
-    text = f"the request did not arrive within {limits.read_seconds} s"
-    await _refuse(conn, 408, failure.Failure(codes.Code.REQUEST_TIMEOUT, text))
+    if group.is_closed:
+        error = failure.Failure(codes.Code.LEAVING, "this entry is stopping")
+    else:
+        text = f"the request did not arrive within {limits.read_seconds} s"
+        error = failure.Failure(codes.Code.REQUEST_TIMEOUT, text)
+    await _refuse(conn, table.ROWS[error.code].status, error)
     return None
 
 
--- a/src/galenavane/net/network.py
+++ b/src/galenavane/net/network.py
@@ -7,7 +7,7 @@
 import trio
 
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, http_server
+from galenavane.net import connections, http_connection, http_server
 
 
 class Dialer(typing.Protocol):
@@ -30,10 +30,12 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
+        group: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve connections until cancelled.
 
+        :param group: keeps account of the connections, and can close them.
         :param task_status: receives the bound address when the socket is listening.
         """
--- a/src/galenavane/net/tcp.py
+++ b/src/galenavane/net/tcp.py
@@ -10,7 +10,7 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, http_server, network, transport_error
+from galenavane.net import connections, http_connection, http_server, network, transport_error
 
 
 class _TcpNetwork:
@@ -32,6 +32,7 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
+        group: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -39,7 +40,10 @@
         port = listeners[0].socket.getsockname()[1]
         task_status.started(addresses.Address(address.host, port))
         serve = functools.partial(
-            http_server.serve_stream, handler=handler, limits=limits or http_server.Limits()
+            http_server.serve_stream,
+            handler=handler,
+            limits=limits or http_server.Limits(),
+            group=group,
         )
         await trio.serve_listeners(serve, listeners)
 
--- a/src/galenavane/simulate/memory_network.py
+++ b/src/galenavane/simulate/memory_network.py
@@ -10,7 +10,7 @@
 import trio
 
 from galenavane.net import address as addresses
-from galenavane.net import http_connection, http_server, transport_error
+from galenavane.net import connections, http_connection, http_server, transport_error
 from galenavane.simulate import links, simulated_process, stream
 
 MAX_QUEUED_MESSAGES = 1000
@@ -21,6 +21,7 @@
     process: simulated_process.SimulatedProcess
     handler: http_server.Handler
     limits: http_server.Limits
+    group: connections.Connections | None
     nursery: trio.Nursery
     context: contextvars.Context
 
@@ -92,7 +93,9 @@
 
     async def _accept(self, listener: _Listener, server_end: stream.Stream) -> None:
         try:
-            await http_server.serve_stream(server_end, listener.handler, listener.limits)
+            await http_server.serve_stream(
+                server_end, listener.handler, listener.limits, listener.group
+            )
         finally:
             self._net.open_connections = [
                 ends for ends in self._net.open_connections if server_end not in ends
@@ -103,6 +106,7 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
+        group: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -111,7 +115,7 @@
             effective_limits = limits or http_server.Limits()
             context = contextvars.copy_context()
             self._net.listeners[address] = _Listener(
-                self._process, handler, effective_limits, nursery, context
+                self._process, handler, effective_limits, group, nursery, context
             )
             task_status.started(address)
             try:
--- /dev/null
+++ b/tests/gateway/stop.feature
@@ -0,0 +1,11 @@
+Feature: An entry that stops answers or refuses each request that it has begun to read
+
+  Scenario: Requests that arrive slowly while an entry stops
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the entry gets SIGTERM with a grace time of 6 s
+    And clients send half a head, half a body and nothing 3 s later
+    And the first two send the rest 1.5 s later, and another one never does
+    Then the first two are refused as not run
+    And the one that never sends the rest is refused as not run before the grace time ends
+    And the idle connection is closed without a reset, and the entry ends within its grace time
+    And all these steps succeed
--- /dev/null
+++ b/tests/steps/gateway_stop.py
@@ -0,0 +1,130 @@
+"""Steps for requests that arrive while an entry stops."""
+
+from __future__ import annotations
+
+import json
+import signal
+import types
+
+import trio
+from behave import then, when
+from steps import gateway_whole_path, platform_world
+
+from galenavane.gateway import settings
+from galenavane.net import tcp, transport_error
+
+plan_step = gateway_whole_path.plan_step
+HEAD = (
+    b"POST /order/x HTTP/1.1\r\nhost: h.example\r\nattempt-id: a1\r\ncontent-length: 5\r\n"
+    b"authorization: Bearer " + platform_world.KEY.encode() + b"\r\n\r\n"
+)
+BODY = b"abcde"
+
+
+class ChangedSettings:
+    """The settings of an entry with one value replaced."""
+
+    def __init__(self, cfg, setting, value):
+        self._cfg = cfg
+        self._setting = setting
+        self._value = value
+
+    def get(self, setting):
+        return self._value if setting is self._setting else self._cfg.get(setting)
+
+
+@when("the entry gets SIGTERM with a grace time of {seconds:d} s")
+def stop_entry(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        world.entry.cfg = ChangedSettings(world.entry.cfg, settings.GRACE, seconds)
+        world.killed_at = trio.current_time() + seconds
+        world.ends = {}
+        signal.raise_signal(signal.SIGTERM)
+
+
+async def collect(world, name, parts):
+    """Send parts of a request with pauses, and keep what the connection gives until its end."""
+    conn = await tcp.make().dial(world.callers, 1.0)
+    end = world.ends[name] = types.SimpleNamespace(data=b"", is_reset=False, at=0.0)
+    try:
+        for part, pause_seconds in parts:
+            await conn.write(part)
+            await trio.sleep(pause_seconds)
+        while data := await conn.receive():
+            end.data += data
+    except (transport_error.TransportError, trio.BrokenResourceError):
+        end.is_reset = True
+    end.at = trio.current_time()
+    await conn.close()
+
+
+@when("clients send half a head, half a body and nothing {seconds:d} s later")
+def send_halves(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(seconds)
+        pause_seconds = 1.5
+        middle = len(HEAD) // 2
+        requests = {
+            "half a head": [(HEAD[:middle], pause_seconds), (HEAD[middle:] + BODY, 0)],
+            "half a body": [(HEAD + BODY[:2], pause_seconds), (BODY[2:], 0)],
+            "never": [(HEAD, 0)],
+            "idle": [],
+        }
+        for name, parts in requests.items():
+            world.nursery.start_soon(collect, world, name, parts)
+
+
+@when("the first two send the rest {seconds:g} s later, and another one never does")
+def wait_for_ends(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(seconds)
+        while not all(end.at for end in world.ends.values()):
+            await trio.sleep(0.01)
+
+
+def check_refusal(end):
+    """Check that a connection ended with a refusal."""
+    head, _, body = end.data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 ") and b"connection: close" in head.lower(), end
+    assert json.loads(body)["error"]["outcome"] == "not_run" and not end.is_reset, end
+
+
+@then("the first two are refused as not run")
+def check_halves(context):
+    @plan_step(context)
+    async def step(world):
+        check_refusal(world.ends["half a head"])
+        check_refusal(world.ends["half a body"])
+        assert not world.arrivals
+
+
+@then("the one that never sends the rest is refused as not run before the grace time ends")
+def check_never(context):
+    @plan_step(context)
+    async def step(world):
+        check_refusal(world.ends["never"])
+        assert world.ends["never"].at < world.killed_at, world.ends["never"].at - world.killed_at
+
+
+@then("the idle connection is closed without a reset, and the entry ends within its grace time")
+def check_idle(context):
+    @plan_step(context)
+    async def step(world):
+        idle = world.ends["idle"]
+        assert idle.data == b"" and not idle.is_reset and idle.at < world.killed_at, idle
+        with trio.fail_at(world.killed_at):
+            while not await is_closed(world):
+                await trio.sleep(0.05)
+
+
+async def is_closed(world):
+    """Return whether the entry listens no more."""
+    try:
+        conn = await tcp.make().dial(world.callers, 0.1)
+    except transport_error.TransportError:
+        return True
+    await conn.close()
+    return False
