Say in the log how a client left, and keep the end of its input as leaving

What callers saw: a client that ends its sending side after a whole request (an order, a look-up, a stream) gets no byte. The log said "the client disconnected" for this as for a reset.

Decision: the end of a client's input still means that it has left, and its work is stopped. Weighed and not taken: to go on until a write fails (work for clients that have left would last until the first byte, for a queued prompt seconds, against half a second for a quarter of them), and to send an interim response as a probe after the end of input (it tells the two apart where client and entry are directly connected; a forwarder that passes the end on and reads further would hide each close, and no run of ours can show how the platform's does). Clients of the platform leave by closing, as far as its pages say.

--- a/tests/gateway/ends_without_answer.feature
+++ b/tests/gateway/ends_without_answer.feature
@@ -54,3 +54,16 @@
     Then it gets status 502
     And the log has its end as TARGET_LOST with outcome unknown
     And all these steps succeed
+
+  Scenario Outline: A client that leaves stops the work at once, and the log says how it left
+    Given a platform with 2 domains of 6 targets, and an entry
+    When a client that has got 3 events of 60 <leaves>
+    Then its target notices within 0.5 s
+    And the log has its end as CALLER_GONE, because <reason>
+    And all these steps succeed
+
+    Examples:
+      | leaves                   | reason                         |
+      | closes its connection    | the client ended its input     |
+      | ends its sending side    | the client ended its input     |
+      | resets its connection    | the client's connection failed |
--- a/tests/steps/gateway_ends_without_answer.py
+++ b/tests/steps/gateway_ends_without_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 import types
 
 import eliot
@@ -125,3 +127,37 @@
     async def step(world):
         lines = [line for line in world.log_lines if line["message_type"] == "request.defect"]
         assert len(lines) == 1 and "UnicodeEncodeError" in lines[0]["text"], lines
+
+
+async def leave(conn, how):
+    """End a client's connection in one of the ways that there are."""
+    if how == "ends its sending side":
+        await conn.stream.send_eof()
+        return
+    if how == "resets its connection":
+        linger = struct.pack("ii", 1, 0)
+        conn.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await conn.close()
+
+
+@when("a client that has got {seen:d} events of {count:d} {how}")
+def leave_stream(context, seen, count, how):
+    @plan_step(context)
+    async def step(world):
+        collect_log(world)
+        conn = await tcp.make().dial(world.callers, 1.0)
+        await world.call_over(conn, "/once/x", count, take=lambda number: number >= seen)
+        await leave(conn, how)
+        world.client = conn
+
+
+@then("the log has its end as CALLER_GONE, because {reason}")
+def check_reason(context, reason):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(0.1)
+        ends = [line for line in world.log_lines if line["message_type"] == "request.end"]
+        world.stop_collecting()
+        assert [line["code"] for line in ends] == ["CALLER_GONE"], ends
+        assert ends[0]["text"].startswith(reason), ends
+        await world.client.close()
