Answer the requests that are still served when an entry's grace time ends

What callers saw: a request that was passed on and not answered 0.4 s before the SIGKILL got a closed connection and no byte, although its client could have been told, and request.end was missing.

Cause: at the end of _drain the tasks of all connections were cancelled with everything else.

Change: the work on requests is cancelled first, each in a scope of its own (Connections.serve); the frontend answers with TARGET_SILENT (504, outcome unknown) where no answer has begun, and logs it. A stream that has begun is broken off as before. All within the 0.2 s for the last errors and refusals.

--- a/src/galenavane/gateway/frontend.py
+++ b/src/galenavane/gateway/frontend.py
@@ -9,7 +9,7 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.gateway import admission, model_serving, plain_serving
 from galenavane.gateway import state as states
-from galenavane.net import disconnect, http_encoding, http_server, transport_error
+from galenavane.net import connections, disconnect, http_encoding, http_server, transport_error
 from galenavane.observe import events, trace_text
 from galenavane.serve import errors, inbound_request
 
@@ -18,24 +18,35 @@
 """Another entry can serve the request at once."""
 
 
-def make_handler(gw: states.Gateway) -> http_server.Handler:
-    """Return the handler of clients' requests."""
+def make_handler(gw: states.Gateway, group: connections.Connections) -> http_server.Handler:
+    """Return the handler of clients' requests.
+
+    :param group: their connections; it ends the work on requests before the process is killed.
+    """
 
     async def handle(exchange: http_server.Exchange) -> None:
         gw.active_requests += 1
         gw.last_request_at = trio.current_time()
         try:
-            await _serve(gw, exchange)
+            await _serve(gw, exchange, group)
         finally:
             gw.active_requests -= 1
 
     return handle
 
 
-async def _serve(gw: states.Gateway, exchange: http_server.Exchange) -> None:
+async def _serve(
+    gw: states.Gateway, exchange: http_server.Exchange, group: connections.Connections
+) -> None:
     began_at = trio.current_time()
     inbound = gw.codec.decode_request(exchange.request)
-    error = await _answer_guarded(gw, exchange, inbound, began_at)
+    error: failure.Failure | None = failure.Failure(
+        codes.Code.TARGET_SILENT,
+        "this entry had to stop before the response was complete",
+        _Outcome.UNKNOWN,
+    )
+    with group.serve():
+        error = await _answer_guarded(gw, exchange, inbound, began_at)
     _log_end(gw, inbound, error, trio.current_time() - began_at)
     if error is None or exchange.is_answered or error.code is codes.Code.CALLER_GONE:
         return
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -30,7 +30,7 @@
 STOP_MARGIN_SECONDS = 0.4
 """Reserved before the process is killed, for sending the last answers."""
 LAST_ANSWERS_SECONDS = 0.2
-"""For the last refusals, as most of their requests have arrived."""
+"""For the last errors and refusals."""
 DRAIN_CHECK_SECONDS = 0.05
 METRICS_PATH = "/metrics"
 MAX_BODY_BYTES = 8_388_608
@@ -74,9 +74,8 @@
         await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness_handler(gw))
         limits = http_server.Limits(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS)
         group = connections.Connections()
-        await nursery.start(
-            gw.net.listen, cfg.get(settings.CALLERS), frontend.make_handler(gw), limits, group
-        )
+        handler = frontend.make_handler(gw, group)
+        await nursery.start(gw.net.listen, cfg.get(settings.CALLERS), handler, limits, group)
         await _wait_for_stop_signal()
         await _drain(gw, group)
         events.log("entry.stop", active=gw.active_requests, reading=group.reading)
@@ -111,7 +110,8 @@
 async def _drain(gw: states.Gateway, group: connections.Connections) -> None:
     """Wait until the load balancer sends no more requests, then for the requests in flight.
 
-    Those that are still being read then are refused, and idle connections are closed.
+    Those that are still being read then are refused, those that are still served are answered with
+    an error, and idle connections are closed.
     """
     grace = gw.cfg.get(settings.GRACE)
     stop_at = trio.current_time() + grace - STOP_MARGIN_SECONDS
@@ -127,6 +127,7 @@
             break
         await trio.sleep(DRAIN_CHECK_SECONDS)
     group.close()
+    group.end_serving()
     with trio.move_on_after(LAST_ANSWERS_SECONDS):
         while group.open or gw.active_requests:
             await trio.sleep(http_server.LAST_RECEIVE_SECONDS)
--- a/tests/gateway/stop.feature
+++ b/tests/gateway/stop.feature
@@ -9,3 +9,10 @@
     And the one that never sends the rest is refused as not run before the grace time ends
     And the idle connection is closed without a reset, and the entry ends within its grace time
     And all these steps succeed
+
+  Scenario: A request that a target has not answered when the grace time ends
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the next target answers HTTP/1.1 200 OK with a length of 16, an empty one, and is silent
+    And a client sends an order and the entry gets SIGTERM with a grace time of 4 s
+    Then the request gets status 504 with outcome unknown before the grace time ends
+    And all these steps succeed
--- a/tests/steps/gateway_stop.py
+++ b/tests/steps/gateway_stop.py
@@ -128,3 +128,29 @@
         return True
     await conn.close()
     return False
+
+
+@when("a client sends an order and the entry gets SIGTERM with a grace time of {seconds:d} s")
+def stop_beside_order(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        world.entry.cfg = ChangedSettings(world.entry.cfg, settings.GRACE, seconds)
+        world.ends = {}
+        world.nursery.start_soon(collect, world, "order", [(HEAD + BODY, 0)])
+        while not world.arrivals:
+            await trio.sleep(0.01)
+        world.killed_at = trio.current_time() + seconds
+        signal.raise_signal(signal.SIGTERM)
+        while not world.ends["order"].at:
+            await trio.sleep(0.01)
+
+
+@then("the request gets status {status:d} with outcome unknown before the grace time ends")
+def check_unanswered(context, status):
+    @plan_step(context)
+    async def step(world):
+        end = world.ends["order"]
+        head, _, body = end.data.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 %d " % status), end
+        assert json.loads(body)["error"]["outcome"] == "unknown" and not end.is_reset, end
+        assert end.at < world.killed_at, end.at - world.killed_at
