--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -8,7 +8,7 @@
 import trio
 
 from galenavane.net import headers as header_lists
-from galenavane.net import message, transport_error
+from galenavane.net import http_encoding, message, transport_error
 from galenavane.observe import events
 
 READ_SIZE_BYTES = 65536
@@ -44,9 +44,16 @@
             an event is not valid HTTP, in which case nothing was sent.
         """
         try:
-            data = b"".join(self.machine.send(event) or b"" for event in events)
-        except h11.LocalProtocolError as exc:
+            data = http_encoding.encode(self.machine, *events)
+        except http_encoding.EncodingError as exc:
             raise self._make_error(transport_error.Kind.MALFORMED, str(exc)) from exc
+        await self.write(data)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes to the stream.
+
+        :raises TransportError: ``RESET`` when the peer closed the connection.
+        """
         if not data:
             return
         self.has_sent_bytes = True
@@ -71,7 +78,7 @@
                 raise self._make_error(kind, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return typing.cast("h11.Event | type[h11.PAUSED]", event)
-            await self._feed_machine()
+            await self.feed_machine()
 
     async def receive(self) -> bytes:
         """Return the next bytes from the peer, or empty bytes at the end of the stream.
@@ -83,13 +90,18 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._make_error(transport_error.Kind.RESET, str(exc)) from exc
 
-    async def _feed_machine(self) -> None:
+    async def feed_machine(self) -> bool:
+        """Receive bytes for the state machine; return whether there were any.
+
+        :raises TransportError: ``RESET``.
+        """
         data = await self.receive()
         self._is_eof = not data
         try:
             self.machine.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._make_error(transport_error.Kind.RESET, str(exc)) from exc
+        return bool(data)
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Read a body up to the end of the message.
@@ -149,6 +161,13 @@
         events.receive_stamp(fields.get(CLOCK_HEADER.decode()))
         return message.Response(event.status_code, fields.without({CLOCK_HEADER}))
 
+    def renew_machine(self) -> None:
+        """Replace a server's state machine that failed before anything was sent.
+
+        Its new state allows one response, after which the connection has to be closed.
+        """
+        self.machine = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+
     async def close(self) -> None:
         """Close the stream without waiting; never raises."""
         await trio.aclose_forcefully(self.stream)
