Keep groups whose leaving members refuse connections, and count each member's silence for itself

Found by the review: a member that leaves stops listening and works on for its group's requests, and some leave by the removal of their record alone. Taken for gone, its group was dissolved with all its streams; without any silence for an unlisted one. And three members that paused for a second each, one after the other, counted as 3 s of silence. A refused connection now proves a loss only for a listed member that does not leave and isn't the head; groups of departing members are dissolved when nobody has a request there. The silence is counted by member.

--- a/src/galenavane/control/stall_decision.py
+++ b/src/galenavane/control/stall_decision.py
@@ -9,6 +9,8 @@
 import enum
 from collections import abc
 
+from galenavane.fleet import replica_group
+
 MAX_PAUSE_SECONDS = 2.0
 """A sound target may be silent for about a second."""
 LOAD_AGE_SECONDS = 0.4
@@ -23,8 +25,31 @@
     DISSOLVE = "dissolve"
 
 
+def find_gone(
+    group: replica_group.Group, refusing: abc.Container[str], unlisted: abc.Container[str]
+) -> list[str]:
+    """Return the members that are known to be gone.
+
+    :param refusing: members whose hosts refuse connections. A head does so too when it has too
+        many, and a member that leaves, or whose record was removed, works on for its group.
+    :param unlisted: members without a record.
+    """
+    return [
+        member.id
+        for member in group.members
+        if member.id in refusing
+        and member is not group.head
+        and not member.is_leaving
+        and member.id not in unlisted
+    ]
+
+
 def decide(
-    gone: abc.Sequence[str], silent: abc.Sequence[str], requests: float, silent_seconds: float
+    gone: abc.Sequence[str],
+    silent: abc.Sequence[str],
+    departing: abc.Sequence[str],
+    requests: float,
+    silent_seconds: float,
 ) -> Verdict:
     """Decide on a reported group by what the lease holder sees itself.
 
@@ -33,14 +58,15 @@
 
     :param gone: members without a process.
     :param silent: members that don't answer.
+    :param departing: members that refuse connections, but may work on for their group.
     :param requests: requests of all entries at its head.
-    :param silent_seconds: how long some of the members have been silent.
+    :param silent_seconds: how long one of the members has been silent or departing.
     """
     if gone:
         return Verdict.DISSOLVE
-    if not silent:
+    if not silent and not departing:
         return Verdict.KEEP
-    if silent_seconds >= MAX_PAUSE_SECONDS:
+    if silent and silent_seconds >= MAX_PAUSE_SECONDS:
         return Verdict.DISSOLVE
     is_unused = requests == 0 and silent_seconds >= LOAD_AGE_SECONDS
     return Verdict.DISSOLVE if is_unused else Verdict.WAIT
--- a/src/galenavane/gateway/stall_check.py
+++ b/src/galenavane/gateway/stall_check.py
@@ -29,19 +29,21 @@
     gw: states.Gateway, service: str, key: replica_group.Key, missing: tuple[str, ...]
 ) -> None:
     """Check a group's members until it is clear whether the group is lost."""
-    began_at = trio.current_time()
+    unanswered_since: dict[str, float] = {}
     try:
         verdict = _Verdict.WAIT
         while verdict is _Verdict.WAIT:
             group = _find_undecided_group(gw, service, key)
             if group is None:
                 return
+            now = trio.current_time()
             # The entry that reported the stall has already tried twice.
             unreachable = await member_check.find_unreachable(gw, group.members, attempts=1)
-            silent_seconds = trio.current_time() - began_at
-            requests = gw.sum_head_loads().get(group.head.id, 0) if group.head is not None else 0
-            gone, silent = _sort_by_evidence(group, unreachable)
-            verdict = stall_decision.decide(gone, silent, requests, silent_seconds)
+            unanswered_since = {
+                member: unanswered_since.get(member, now) for member in unreachable.all
+            }
+            silent_seconds = trio.current_time() - min(unanswered_since.values(), default=now)
+            verdict = _decide(gw, group, unreachable, silent_seconds)
             if verdict is _Verdict.WAIT:
                 await trio.sleep(RECHECK_INTERVAL_SECONDS)
         _carry_out(gw, service, key, verdict, missing, unreachable, silent_seconds)
@@ -49,16 +51,20 @@
         gw.stalls_in_check.discard(key)
 
 
-def _sort_by_evidence(
-    group: replica_group.Group, unreachable: member_check.Unreachable
-) -> tuple[list[str], list[str]]:
-    """Return the members that are gone, and those that may go on.
-
-    A head with too many connections refuses more of them, while it goes on with its streams.
-    """
+def _decide(
+    gw: states.Gateway,
+    group: replica_group.Group,
+    unreachable: member_check.Unreachable,
+    silent_seconds: float,
+) -> stall_decision.Verdict:
     head_id = group.head.id if group.head is not None else ""
-    gone = [member for member in unreachable.gone if member != head_id]
-    return gone, [member for member in unreachable.all if member not in gone]
+    gone = stall_decision.find_gone(group, unreachable.gone, gw.registry.unlisted)
+    silent = [
+        member for member in unreachable.all if member in unreachable.silent or member == head_id
+    ]
+    departing = [member for member in unreachable.gone if member not in (*gone, head_id)]
+    requests = gw.sum_head_loads().get(head_id, 0)
+    return stall_decision.decide(gone, silent, departing, requests, silent_seconds)
 
 
 def _find_undecided_group(
--- a/tests/control/stall_decision.feature
+++ b/tests/control/stall_decision.feature
@@ -17,3 +17,15 @@
       | 0    | 1      | 0.5     | 0        | dissolve |
       | 0    | 1      | 1.5     | 1        | wait     |
       | 0    | 1      | 2.1     | 1        | dissolve |
+
+  Scenario Outline: A member that leaves and refuses connections works on for its group
+    Given a reported group with 0 members without a process and 0 silent ones
+    And 1 member that refuses connections as it leaves
+    When its members have been silent for <seconds> s and its head has <requests> requests
+    Then the decision is to <verdict> it
+
+    Examples:
+      | seconds | requests | verdict  |
+      | 0.1     | 0        | wait     |
+      | 0.5     | 0        | dissolve |
+      | 9.0     | 1        | wait     |
--- a/tests/steps/control_stall_decision.py
+++ b/tests/steps/control_stall_decision.py
@@ -11,11 +11,18 @@
 def make_group(context, gone, silent):
     context.gone = [f"g{number}" for number in range(gone)]
     context.silent = [f"s{number}" for number in range(silent)]
+    context.departing = []
+
+
+@given("{count:d} member that refuses connections as it leaves")
+def add_departing(context, count):
+    context.departing = [f"d{number}" for number in range(count)]
 
 
 @when("its members have been silent for {seconds:g} s and its head has {requests:d} requests")
 def decide(context, seconds, requests):
-    context.verdict = stall_decision.decide(context.gone, context.silent, requests, seconds)
+    unreachable = (context.gone, context.silent, context.departing)
+    context.verdict = stall_decision.decide(*unreachable, requests, seconds)
 
 
 @then("the decision is to {verdict} it")
