Hedge streams of groups that leave the list, and don't take a slow client for a silent head

A client that read nothing for a second made its head count as silent, at all entries. The end of a silence ended the avoidance of a head for another reason, such as malformed bytes.

--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -8,6 +8,7 @@
 import trio
 
 from galenavane.catalog import engine
+from galenavane.control import stall_decision
 from galenavane.fleet import replica_group
 from galenavane.gateway import member_check, peer_message, peer_updates
 from galenavane.gateway import state as states
@@ -67,6 +68,10 @@
     now: float,
     nursery: trio.Nursery,
 ) -> None:
+    attempts = head_requests.attempts.values()
+    if attempts and all(attempt.is_delivering for attempt in attempts):
+        # Clients that read slowly keep events waiting, so silence proves nothing.
+        head_requests.activity.last_event_at = now
     verdict = head_watch.evaluate(head_requests.activity, now)
     if verdict is head_watch.Verdict.STALLED:
         if head_requests.activity.streaming:
@@ -92,11 +97,14 @@
     if has_new_event or gw.heads.get(head_id) is not head_requests:
         return
     if group is None:
+        if not activity.is_stalled:
+            _hedge_streams(gw, head_id, head_requests, ())
         # The head may be in another group already, whose requests don't wait for these.
         del gw.heads[head_id]
     elif unreachable.all or (activity.is_stalled and activity.streaming):
         _report_stall(gw, head_id, head_requests, unreachable.all)
-        _end_attempts(head_requests, [member for member in unreachable.gone if member != head_id])
+        gone = stall_decision.find_gone(group, unreachable.gone, gw.registry.unlisted)
+        _end_attempts(head_requests, gone)
 
 
 def _end_attempts(head_requests: states.HeadRequests, gone: abc.Sequence[str]) -> None:
@@ -128,7 +136,7 @@
 ) -> None:
     """Hedge the streams of a stalled head, and report it to all entries."""
     if head_requests.activity.is_stalled:
-        gw.suspect(head_id, SUSPECT_SECONDS)
+        _suspect(gw, head_id, head_requests)
     else:
         _hedge_streams(gw, head_id, head_requests, unreachable)
     if not gw.record_stall(head_requests.group_key):
@@ -182,11 +190,17 @@
         last_event_age=round(trio.current_time() - head_requests.activity.last_event_at, 3),
     )
     gw.metrics.stalls.inc({})
-    gw.suspect(head_id, SUSPECT_SECONDS)
+    _suspect(gw, head_id, head_requests)
     for attempt in head_requests.attempts.values():
         attempt.note_silence()
 
 
+def _suspect(gw: states.Gateway, head_id: str, head_requests: states.HeadRequests) -> None:
+    """Avoid a head while it is silent."""
+    head_requests.suspected_until = trio.current_time() + SUSPECT_SECONDS
+    gw.suspect_until(head_id, head_requests.suspected_until)
+
+
 def record_event(
     gw: states.Gateway,
     group: replica_group.Group,
@@ -198,7 +212,8 @@
     silent_seconds = head_watch.record_event(head_requests.activity, request_id, now)
     if silent_seconds is None or group.head is None:
         return
-    gw.suspects.pop(group.head.id, None)
+    if gw.suspects.get(group.head.id) == head_requests.suspected_until:
+        del gw.suspects[group.head.id]
     for attempt in head_requests.attempts.values():
         attempt.is_silent = False
     events.log(
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -89,6 +89,7 @@
     :ivar is_checking: whether the group's members are being checked now.
     :ivar waiting: waiting requests by id.
     :ivar ended: requests whose connections were reset, until they are sent elsewhere.
+    :ivar suspected_until: until when the head is avoided for its silence, on trio's clock.
     :ivar crash_check: set at the end of a check whether the head has crashed, ``None`` for none.
     :ivar has_crashed: result of the last such check.
     """
@@ -99,6 +100,7 @@
     is_checking: bool = False
     waiting: dict[str, WaitingRequest] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
+    suspected_until: float = 0.0
     crash_check: trio.Event | None = None
     has_crashed: bool = False
 
@@ -320,7 +322,10 @@
 
     def suspect(self, target_id: str, seconds: float) -> None:
         """Avoid a target for a while."""
-        until = trio.current_time() + seconds
+        self.suspect_until(target_id, trio.current_time() + seconds)
+
+    def suspect_until(self, target_id: str, until: float) -> None:
+        """Avoid a target until a time on trio's clock."""
         self.suspects[target_id] = max(until, self.suspects.get(target_id, 0.0))
 
     def is_suspect(self, target_id: str) -> bool:
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -116,6 +116,7 @@
         self.command_count = 0
         self.orders = []
         self.late_joins = 0
+        self.streaming = 0
         self.late_statuses = []
         self.members = ()
         self.last_model = ""
@@ -219,7 +220,7 @@
         elif order["operation"] == "open":
             self.world.nursery.start_soon(self._become, order_key, "open", 0.05)
         else:
-            self.group["state"] = "ready"
+            self.group["state"] = "closing" if self.streaming else "ready"
         self.command_count += status == 202
         self.publish()
         await exchange.respond(message.Response(status))
@@ -353,6 +354,7 @@
         first = int(exchange.request.headers.get("last-event-id") or 0) + 1
         last = int(exchange.request.headers.get("token-usage").split(",")[1])
         fields = self._answer_headers(exchange).add("content-type", "text/event-stream")
+        self.streaming += 1
         try:
             for number in range(first, last + 1):
                 await trio.sleep(EVENT_SECONDS)
@@ -372,6 +374,16 @@
             await exchange.end_stream()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.world.left_at.append(trio.current_time())
+        finally:
+            self._end_streaming()
+
+    def _end_streaming(self):
+        """Let a closing head be ready when its last stream has ended."""
+        self.streaming -= 1
+        if not self.streaming and self.group and self.group["state"] == "closing":
+            self.group["state"] = "ready"
+            if self.name in self.world.alive:
+                self.publish()
 
 
 class SilencedNetwork:
