--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -26,22 +26,25 @@
 _Outcome = outcomes.Outcome
 
 
+def count(gw: states.Gateway, destination: target.Target) -> None:
+    """Count an attempt at its target from now on, so that the next choice of a target sees it."""
+    gw.target_in_flight[destination.id] = gw.target_in_flight.get(destination.id, 0) + 1
+
+
 async def run(
     gw: states.Gateway,
     exchange: http_server.Exchange,
     call: plain_call.PlainCall,
     attempt: Attempt,
 ) -> failure.Failure | None:
-    """Make one attempt to serve a request.
+    """Make one attempt, which is counted at its target, to serve a request.
 
     :returns: the failure, or ``None`` if the request was answered.
     """
-    target_id = attempt.destination.id
-    gw.target_in_flight[target_id] = gw.target_in_flight.get(target_id, 0) + 1
     try:
         return await _exchange(gw, exchange, call, attempt)
     finally:
-        gw.target_in_flight[target_id] -= 1
+        gw.target_in_flight[attempt.destination.id] -= 1
 
 
 async def _exchange(
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -75,6 +75,7 @@
         beside=len(tries.in_progress),
         revision=gw.registry.revision,
     )
+    plain_attempt.count(gw, destination)
     tries.start(tries.add(destination), send)
     return True
 
--- a/tests/gateway/silent_plain_targets.feature
+++ b/tests/gateway/silent_plain_targets.feature
@@ -192,3 +192,10 @@
       | an order  | 1     | 2    |
       | a look-up | 2     | 3    |
       | a look-up | 2     | 4    |
+
+  Scenario: Requests that begin at the same moment are spread evenly over the targets
+    Given a platform with 0 domains of 0 targets, and an entry
+    When each plain target sends nothing for 1 s
+    And 24 clients each send a look-up at the same moment
+    Then p0 and p1 have got 12 requests each
+    And all these steps succeed
--- a/tests/steps/gateway_silent_plain.py
+++ b/tests/steps/gateway_silent_plain.py
@@ -11,6 +11,7 @@
 from behave import then, when
 from steps import gateway_whole_path, platform_world
 
+from galenavane.net import tcp
 from galenavane.route import send_budget
 
 plan_step = gateway_whole_path.plan_step
@@ -227,3 +228,27 @@
     async def step(world):
         statuses = collections.Counter(answer.status for answer in world.answers)
         assert statuses[200] >= count, statuses
+
+
+@when("{count:d} clients each send {request} at the same moment")
+def send_at_once(context, count, request):
+    @plan_step(context)
+    async def step(world):
+        path, method = PATHS[request]
+
+        async def ask(conn):
+            await world.call_over(conn, path, method=method)
+            await conn.close()
+
+        conns = [await tcp.make().dial(world.callers, 1.0) for _ in range(count)]
+        async with trio.open_nursery() as clients:
+            for conn in conns:
+                clients.start_soon(ask, conn)
+
+
+@then("{first} and {second} have got {count:d} requests each")
+def check_spread(context, first, second, count):
+    @plan_step(context)
+    async def step(world):
+        counts = collections.Counter(name for name, _ in world.arrivals)
+        assert counts == {first: count, second: count}, counts
