Break off a resumed stream whose unframed answer holds no event

Cause: an answer with neither a length nor chunks ends with its connection. _find_break took an empty one as broken off only while the client had no event at all, which a resumed stream always has. Change: such an answer without an event of its own is broken off, whatever came before. Weighed: a stream that really ended earlier than that, was broken off just after its last event and is answered so gets a further send, or a broken-off end once its sends are used; nothing in such an answer tells it apart from a lost one. An empty answer with a length of 0 or in chunks says itself that it is complete and still ends the stream.

--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -63,10 +63,11 @@
             stream.last_event = event.number
             data += event.data
         await _deliver(exchange, stream, response, data)
-    break_text = await _find_break(stream, splitter, target_conn, check_crash)
+    has_events = stream.events > events_before
+    break_text = await _find_break(stream, splitter, target_conn, check_crash, has_events)
     if break_text:
         return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
-    if stream.events > events_before:
+    if has_events:
         _record_proof(gw, stream, head_requests)
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
@@ -81,18 +82,23 @@
     splitter: event_splitter.EventSplitter,
     target_conn: target_exchange.TargetExchange,
     check_crash: abc.Callable[[], abc.Awaitable[bool]],
+    has_events: bool,
 ) -> str:
     """Return why a stream that has ended is incomplete; empty if it is complete.
 
     The end of a connection also ends a stream without a length or chunks, so such a stream is
-    complete only if its head still works.
+    complete only if its head still works. Without any event in this response, it is so only if the
+    client already has as many events as the answer may have tokens.
+
+    :param has_events: whether this response held an event.
     """
     if splitter.is_empty and target_conn.has_framing:
         return ""
     has_crashed = await check_crash()
     if not splitter.is_empty:
         return "the stream ended in the middle of an event"
-    if stream.last_event == 0:
+    max_events = stream.request.inbound.max_answer_tokens
+    if not has_events and not 0 < max_events <= stream.last_event:
         return "the connection was closed before the first event"
     return "the head crashed" if has_crashed else ""
 
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -55,11 +55,12 @@
 def decode(req: message.Request) -> inbound_request.InboundRequest:
     """Decode a client's request."""
     fields = req.headers
-    prompt_tokens, _, answer_tokens = fields.get(_TOKEN_USAGE).partition(",")
+    prompt_tokens, _, max_answer_tokens = fields.get(_TOKEN_USAGE).partition(",")
     key = fields.get(_KEY)
     is_bearer = key.lower().startswith(_BEARER)
     timeout_ms = _parse_number(fields.get(_DEADLINE))
     length_hint = _parse_number(fields.get(_LENGTH_HINT))
+    max_tokens = int(_parse_number(max_answer_tokens) or 0)
     return inbound_request.InboundRequest(
         id=fields.get(_REQUEST_ID),
         method=req.method,
@@ -69,9 +70,8 @@
         api_key=key[len(_BEARER) :].strip() if is_bearer else "",
         model=fields.get(_MODEL),
         prompt_tokens=int(_parse_number(prompt_tokens) or 0),
-        answer_tokens=int(
-            length_hint if length_hint is not None else _parse_number(answer_tokens) or 0
-        ),
+        answer_tokens=int(length_hint) if length_hint is not None else max_tokens,
+        max_answer_tokens=max_tokens,
         timeout_seconds=max(0.0, timeout_ms if timeout_ms is not None else _NO_DEADLINE_MS) / 1000,
         last_event_id=int(_parse_number(fields.get(_LAST_EVENT)) or 0),
         headers=fields.end_to_end().without(_RESERVED_FIELDS),
--- a/src/galenavane/serve/inbound_request.py
+++ b/src/galenavane/serve/inbound_request.py
@@ -16,6 +16,8 @@
     :ivar model: requested model; empty for a plain service.
     :ivar prompt_tokens: prompt length that the client states.
     :ivar answer_tokens: estimated length of the completion.
+    :ivar max_answer_tokens: largest length of the completion, 0 if not stated; an event of its
+        stream has one token or more.
     :ivar timeout_seconds: how long the client waits for the response.
     :ivar last_event_id: id of the last stream event that the client received; 0 for none.
     :ivar headers: header fields to forward to targets.
@@ -37,6 +39,7 @@
     headers: headers.Headers
     body: bytes
     prompt_parts: tuple[str, ...] = ()
+    max_answer_tokens: int = 0
 
 
 class SendOptions(msgspec.Struct, frozen=True):
--- a/tests/steps/gateway_unframed.py
+++ b/tests/steps/gateway_unframed.py
@@ -16,6 +16,11 @@
     "a length of 16": b"Content-Length: 16\r\n",
     "keep-alive": b"Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n",
     "close": b"Connection: close\r\n",
+    "a length of 0": b"Content-Length: 0\r\n",
+    "chunks": b"Transfer-Encoding: chunked\r\n",
+    "a JSON type": b"Content-Type: application/json\r\n",
+    "a JSON type and length": b"Content-Type: application/json\r\nContent-Length: 16\r\n",
+    "a JSON type in chunks": b"Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n",
 }
 
 
@@ -24,7 +29,19 @@
     return b"".join(b"id: %d\ndata: %d\n\n" % (number, number) for number in range(first, last + 1))
 
 
+def make_chunks(data):
+    """Return data as one chunk and the last one."""
+    return (b"%x\r\n%b\r\n" % (len(data), data) if data else b"") + b"0\r\n\r\n"
+
+
 BODIES = {
+    "an empty chunk": make_chunks(b""),
+    "a text in a chunk": make_chunks(b"every part of it"),
+    "a paragraph in a chunk": make_chunks(b"every part of it\n\n"),
+    "a paragraph": b"every part of it\n\n",
+    "events 1 to 8 in a chunk": make_chunks(make_events(1, 8)),
+    "events 5 to 8 in a chunk": make_chunks(make_events(5, 8)),
+    "events 6 to 8 in a chunk": make_chunks(make_events(6, 8)),
     "an empty one": b"",
     "a text": b"every part of it",
     "a long text": b"0123456789abcdef" * 200_000,
@@ -50,17 +67,26 @@
 }
 
 
+def make_answer(status_line, fields, body, end, cut=None):
+    """Return a prepared answer.
+
+    :param cut: returns the bytes to send, given the answer's head and all of its bytes.
+    """
+    return types.SimpleNamespace(
+        status_line=status_line,
+        fields=fields,
+        body=body,
+        end=end,
+        cut=cut or (lambda head, data: data),
+        pause_seconds=RESET_DELAY_SECONDS if end == "resets" else 0.0,
+    )
+
+
 @when("the next target answers {status_line} with {fields}, {body}, and {end}")
 def prepare_answer(context, status_line, fields, body, end):
     @plan_step(context)
     async def step(world):
-        answer = types.SimpleNamespace(
-            status_line=status_line.encode(),
-            fields=FIELDS[fields],
-            body=BODIES[body],
-            end=end,
-            pause_seconds=RESET_DELAY_SECONDS if end == "resets" else 0.0,
-        )
+        answer = make_answer(status_line.encode(), FIELDS[fields], BODIES[body], end)
         world.raw_answers.append(answer)
 
 
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -265,8 +265,9 @@
         stream = exchange.conn.stream
         pairs = self._answer_headers(exchange).pairs
         head = answer.status_line + b"\r\n" + b"".join(b"%b: %b\r\n" % pair for pair in pairs)
+        head += answer.fields + b"\r\n"
         try:
-            await stream.send_all(head + answer.fields + b"\r\n" + answer.body)
+            await stream.send_all(answer.cut(head, head + answer.body))
             # An answer is read before its reset, which would discard what is unread.
             await trio.sleep(answer.pause_seconds)
             if answer.end == "is silent":
