--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import abc
 
 import trio
 
@@ -18,8 +19,8 @@
 """No head is due for a check sooner than this after the first request at it."""
 MAX_LOOP_LAG_SECONDS = 0.1
 """If the event loop runs later than this, events may wait unread, so silence proves nothing."""
-REPORTED_SUSPECT_SECONDS = 0.5
-"""How long a head is avoided after a peer's stall report: until the lease holder has decided."""
+REPORTED_SUSPECT_SECONDS = 1.2
+"""How long a head is avoided after a peer's stall report, which is repeated each second."""
 REPORTED_STALL_PASSES = 1.3
 """Silence of a head, in engine passes, with which this entry confirms a peer's stall report."""
 SUSPECT_SECONDS = 2.0
@@ -72,7 +73,7 @@
             _report_stall(gw, head_id, head_requests, ())
         else:
             # A full head also keeps requests waiting, so this alone doesn't show a stalled group.
-            _move_streams(gw, head_id, head_requests, ())
+            _hedge_streams(gw, head_id, head_requests, ())
     elif verdict is head_watch.Verdict.CHECK and not head_requests.is_checking:
         head_requests.is_checking = True
         head_requests.activity.checked_at = now
@@ -82,15 +83,28 @@
 async def _check_members(
     gw: states.Gateway, head_id: str, head_requests: states.HeadRequests
 ) -> None:
+    activity = head_requests.activity
     started_at = trio.current_time()
     group = _find_group(gw, head_requests)
-    unreachable = (
-        await member_check.find_unreachable(gw, group.members) if group is not None else ()
-    )
+    unreachable = await member_check.find_unreachable(gw, group.members if group else ())
     head_requests.is_checking = False
-    has_new_event = head_requests.activity.last_event_at > started_at
-    if unreachable and not has_new_event and gw.heads.get(head_id) is head_requests:
-        _report_stall(gw, head_id, head_requests, unreachable)
+    has_new_event = activity.last_event_at > started_at
+    if has_new_event or gw.heads.get(head_id) is not head_requests:
+        return
+    if group is None:
+        # The head may be in another group already, whose requests don't wait for these.
+        del gw.heads[head_id]
+    elif unreachable.all or (activity.is_stalled and activity.streaming):
+        _report_stall(gw, head_id, head_requests, unreachable.all)
+        _end_attempts(head_requests, [member for member in unreachable.gone if member != head_id])
+
+
+def _end_attempts(head_requests: states.HeadRequests, gone: abc.Sequence[str]) -> None:
+    """Give up the attempts at a group that has lost members, which can't go on."""
+    if not gone:
+        return
+    for attempt in list(head_requests.attempts.values()):
+        attempt.cancel(f"members {', '.join(gone)} of the group are gone")
 
 
 def _find_group(
@@ -112,8 +126,13 @@
     head_requests: states.HeadRequests,
     unreachable: tuple[str, ...],
 ) -> None:
-    """Move the streams of a stalled head to other groups, and report the stall to all entries."""
-    _move_streams(gw, head_id, head_requests, unreachable)
+    """Hedge the streams of a stalled head, and report it to all entries."""
+    if head_requests.activity.is_stalled:
+        gw.suspect(head_id, SUSPECT_SECONDS)
+    else:
+        _hedge_streams(gw, head_id, head_requests, unreachable)
+    if not gw.record_stall(head_requests.group_key):
+        return
     service = _find_service(gw, head_id)
     gw.pending_stalls.append((service, head_requests.group_key, unreachable))
     gw.wake_control()
@@ -125,7 +144,6 @@
         head_requests.group_key.epoch,
         list(unreachable),
     )
-    gw.record_stall(head_requests.group_key)
     peer_updates.send_stall(gw, report)
 
 
@@ -140,17 +158,19 @@
         return
     silent_seconds = head_watch.silent_seconds(head_requests.activity, trio.current_time())
     if silent_seconds >= REPORTED_STALL_PASSES * head_requests.activity.pass_seconds:
-        _move_streams(gw, head_id, head_requests, ())
-    elif not head_requests.reads:
+        _hedge_streams(gw, head_id, head_requests, ())
+    elif not head_requests.attempts:
         gw.suspect(head_id, REPORTED_SUSPECT_SECONDS)
 
 
-def _move_streams(
+def _hedge_streams(
     gw: states.Gateway,
     head_id: str,
     head_requests: states.HeadRequests,
     unreachable: tuple[str, ...],
 ) -> None:
+    """Let other groups be tried for the streams of a silent head, which may still go on."""
+    head_requests.activity.is_stalled = True
     events.log(
         "head.still",
         head=head_id,
@@ -163,9 +183,31 @@
     )
     gw.metrics.stalls.inc({})
     gw.suspect(head_id, SUSPECT_SECONDS)
-    del gw.heads[head_id]
-    for read in list(head_requests.reads.values()):
-        read.cancel()
+    for attempt in head_requests.attempts.values():
+        attempt.note_silence()
+
+
+def record_event(
+    gw: states.Gateway,
+    group: replica_group.Group,
+    head_requests: states.HeadRequests,
+    request_id: str,
+    now: float,
+) -> None:
+    """Record that a head has sent an event, which may end a silence."""
+    silent_seconds = head_watch.record_event(head_requests.activity, request_id, now)
+    if silent_seconds is None or group.head is None:
+        return
+    gw.suspects.pop(group.head.id, None)
+    for attempt in head_requests.attempts.values():
+        attempt.is_silent = False
+    events.log(
+        "head.resumed",
+        head=group.head.id,
+        group=group.key.name,
+        epoch=group.key.epoch,
+        silent_seconds=round(silent_seconds, 3),
+    )
 
 
 def _find_service(gw: states.Gateway, head_id: str) -> str:
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -129,9 +129,9 @@
 def count_own_loads(gw: states.Gateway) -> dict[str, int]:
     """Return the number of this entry's requests by head."""
     return {
-        head_id: len(head_requests.reads)
+        head_id: len(head_requests.attempts)
         for head_id, head_requests in gw.heads.items()
-        if head_requests.reads
+        if head_requests.attempts
     }
 
 
@@ -280,8 +280,7 @@
     is_new = gw.record_stall(key)
     gw.pending_stalls.append((report.service, key, tuple(report.missing)))
     gw.wake_control()
-    if report.missing:
-        heads_task.handle_stall_report(gw, report.head, key)
+    heads_task.handle_stall_report(gw, report.head, key)
     if is_new:
         peer_updates.send_stall(gw, report)
 
