Close a client's connection when its answer was sent in part only

A client that read slowly got the first part of a long answer and then neither the rest nor an end: the connection stayed open until the idle limit. By reading only: the answer to a pipelined request would have followed in the middle of that body. Cause: h11 counts a response as sent once it is encoded. A deadline that passed while its bytes were being written cancelled the write, and the connection was kept for the next request. Change: a connection whose write was cancelled or failed is not used again. Evidence: "A client whose answer is cut at its deadline does not wait for the rest" (an answer of 12 MB, read after its deadline of 0.8 s) waited 5 s without an end for an order; now its connection is closed.

--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -25,15 +25,17 @@
     :ivar stream: the byte stream.
     :ivar machine: the h11 connection state machine.
     :ivar has_sent_bytes: whether any byte was passed to the stream.
+    :ivar is_cut: whether a write was cancelled or failed, so that a part of it may be missing.
     :ivar error_status: HTTP status to respond with when the peer's message is malformed.
     """
 
-    __slots__ = ("_is_eof", "error_status", "has_sent_bytes", "machine", "stream")
+    __slots__ = ("_is_eof", "error_status", "has_sent_bytes", "is_cut", "machine", "stream")
 
     def __init__(self, stream: trio.abc.Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.stream = stream
         self.machine = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.has_sent_bytes = False
+        self.is_cut = False
         self.error_status = 400
         self._is_eof = False
 
@@ -50,8 +52,10 @@
         if not data:
             return
         self.has_sent_bytes = True
+        self.is_cut = True
         try:
             await self.stream.send_all(data)
+            self.is_cut = False
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._make_error(transport_error.Kind.RESET, str(exc)) from exc
 
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -167,7 +167,9 @@
         return False
     exchange = Exchange(conn, req, limits.write_seconds)
     await handler(exchange)
-    return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
+    # h11 counts a response as sent before its bytes are.
+    is_sent = conn.machine.our_state is h11.DONE and not conn.is_cut
+    return is_sent and conn.machine.their_state is h11.DONE
 
 
 async def _read_request(
