Watch the groups of a service that a configuration takes away

Cause: the check of a silent head's members looked its group up in the services of the configuration in force. It found none there, so nothing was checked, and the head was no longer watched; its streams were never moved. Change: the group is looked up in the index of listed targets, which knows it as long as its members report it. Evidence: "A stream that has to be sent again goes on" failed for "removes its service" (logged: request.end TARGET_SILENT after 8.0 s, without a head.still) and passes; the pause stays under the 2 s after which clients leave. Passed before too, so refuted: a route that is moved or removed and a key that is removed, with and without a lost member; a service that is removed without one (its groups are neither commanded nor dissolved); orders and look-ups waiting at a target, also when sent again. What remains: a configuration that renames a model or changes the size of its groups dissolves all of them at once.

--- a/src/galenavane/fleet/group_index.py
+++ b/src/galenavane/fleet/group_index.py
@@ -81,6 +81,14 @@
     return _refresh(index, service, constants).groups
 
 
+def find_group(index: GroupIndex, key: replica_group.Key) -> replica_group.Group | None:
+    """Return a group of any service, also of one that is no longer declared."""
+    for service, service_groups in index.services.items():
+        if service_groups.constants is not None and key in service_groups.members:
+            return find_groups(index, service, service_groups.constants).get(key)
+    return None
+
+
 def find_serving(
     index: GroupIndex, service: str, constants: engine.Engine, model: str
 ) -> abc.Collection[replica_group.Group]:
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -8,7 +8,7 @@
 import trio
 
 from galenavane.catalog import engine
-from galenavane.fleet import replica_group
+from galenavane.fleet import group_index, replica_group
 from galenavane.gateway import member_check, peer_message, peer_updates
 from galenavane.gateway import state as states
 from galenavane.observe import events
@@ -85,7 +85,7 @@
 ) -> None:
     activity = head_requests.activity
     started_at = trio.current_time()
-    group = _find_group(gw, head_requests)
+    group = group_index.find_group(gw.registry.index, head_requests.group_key)
     unreachable = await member_check.find_unreachable(gw, group.members if group else ())
     head_requests.is_checking = False
     has_new_event = activity.last_event_at > started_at
@@ -107,19 +107,6 @@
         attempt.cancel(f"members {', '.join(gone)} of the group are gone")
 
 
-def _find_group(
-    gw: states.Gateway, head_requests: states.HeadRequests
-) -> replica_group.Group | None:
-    catalog = gw.config_state.catalog
-    for service in catalog.engine_services() if catalog is not None else ():
-        if service.engine is None:
-            continue
-        group = gw.find_groups(service.name, service.engine).get(head_requests.group_key)
-        if group is not None:
-            return group
-    return None
-
-
 def _report_stall(
     gw: states.Gateway,
     head_id: str,
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -296,6 +296,7 @@
 
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        await trio.sleep(self.world.plain_seconds)
         if await self._send_raw(exchange):
             return
         if self.world.flood and await self._flood(exchange):
@@ -397,6 +398,7 @@
         self.left_at = []
         self.break_at = 0
         self.plain_fault = ""
+        self.plain_seconds = 0
         self.flood = None
         self.raw_answers = []
         self.deadly_parts = set()
