--- a/src/galenavane/gateway/frontend.py
+++ b/src/galenavane/gateway/frontend.py
@@ -9,8 +9,8 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.gateway import admission, model_serving, plain_serving
 from galenavane.gateway import state as states
-from galenavane.net import disconnect, http_server, transport_error
-from galenavane.observe import events
+from galenavane.net import connections, disconnect, http_encoding, http_server, transport_error
+from galenavane.observe import events, trace_text
 from galenavane.serve import errors, inbound_request
 
 _Outcome = outcomes.Outcome
@@ -18,31 +18,35 @@
 """Another entry can serve the request at once."""
 
 
-def make_handler(gw: states.Gateway) -> http_server.Handler:
-    """Return the handler of clients' requests."""
+def make_handler(gw: states.Gateway, group: connections.Connections) -> http_server.Handler:
+    """Return the handler of clients' requests.
+
+    :param group: their connections; it ends the work on requests before the process is killed.
+    """
 
     async def handle(exchange: http_server.Exchange) -> None:
         gw.active_requests += 1
         gw.last_request_at = trio.current_time()
         try:
-            await _serve(gw, exchange)
+            await _serve(gw, exchange, group)
         finally:
             gw.active_requests -= 1
 
     return handle
 
 
-async def _serve(gw: states.Gateway, exchange: http_server.Exchange) -> None:
+async def _serve(
+    gw: states.Gateway, exchange: http_server.Exchange, group: connections.Connections
+) -> None:
     began_at = trio.current_time()
     inbound = gw.codec.decode_request(exchange.request)
-    try:
-        error = await disconnect.cancel_on_disconnect(
-            exchange.conn, _answer, gw, exchange, inbound, began_at
-        )
-    except disconnect.DisconnectError:
-        error = failure.Failure(codes.Code.CALLER_GONE, "the client disconnected", _Outcome.UNKNOWN)
-    except transport_error.TransportError as exc:
-        error = failure.Failure(codes.Code.CALLER_GONE, str(exc), _Outcome.UNKNOWN)
+    error: failure.Failure | None = failure.Failure(
+        codes.Code.TARGET_SILENT,
+        "this entry had to stop before the response was complete",
+        _Outcome.UNKNOWN,
+    )
+    with group.serve():
+        error = await _answer_guarded(gw, exchange, inbound, began_at)
     _log_end(gw, inbound, error, trio.current_time() - began_at)
     if error is None or exchange.is_answered or error.code is codes.Code.CALLER_GONE:
         return
@@ -52,6 +56,35 @@
     await exchange.respond(response)
 
 
+async def _answer_guarded(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    inbound: inbound_request.InboundRequest,
+    began_at: float,
+) -> failure.Failure | None:
+    """Answer a request; only a failure of the client's connection means that it has gone.
+
+    :returns: the failure to answer with, or ``None`` if the request was answered.
+    """
+    try:
+        error = await disconnect.cancel_on_disconnect(
+            exchange.conn, _answer, gw, exchange, inbound, began_at
+        )
+    except disconnect.DisconnectError as exc:
+        return failure.Failure(codes.Code.CALLER_GONE, str(exc), _Outcome.UNKNOWN)
+    except transport_error.TransportError as exc:
+        return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
+    except http_encoding.EncodingError as exc:
+        return failure.Failure(codes.Code.INTERNAL, str(exc), _Outcome.UNKNOWN)
+    except Exception as exc:
+        events.log("request.defect", request=inbound.id, text=trace_text.make(exc))
+        text = f"internal error: {type(exc).__name__}"
+        return failure.Failure(codes.Code.INTERNAL, text, _Outcome.UNKNOWN)
+    if error is None and not exchange.is_answered:
+        return failure.Failure(codes.Code.INTERNAL, "there is no answer", _Outcome.UNKNOWN)
+    return error
+
+
 async def _answer(
     gw: states.Gateway,
     exchange: http_server.Exchange,
--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -12,7 +12,7 @@
 from galenavane.gateway import attempts, heads_task, prompt_blocks, target_exchange
 from galenavane.gateway import state as states
 from galenavane.gateway import stream as streams
-from galenavane.net import disconnect, http_server, message
+from galenavane.net import http_server, message
 from galenavane.route import prompt_suspects
 from galenavane.serve import event_splitter, target_response
 
@@ -23,7 +23,7 @@
     gw: states.Gateway,
     exchange: http_server.Exchange,
     stream: streams.Stream,
-    attempt: attempts.Attempt,
+    attempt: attempts.GroupAttempt,
     head_requests: states.HeadRequests,
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
@@ -45,7 +45,7 @@
         if not whole_events:
             continue
         now = trio.current_time()
-        heads_task.record_event(gw, attempt.group, head_requests, request_id, now)
+        heads_task.record_event(gw, attempt.destination, head_requests, request_id, now)
         await attempt.claim()
         stream.events += len(whole_events)
         if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
@@ -122,9 +122,5 @@
     """Send complete events to the client at once; the headers are those of the first target."""
     if not data:
         return
+    await exchange.deliver(target_exchange.make_client_headers(response), data)
     stream.is_started = True
-    framed = exchange.frame_chunk(target_exchange.make_client_headers(response), data)
-    try:
-        await exchange.conn.stream.send_all(framed)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        raise disconnect.DisconnectError from None
