--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -234,7 +234,9 @@
         events.log("connection.defect", text=trace_text.make(exc))
         await _respond_defect(exchange, exc)
         return False
-    return conn.machine.our_state is h11.DONE and conn.machine.their_state is h11.DONE
+    # h11 counts a response as sent before its bytes are.
+    is_sent = conn.machine.our_state is h11.DONE and not conn.is_cut
+    return is_sent and conn.machine.their_state is h11.DONE
 
 
 async def _receive_request(
--- a/tests/steps/gateway_silence_details.py
+++ b/tests/steps/gateway_silence_details.py
@@ -282,7 +282,17 @@
 
 @when("the end of an answer can't be sent to the client")
 def fail_at_end(context):
+    send_end = http_server.Exchange.end_stream
+    callers = []
+
+    @plan_step(context)
+    async def step(world):
+        callers.append(world.callers.port)
+
     async def end_stream(exchange):
-        raise disconnect.DisconnectError("reset by client")
+        # The targets send their ends by the same function.
+        if exchange.conn.stream.socket.getsockname()[1] in callers:
+            raise disconnect.DisconnectError("reset by client")
+        await send_end(exchange)
 
     _patch(context, http_server.Exchange, "end_stream", end_stream)
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -266,8 +266,9 @@
         stream = exchange.conn.stream
         pairs = self._answer_headers(exchange).pairs
         head = answer.status_line + b"\r\n" + b"".join(b"%b: %b\r\n" % pair for pair in pairs)
+        head += answer.fields + b"\r\n"
         try:
-            await stream.send_all(head + answer.fields + b"\r\n" + answer.body)
+            await stream.send_all(answer.cut(head, head + answer.body))
             # An answer is read before its reset, which would discard what is unread.
             await trio.sleep(answer.pause_seconds)
             if answer.end == "is silent":
@@ -307,6 +308,7 @@
 
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
+        await trio.sleep(self.world.plain_seconds)
         if await self._pause(exchange):
             return
         if await self._send_raw(exchange):
@@ -421,6 +423,7 @@
         self.left_at = []
         self.break_at = 0
         self.plain_fault = ""
+        self.plain_seconds = 0
         self.flood = None
         self.raw_answers = []
         self.deadly_parts = set()
