Let the proxy of the stand-ins pause a target without losing a byte

Nothing in the tests could let a sound target of real processes fall silent and go on: the proxy's silence loses bytes for good. holds_bytes lets them wait; accepts_none fills the listener's queue with own connections, so that attempts to connect wait without a refusal.

--- a/tests/steps/standin_tcp_proxy.py
+++ b/tests/steps/standin_tcp_proxy.py
@@ -57,3 +57,57 @@
     kinds = transport_error.Kind
     outcomes = trio.run(main)
     assert outcomes == [200, kinds.RESET, kinds.RESET], outcomes
+
+
+async def set_faults(control, faults):
+    """Replace the faults of the proxy."""
+    assert await call(control, message.json_request("POST", "/faults", faults)) == 200
+
+
+async def run_proxy(test):
+    """Call a test with the proxy's address and its control address."""
+
+    async def respond(exchange):
+        await exchange.respond(message.json_response(200, {}))
+
+    listen, control = free_address(), free_address()
+    async with trio.open_nursery() as nursery:
+        target = await nursery.start(tcp.make().listen, address.Address("127.0.0.1", 0), respond)
+        await nursery.start(tcp_proxy.run, tcp.make(), listen, target, control)
+        await test(listen, control)
+        nursery.cancel_scope.cancel()
+
+
+@then("a response is held for {seconds:g} s and then relayed")
+def hold(context, seconds):
+    async def test(listen, control):
+        await set_faults(control, tcp_proxy.Faults(holds_bytes=True))
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+
+            async def resume():
+                await trio.sleep(seconds)
+                await set_faults(control, tcp_proxy.Faults())
+
+            nursery.start_soon(resume)
+            assert await call(listen, message.Request("GET", "/")) == 200
+        assert trio.current_time() >= began_at + seconds
+
+    trio.run(run_proxy, test)
+
+
+@then("attempts to connect time out for {seconds:g} s and succeed later")
+def refuse_connections(context, seconds):
+    async def test(listen, control):
+        await set_faults(control, tcp_proxy.Faults(accepts_none=True))
+        try:
+            await tcp.make().dial(listen, seconds)
+        except transport_error.TransportError as exc:
+            assert exc.kind is transport_error.Kind.NOT_CONNECTED
+            assert not exc.is_refused
+        else:
+            raise AssertionError("the connection was accepted")
+        await set_faults(control, tcp_proxy.Faults())
+        assert await call(listen, message.Request("GET", "/")) == 200
+
+    trio.run(run_proxy, test)
