Check in the fault soak that planned work loses no answer

The fault soak had no check for that: its faults excuse most broken-off answers, and its silent targets lose bytes for good.

Change: a second plan (--plan planned) of configurations in series that add routes, move a route and change timeouts, SIGTERM with a start after the exit, SIGHUP, targets that leave, and pauses of 0.3 to 1.3 s: a target, a head, each head at once, the same one again and again; its proxy passes nothing, accepts no connection, or both. Callers keep connections, and use a route that may not be resumed. check_answered names what is allowed: a caller that left, the time limit, a request that crossed the close and reached no target, a target that ended in its answer, and a target at work in the last sixth of the grace time.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= 1
 MINUTES ?= 1
 COUNT ?= 50
+PLAN ?= faults
 
 .PHONY: demo fault-soak test lint format type behave bench soak proof binary clean capacity
 
@@ -38,7 +39,7 @@
 	$(PY) -m galenavane.soak --seed $(SEED) --minutes $(MINUTES)
 
 fault-soak: $(VENV)/ready
-	PYTHONPATH=src:tests $(VENV)/bin/python -m fault_soak --count $(COUNT)
+	PYTHONPATH=src:tests $(VENV)/bin/python -m fault_soak --count $(COUNT) --plan $(PLAN)
 
 proof: $(VENV)/ready
 	$(PY) -m galenavane.proof
--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import typing
 
 import defopt
 import eliot
@@ -15,7 +16,10 @@
 
 from fault_soak import run
 
-SEEDS_PATH = pathlib.Path(__file__).parent / "seeds.txt"
+SEEDS_PATHS = {
+    "faults": pathlib.Path(__file__).parent / "seeds.txt",
+    "planned": pathlib.Path(__file__).parent / "planned_seeds.txt",
+}
 DEFAULT_FAULT_SECONDS = 10.0
 TIMEOUT_SECONDS = 90.0
 
@@ -26,6 +30,7 @@
     count: int = 1,
     jobs: int = 2,
     seconds: float = DEFAULT_FAULT_SECONDS,
+    plan: typing.Literal["faults", "planned"] = "faults",
 ) -> int:
     """Run seeds of the fault soak; with a count of 1 and a seed, run it in this process.
 
@@ -35,11 +40,12 @@
     :param count: number of seeds to run in addition to the kept ones
     :param jobs: number of seeds to run at a time
     :param seconds: time for which faults are injected for each seed
+    :param plan: faults, or only planned work and targets that pause, which excuse no lost answer
     """
     if count == 1 and seed is not None:
-        return _run_one(seed, seconds)
+        return _run_one(seed, seconds, plan)
     rng = random.SystemRandom()
-    remaining_seeds = _read_kept_seeds()
+    remaining_seeds = _read_kept_seeds(plan)
     remaining_seeds += [
         seed + n if seed is not None else rng.randrange(10**6) for n in range(count)
     ]
@@ -50,7 +56,7 @@
         while remaining_seeds and len(running) < jobs:
             next_seed = remaining_seeds.pop(0)
             command = [sys.executable, "-m", "fault_soak", "--seed", str(next_seed)]
-            command += ["--seconds", str(seconds)]
+            command += ["--seconds", str(seconds), "--plan", plan]
             running.append((next_seed, subprocess.Popen(command)))
         next_seed, process = running.pop(0)
         if process.wait() != 0:
@@ -59,16 +65,16 @@
     return 1 if failed_seeds else 0
 
 
-def _read_kept_seeds() -> list[int]:
+def _read_kept_seeds(plan: str) -> list[int]:
     """Return the seeds that once violated a guarantee."""
-    lines = SEEDS_PATH.read_text().splitlines()
+    lines = SEEDS_PATHS[plan].read_text().splitlines()
     return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
 
 
-def _run_one(seed: int, seconds: float) -> int:
+def _run_one(seed: int, seconds: float, plan: str) -> int:
     eliot.add_destinations(lambda logged_message: None)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"galenavane-soak-{seed}-"))
-    violations = trio.run(_run_with_timeout, seed, seconds, folder)
+    violations = trio.run(_run_with_timeout, seed, seconds, folder, plan)
     for violation in violations:
         print(f"seed {seed}: {violation}")
     if violations:
@@ -78,9 +84,11 @@
     return 0
 
 
-async def _run_with_timeout(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+async def _run_with_timeout(
+    seed: int, seconds: float, folder: pathlib.Path, plan: str
+) -> list[str]:
     with trio.fail_after(TIMEOUT_SECONDS):
-        return await run.run_seed(seed, seconds, folder)
+        return await run.run_seed(seed, seconds, folder, plan)
 
 
 if __name__ == "__main__":
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -14,12 +14,20 @@
 LEAVING_LIMIT_SECONDS = 4.0
 """After this time, a leaving target gets no new requests from entries that reach the store."""
 
+CROSSING_SECONDS = 0.2
+"""A request that was sent no longer than this before its connection closed crossed the close."""
+GRACE_SECONDS = 3.0
+"""Grace time from the entries' settings."""
+LAST_GRACE_SHARE = 1 / 6
+"""A target may still be at work in this last share of the grace time."""
+
 
 def check_streams(sent: abc.Iterable[records.SentRequest]) -> list[str]:
     """Check that events arrive in order and once each, and that a complete stream has them all."""
     violations = []
     for request in sent:
-        is_answered = request.kind == "stream" and request.status == 200 and request.is_complete
+        is_stream = request.kind in records.STREAM_KINDS
+        is_answered = is_stream and request.status == 200 and request.is_complete
         if request.events != list(range(1, len(request.events) + 1)):
             violations.append(
                 f"stream {request.attempt} at {request.entry_run}: events {request.events}"
@@ -107,3 +115,93 @@
 def check_joins(taken_targets: abc.Iterable[str]) -> list[str]:
     """Check that no target is taken from a serving group."""
     return [f"taken from a serving group: {taken}" for taken in taken_targets]
+
+
+def check_answered(
+    sent: abc.Iterable[records.SentRequest],
+    arrivals: abc.Iterable[records.Arrival],
+    stopped_at: abc.Mapping[str, float],
+    departures: abc.Iterable[tuple[str, float, float]],
+    timeout_seconds: float,
+) -> list[str]:
+    """Check that each whole request that was not abandoned got a complete answer or a refusal.
+
+    :param stopped_at: time of SIGTERM by name and start count of the entry process.
+    :param departures: as of ``check_leaving``.
+    :param timeout_seconds: shortest time after which a request may be given up.
+    """
+    arrivals_by_attempt = collections.defaultdict(list)
+    for arrival in arrivals:
+        arrivals_by_attempt[arrival.attempt].append(arrival)
+    ends = list(departures)
+    violations = []
+    for request in sent:
+        if request.sent_at == 0.0 or request.is_complete or request.note == "left":
+            continue
+        own_arrivals = arrivals_by_attempt[request.attempt]
+        is_excused = (
+            request.ended_at - request.started_at >= timeout_seconds
+            or _crosses_close(request, own_arrivals, stopped_at)
+            or _is_broken_off_by_target(request, own_arrivals, ends)
+            or _outlasts_grace(request, own_arrivals, stopped_at)
+        )
+        if not is_excused:
+            violations.append(
+                f"{request.kind} {request.attempt} at {request.entry_run} got no complete answer: "
+                f"{request.note or 'its end is missing'} after "
+                f"{request.ended_at - request.sent_at:.2f} s and {len(request.events)} events, "
+                f"ran at {[arrival.target for arrival in own_arrivals]}"
+            )
+    return violations
+
+
+def _crosses_close(
+    request: records.SentRequest,
+    arrivals: abc.Sequence[records.Arrival],
+    stopped_at: abc.Mapping[str, float],
+) -> bool:
+    """Return whether a request was sent while the entry closed its connection.
+
+    A new connection may also wait to be accepted when the process ends.
+    """
+    is_stopping = stopped_at.get(request.entry_run, request.ended_at) < request.ended_at
+    return (
+        (request.is_reused or is_stopping)
+        and not arrivals
+        and not request.has_bytes
+        and request.ended_at - request.sent_at <= CROSSING_SECONDS
+    )
+
+
+def _is_broken_off_by_target(
+    request: records.SentRequest,
+    arrivals: abc.Sequence[records.Arrival],
+    departures: abc.Iterable[tuple[str, float, float]],
+) -> bool:
+    """Return whether the last target to run a request ended in the middle of its answer."""
+    if not arrivals or not request.has_bytes:
+        return False
+    last = max(arrivals, key=lambda arrival: arrival.arrived_at)
+    return any(
+        name == last.target
+        and last.arrived_at <= until <= request.ended_at
+        and (last.ended_at == 0.0 or last.ended_at >= until)
+        for name, _, until in departures
+    )
+
+
+def _outlasts_grace(
+    request: records.SentRequest,
+    arrivals: abc.Iterable[records.Arrival],
+    stopped_at: abc.Mapping[str, float],
+) -> bool:
+    """Return whether a target was at work on a request in the last part of the grace time."""
+    if request.entry_run not in stopped_at:
+        return False
+    last_part_at = stopped_at[request.entry_run] + GRACE_SECONDS * (1 - LAST_GRACE_SHARE)
+    is_sent_in_time = request.sent_at <= stopped_at[request.entry_run] + GRACE_SECONDS
+    return (
+        is_sent_in_time
+        and request.ended_at >= last_part_at
+        and any(arrival.ended_at == 0.0 or arrival.ended_at >= last_part_at for arrival in arrivals)
+    )
--- a/tests/fault_soak/entry.py
+++ b/tests/fault_soak/entry.py
@@ -75,6 +75,15 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal_number)
 
+    def handles_reload(self) -> bool:
+        """Return whether the process ignores or catches SIGHUP."""
+        if self.process is None or self.process.poll() is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        bits = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+        return bool(bits >> signal.SIGHUP - 1 & 1)
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.expected_exits.add(self.start_count)
--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -7,10 +7,28 @@
 import trio
 
 from fault_soak import fleet, plan
+from galenavane.net import transport_error
 from galenavane.standin import tcp_proxy
 
 STOP_TIMEOUT_SECONDS = 4.0
 """Grace time of 3 s from the entries' settings, and 1 s to exit."""
+HANDLER_TIMEOUT_SECONDS = 0.5
+"""Time for a process to decide on signals; before that, SIGHUP ends any process."""
+LEAVING_WORK_SECONDS = 10.0
+"""The platform lets a leaving target end its requests for so long."""
+ADDED_ROUTES = 60
+BURST_CHANGES = 5
+BURST_GAP_SECONDS = 0.08
+MOVABLE_ROUTES = ("/order/", "/status/")
+TIMEOUT_RANGE_SECONDS = (6.0, 9.0)
+PAUSE_REPEATS = 4
+PAUSE_GAP_SECONDS = 0.3
+"""Least time between two pauses of a target, in which it goes on."""
+PAUSES = (
+    tcp_proxy.Faults(holds_bytes=True),
+    tcp_proxy.Faults(accepts_none=True),
+    tcp_proxy.Faults(holds_bytes=True, accepts_none=True),
+)
 STORE_FAULT_SHARE = 0.34
 """Share of entries that a fault on the path to the store affects; at least one is affected."""
 
@@ -19,12 +37,16 @@
     """Injects the faults of a run.
 
     :ivar fault_log: one line for each fault, and for each process that was told to reload.
+    :ivar waits_for_work: whether a leaving target, and its group's head, first end their requests.
     :ivar store_outages: number of overlapping store outages.
     """
 
-    def __init__(self, world: fleet.Fleet, fault_log: list[str]) -> None:
+    def __init__(
+        self, world: fleet.Fleet, fault_log: list[str], waits_for_work: bool = False
+    ) -> None:
         self.world = world
         self.fault_log = fault_log
+        self.waits_for_work = waits_for_work
         self.store_outages = 0
 
     async def run(self, faults: list[plan.Fault]) -> None:
@@ -79,6 +101,7 @@
             return
         entry.is_disturbed = True
         entry.expected_exits.add(entry.start_count)
+        self.world.stopped_at[f"{entry.name}/{entry.start_count}"] = trio.current_time()
         entry.send_signal(signal.SIGTERM)
         with trio.move_on_after(STOP_TIMEOUT_SECONDS):
             while not entry.has_exited():
@@ -90,6 +113,9 @@
     async def _entry_reload(self, fault):
         entry = self._choose_entry(fault)
         if entry is not None:
+            with trio.move_on_after(HANDLER_TIMEOUT_SECONDS):
+                while not entry.handles_reload():
+                    await trio.sleep(0.01)
             self.fault_log.append(f"         SIGHUP to {entry.name}, start {entry.start_count}")
             entry.send_signal(signal.SIGHUP)
 
@@ -139,6 +165,10 @@
         target.publish()
         left_at = trio.current_time()
         await trio.sleep(3.0 + 2 * fault.choice)
+        if self.waits_for_work:
+            with trio.move_on_after(LEAVING_WORK_SECONDS):
+                while target.has_work():
+                    await trio.sleep(0.02)
         # Only the streams that a head itself serves keep it up; then it exits and is started anew.
         world.departures.append((target.name, left_at, trio.current_time()))
         target.kill()
@@ -184,3 +214,79 @@
         if valid_keys:
             self.world.revoked_at[valid_keys[-1]] = trio.current_time()
             self.world.publish_version()
+
+    async def _config_routes(self, fault):
+        self.world.add_routes(ADDED_ROUTES)
+        self.world.publish_version()
+
+    async def _config_move(self, fault):
+        self.world.move_route(self._choose(MOVABLE_ROUTES, fault))
+        self.world.publish_version()
+
+    async def _config_timeouts(self, fault):
+        shortest, longest = TIMEOUT_RANGE_SECONDS
+        for path_prefix in ("/model/", "/once/", *MOVABLE_ROUTES):
+            self.world.set_timeout(path_prefix, shortest + fault.choice * (longest - shortest))
+        self.world.publish_version()
+
+    async def _config_burst(self, fault):
+        for number in range(BURST_CHANGES):
+            changes = (self._config_move, self._config_routes, self._config_timeouts)
+            await changes[number % len(changes)](fault)
+            await trio.sleep(BURST_GAP_SECONDS)
+
+    async def _pause(self, target, fault):
+        """Let a sound target pass nothing, or accept no connection, for a while."""
+        now = trio.current_time()
+        if target is None or now < target.paused_until + PAUSE_GAP_SECONDS:
+            return
+        pause = PAUSES[int(fault.choice * 1000) % len(PAUSES)]
+        target.paused_until = now + fault.duration_seconds
+        self.fault_log.append(f"         {target.name} pauses: {pause}")
+        if pause.holds_bytes:
+            self.world.silent_until[target.name] = target.paused_until
+        await self._set_faults(target, pause)
+        await trio.sleep_until(target.paused_until)
+        await self._set_faults(target, tcp_proxy.Faults())
+
+    async def _set_faults(self, target, faults):
+        """Set the faults of a target's proxy unless the target ends, which may be meanwhile."""
+        if not self._is_running(target):
+            return
+        try:
+            await target.proxy.set_faults(faults)
+        except transport_error.TransportError:
+            if self._is_running(target):
+                raise
+
+    def _is_running(self, target):
+        return target.name in self.world.alive and self.world.targets[target.name] is target
+
+    def _list_heads(self):
+        return [head for head in self.world.serving() if head.members[0] == head.name]
+
+    async def _target_pause(self, fault):
+        services = ("llm", "llm", "desk", fleet.SECOND_SERVICE)
+        service = services[int(fault.choice * 100) % len(services)]
+        await self._pause(self._choose_target(fault, service), fault)
+
+    async def _head_pause(self, fault):
+        await self._pause(self._choose(self._list_heads(), fault), fault)
+
+    async def _heads_pause(self, fault):
+        async with trio.open_nursery() as nursery:
+            for head in self._list_heads():
+                nursery.start_soon(self._pause, head, fault)
+
+    async def _repeated_pause(self, fault):
+        is_plain = fault.choice < 0.3
+        target = (
+            self._choose_target(fault, "desk")
+            if is_plain
+            else self._choose(self._list_heads(), fault)
+        )
+        for _ in range(PAUSE_REPEATS):
+            if target is None or not self._is_running(target):
+                return
+            await self._pause(target, fault)
+            await trio.sleep(PAUSE_GAP_SECONDS + 0.05)
--- a/tests/fault_soak/plan.py
+++ b/tests/fault_soak/plan.py
@@ -1,4 +1,4 @@
-"""Draws the faults of a run."""
+"""Draws the faults, or the planned work and the targets' pauses, of a run."""
 
 from __future__ import annotations
 
@@ -24,12 +24,47 @@
     "key_revoke": 1,
 }
 """Kinds of faults with the weight of each in the draw."""
+PLANNED_WEIGHTS = {
+    "entry_stop": 3,
+    "entry_reload": 1,
+    "target_leave": 2,
+    "config_routes": 1,
+    "config_move": 2,
+    "config_timeouts": 1,
+    "config_burst": 1,
+    "target_pause": 4,
+    "head_pause": 4,
+    "heads_pause": 2,
+    "repeated_pause": 2,
+}
+"""Planned work and pauses of sound targets, which excuse no lost answer."""
 FIRST_FAULT_SECONDS = 1.0
 MEAN_GAP_SECONDS = 0.7
 REPEAT_PROBABILITY = 0.3
 """Probability that a fault is repeated at once at another place, so that equal faults overlap."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """What may happen in a run.
+
+    :ivar weights: kinds of faults with the weight of each in the draw.
+    :ivar is_planned: whether there are only faults that excuse no lost answer.
+    """
+
+    weights: dict[str, int]
+    mean_gap_seconds: float
+    repeat_probability: float
+    max_duration_seconds: float
+    is_planned: bool
+
+
+PLANS = {
+    "faults": Plan(FAULT_WEIGHTS, MEAN_GAP_SECONDS, REPEAT_PROBABILITY, 3.0, is_planned=False),
+    "planned": Plan(PLANNED_WEIGHTS, 0.3, 0.4, 1.3, is_planned=True),
+}
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fault:
     """A fault of a run.
@@ -45,19 +80,21 @@
     choice: float
 
 
-def draw_faults(seed: int, seconds: float) -> list[Fault]:
+def draw_faults(seed: int, seconds: float, plan_name: str = "faults") -> list[Fault]:
     """Return the faults of a run, ordered by start.
 
     :param seconds: end of fault injection, in seconds after its start.
     """
+    plan = PLANS[plan_name]
     rng = random.Random(seed)
     faults: list[Fault] = []
     at_seconds = FIRST_FAULT_SECONDS
     while at_seconds < seconds:
-        kind = rng.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))[0]
-        count = 1 + (rng.random() < REPEAT_PROBABILITY)
+        kind = rng.choices(list(plan.weights), list(plan.weights.values()))[0]
+        count = 1 + (rng.random() < plan.repeat_probability)
         for _ in range(count):
-            faults.append(Fault(at_seconds, kind, rng.uniform(0.3, 3.0), rng.random()))
+            duration_seconds = rng.uniform(0.3, plan.max_duration_seconds)
+            faults.append(Fault(at_seconds, kind, duration_seconds, rng.random()))
             at_seconds += rng.uniform(0.0, 0.3)
-        at_seconds += rng.expovariate(1 / MEAN_GAP_SECONDS)
+        at_seconds += rng.expovariate(1 / plan.mean_gap_seconds)
     return faults
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -14,6 +14,10 @@
 TARGETS_PER_DOMAIN = 7
 ENTRY_DATA_CENTRES = ("dc", "dc", "dc2", "dc2")
 CALLER_COUNT = 6
+PLANNED_CALLER_COUNT = 12
+PLANNED_LONGEST_STREAM = 100
+PLANNED_KEEP_ALIVE_PROBABILITY = 0.95
+"""Callers use open connections until the process is gone."""
 START_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 10.0
 """Time after the last fault within which every entry serves again.
@@ -87,20 +91,24 @@
     return violations
 
 
-async def run_seed(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+async def run_seed(
+    seed: int, seconds: float, folder: pathlib.Path, plan_name: str = "faults"
+) -> list[str]:
     """Run one seed and return the violations.
 
     :param seconds: time for which faults are injected.
     :param folder: folder for settings, logs and records.
+    :param plan_name: name of what may happen.
     """
     rng = random.Random(seed)
-    faults = plan.draw_faults(seed, seconds)
+    faults = plan.draw_faults(seed, seconds, plan_name)
+    is_planned = plan.PLANS[plan_name].is_planned
     fault_log: list[str] = []
     sent: list = []
     versions_by_entry: dict[str, list[int]] = {}
     violations: list[str] = []
     async with trio.open_nursery() as nursery:
-        world = fleet.Fleet(nursery, folder)
+        world = fleet.Fleet(nursery, folder, has_second_service=is_planned)
         try:
             await world.start(DOMAIN_COUNT, TARGETS_PER_DOMAIN, ENTRY_DATA_CENTRES)
             violations += await _wait_ready(world, START_TIMEOUT_SECONDS)
@@ -108,12 +116,16 @@
             nursery.start_soon(_probe_until, probe_scope, world, versions_by_entry)
             ends_at = trio.current_time() + seconds + 1.0
             async with trio.open_nursery() as traffic_nursery:
-                for _ in range(CALLER_COUNT):
+                for _ in range(PLANNED_CALLER_COUNT if is_planned else CALLER_COUNT):
                     new_caller = callers.Caller(
                         random.Random(rng.random()), world.entries, sent, world.keys
                     )
+                    if is_planned:
+                        new_caller.kinds = ("stream", "once", "order", "status")
+                        new_caller.longest_stream = PLANNED_LONGEST_STREAM
+                        new_caller.keep_alive_probability = PLANNED_KEEP_ALIVE_PROBABILITY
                     traffic_nursery.start_soon(new_caller.run, ends_at)
-                fault_injector = injector.Injector(world, fault_log)
+                fault_injector = injector.Injector(world, fault_log, waits_for_work=is_planned)
                 await fault_injector.run(faults)
             probe_scope.cancel()
             violations += await _check_recovered(world, rng, sent)
@@ -132,6 +144,11 @@
     violations += checks.check_leaving(world.ledger, world.departures)
     violations += checks.check_versions(versions_by_entry)
     violations += checks.check_joins(world.taken_targets)
+    if is_planned:
+        timeout_seconds = min(world.shortest_timeout_seconds, callers.DEADLINE_SECONDS)
+        violations += checks.check_answered(
+            sent, world.ledger, world.stopped_at, world.departures, timeout_seconds
+        )
     (folder / "faults.txt").write_text("\n".join(fault_log))
     (folder / "broken.txt").write_text("\n".join(violations))
     (folder / "sent.txt").write_text("\n".join(str(request) for request in sent))
--- a/tests/steps/fault_soak_runs.py
+++ b/tests/steps/fault_soak_runs.py
@@ -14,9 +14,16 @@
     return records.SentRequest("a1", changes.pop("kind", "stream"), "e0/1", 100.0, **changes)
 
 
-def make_arrival(arrived_at=100.1, target="t0"):
+def make_arrival(arrived_at=100.1, target="t0", ended_at=0.0):
     """Build the record of a request at a target."""
-    return records.Arrival("a1", target, "acme", arrived_at)
+    return records.Arrival("a1", target, "acme", arrived_at, ended_at)
+
+
+def check_unanswered(arrivals=(), stopped_at=None, departures=(), **changes):
+    """Apply the check to a request that was sent at 100.0 and got no complete answer."""
+    request = make_request(**{"sent_at": 100.0, "ended_at": 101.5, **changes})
+    stops = {} if stopped_at is None else {"e0/1": stopped_at}
+    return checks.check_answered([request], arrivals, stops, departures, 6.0)
 
 
 FOUND_BY_RECORDS = {
@@ -40,14 +47,75 @@
         {"e0/1": [3, 4, 3]}
     ),
     "a target was taken from a serving group": lambda: checks.check_joins(["t0"]),
+    "a stream is broken off and its target goes on": lambda: check_unanswered(
+        [make_arrival(ended_at=102.0)], has_bytes=True, events=[1], status=200
+    ),
+    "a request that reached a target gets no byte": lambda: check_unanswered(
+        [make_arrival()], ended_at=100.1, is_reused=True
+    ),
+    "a connection closes 1.5 s after a request": lambda: check_unanswered(is_reused=True),
+    "a new connection closes and the entry goes on": lambda: check_unanswered(ended_at=100.1),
+    "a connection closes in an answer's head": lambda: check_unanswered(
+        ended_at=100.1, is_reused=True, has_bytes=True
+    ),
+    "a target leaves before a stream is sent to another": lambda: check_unanswered(
+        [make_arrival(ended_at=100.3), make_arrival(100.4, "t1")],
+        departures=[("t0", 95.0, 100.3)],
+        has_bytes=True,
+    ),
+    "a target leaves before an answer begins": lambda: check_unanswered(
+        [make_arrival(ended_at=101.4)], departures=[("t0", 95.0, 101.4)]
+    ),
+    "a target leaves after its answer": lambda: check_unanswered(
+        [make_arrival(ended_at=101.0)], departures=[("t0", 95.0, 101.4)], has_bytes=True
+    ),
+    "an entry ends early in its grace time": lambda: check_unanswered(
+        [make_arrival()], stopped_at=99.5
+    ),
+    "an entry ends after the target's answer": lambda: check_unanswered(
+        [make_arrival(ended_at=101.0)], stopped_at=98.9
+    ),
+    "a request waits for a target until its entry ends": lambda: check_unanswered(stopped_at=98.9),
+    "a caller gives up before the time limit": lambda: check_unanswered(
+        note="timeout", ended_at=105.9
+    ),
+}
+ALLOWED_RECORDS = {
+    "a complete refusal": {"is_complete": True, "status": 503},
+    "a stream that its caller left": {"note": "left", "has_bytes": True},
+    "a request that was not sent completely": {"sent_at": 0.0},
+    "a request that crossed the close of a kept connection": {
+        "is_reused": True,
+        "ended_at": 100.1,
+    },
+    "a request on a new connection as its entry ends": {"ended_at": 100.1, "stopped_at": 97.2},
+    "a stream whose target left": {
+        "arrivals": [make_arrival(ended_at=101.4)],
+        "departures": [("t0", 95.0, 101.4)],
+        "has_bytes": True,
+    },
+    "a target at work in the last part of the grace time": {
+        "arrivals": [make_arrival(ended_at=101.5)],
+        "stopped_at": 98.9,
+    },
+    "a request that lasted until its time limit": {"note": "timeout", "ended_at": 106.0},
 }
 
 
 @when("the faults of seed {seed:d} are injected for {seconds:d} s")
-def run_seed(context, seed, seconds):
+def run_faults(context, seed, seconds):
+    _run_seed(context, seed, seconds, "faults")
+
+
+@when("the planned work of seed {seed:d} is carried out for {seconds:d} s")
+def run_planned_work(context, seed, seconds):
+    _run_seed(context, seed, seconds, "planned")
+
+
+def _run_seed(context, seed, seconds, plan_name):
     async def limited():
         with trio.fail_after(TIMEOUT_SECONDS):
-            return await run.run_seed(seed, float(seconds), context.folder)
+            return await run.run_seed(seed, float(seconds), context.folder, plan_name)
 
     context.violations = trio.run(limited)
 
@@ -65,3 +133,13 @@
 @then('the check of "{check}" reports it')
 def check_one_finding(context, check):
     assert len(context.findings) == 1, context.findings
+
+
+@given("records of {case}")
+def apply_allowed_case(context, case):
+    context.findings = check_unanswered(**ALLOWED_RECORDS[case])
+
+
+@then("the check of answers reports nothing")
+def check_no_finding(context):
+    assert not context.findings, context.findings
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -440,18 +440,22 @@
         for listener in self.event_listeners:
             listener(head, number)
 
+    def list_services(self):
+        """Return the services of the configuration."""
+        model = {"name": MODEL, "size": 5, "share": 1.0, "load_s": 1.0, "warm_s": 0.2}
+        engine = {"slots": 13, "stride": 1, "step_ms": 20, "models": [model]}
+        return [{"name": "llm", "engine": engine}, {"name": "desk"}]
+
     def publish_config(self, keys):
         """Write the configuration to the store."""
         self.version += 1
-        model = {"name": MODEL, "size": 5, "share": 1.0, "load_s": 1.0, "warm_s": 0.2}
-        engine = {"slots": 13, "stride": 1, "step_ms": 20, "models": [model]}
         self.store.put(
             "config",
             "main",
             {
                 "version": self.version,
                 "routes": self.routes,
-                "services": [{"name": "llm", "engine": engine}, {"name": "desk"}],
+                "services": self.list_services(),
                 "limits": {},
                 "tenants": [{"name": "acme", "api_keys": keys}],
             },
