--- a/tests/gateway/silence_details.feature
+++ b/tests/gateway/silence_details.feature
@@ -85,3 +85,10 @@
     And 1 clients ask for streams of 10 events that may be resumed
     Then at most 1 requests have reached heads
     And all these steps succeed
+
+  Scenario: A closing group is not dissolved while its head ends its streams
+    Given a platform with 1 domains of 6 targets, and an entry
+    When a member leaves after event 10
+    And 3 clients ask for streams of 240 events that may run once
+    Then each gets events 1 to 240 and the end
+    And all these steps succeed
--- a/tests/steps/gateway_silence_details.py
+++ b/tests/steps/gateway_silence_details.py
@@ -296,3 +296,13 @@
         await send_end(exchange)
 
     _patch(context, http_server.Exchange, "end_stream", end_stream)
+
+
+@when("a member leaves after event {number:d}")
+def leave_member(context, number):
+    def act(world, head):
+        leaving = world.targets[world.targets[head].members[2]]
+        leaving.is_leaving = True
+        leaving.publish()
+
+    _plan_at_event(context, number, act)
