--- a/src/galenavane/gateway/attempts.py
+++ b/src/galenavane/gateway/attempts.py
@@ -15,6 +15,7 @@
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
 from galenavane.fleet import replica_group
+from galenavane.observe import events, trace_text
 
 HEDGE_INTERVAL_SECONDS = 0.15
 """How often another destination is looked for while all those that are tried are silent."""
@@ -181,6 +182,9 @@
 
     async def _run(self, attempt: Attempt[_Destination], function: Function[_Destination]) -> None:
         await attempt.run(function)
+        if attempt.error is not None and attempt.is_superseded:
+            # The attempt that has gone on must not end with it.
+            events.log("attempt.defect", text=trace_text.make(attempt.error))
         self.in_progress.remove(attempt)
         self._ended.append(attempt)
         self.wake()
