Add failing scenarios for refusals of HEAD requests that are not read to their end

What callers saw: the connection closes without an answer (connection.defect in the log). Cause: net/http_server.py, _refuse and _respond_error build the response for a request without a method, so it has a body, which h11 does not send after HEAD. Change: none to the code.

--- a/tests/net/http_server.feature
+++ b/tests/net/http_server.feature
@@ -6,6 +6,8 @@
     Examples:
       | name                          | status |
       | both lengths                  | 400    |
+      | HEAD with both lengths        | 400    |
+      | HEAD with a late body         | 408    |
       | two different lengths         | 400    |
       | non-numeric length            | 400    |
       | negative length               | 400    |
--- a/tests/steps/net_http_server.py
+++ b/tests/steps/net_http_server.py
@@ -12,6 +12,9 @@
 POST = b"POST / HTTP/1.1\r\nhost: x\r\n"
 RAW = {
     "both lengths": POST + b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HEAD with both lengths": b"HEAD / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n"
+    + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HEAD with a late body": b"HEAD / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab",
     "two different lengths": POST + b"content-length: 5\r\ncontent-length: 6\r\n\r\nabcdef",
     "non-numeric length": POST + b"content-length: five\r\n\r\n",
     "negative length": POST + b"content-length: -1\r\n\r\n",
