Add a failing scenario for a pause beside a member that has left

What callers saw: streams that may run once are cut when a member pauses for 0.4 s. Cause: gateway/stall_check.py takes the longest time of all members that can't be reached, those that leave included, for the silence of any. Change: none to the code.

--- a/tests/gateway/silence_details.feature
+++ b/tests/gateway/silence_details.feature
@@ -50,6 +50,13 @@
     Then each gets events 1 to 100 and the end
     And all these steps succeed
 
+  Scenario: The time since a member has left is not counted as another one's silence
+    Given a platform with 1 domains of 6 targets, and an entry
+    When a member has left for 2.4 s after event 10, and another stops for 0.4 s
+    And 12 clients ask for streams of 150 events that may run once
+    Then each gets events 1 to 150 and the end
+    And all these steps succeed
+
   Scenario: A client that reads slowly doesn't make its head count as silent
     Given a platform with 2 domains of 6 targets, and an entry
     When a client reads nothing for 1.2 s after the first event
--- a/tests/steps/gateway_silence_details.py
+++ b/tests/steps/gateway_silence_details.py
@@ -200,6 +200,24 @@
     _plan_at_event(context, number, act)
 
 
+@when(
+    "a member has left for {later:g} s after event {number:d}, and another stops for {seconds:g} s"
+)
+def silence_beside_departed_member(context, later, number, seconds):
+    def act(world, head):
+        members = world.targets[head].members
+        _stop_listening(world, members[2])
+        world.store.put("servers", members[2], None)
+
+        async def silence_later():
+            await trio.sleep(later)
+            world.silence([members[3]], seconds, False)
+
+        world.nursery.start_soon(silence_later)
+
+    _plan_at_event(context, number, act)
+
+
 @when("a client reads nothing for {seconds:g} s after the first event")
 def read_slowly(context, seconds):
     send_events = stream_relay._send_events
