Count a leaving member's time apart from another one's silence, and refuse HEAD requests without a body

The decision gets the two times apart. "Refusing" is now what a check sees, "gone" what follows from it.

--- a/src/galenavane/control/group_lifecycle.py
+++ b/src/galenavane/control/group_lifecycle.py
@@ -10,7 +10,7 @@
 ADOPT_LOAD_SECONDS = 20.0
 """The same once all members have joined: some may still load weights, which takes up to 16 s."""
 CLOSE_SECONDS = 10.0
-"""How long a closing head may take to end its streams; a leaving member works on for it so long."""
+"""How long a closing head may take to end its streams, for which a leaving member stays."""
 
 
 def advance(
--- a/src/galenavane/control/stall_decision.py
+++ b/src/galenavane/control/stall_decision.py
@@ -46,10 +46,9 @@
 
 def decide(
     gone: abc.Sequence[str],
-    silent: abc.Sequence[str],
-    departing: abc.Sequence[str],
     requests: float,
-    silent_seconds: float,
+    silent_seconds: float | None,
+    departing_seconds: float | None,
 ) -> Verdict:
     """Decide on a reported group by what the lease holder sees itself.
 
@@ -57,16 +56,17 @@
     group is broken.
 
     :param gone: members without a process.
-    :param silent: members that don't answer.
-    :param departing: members that refuse connections, but may work on for their group.
     :param requests: requests of all entries at its head.
-    :param silent_seconds: how long one of the members has been silent or departing.
+    :param silent_seconds: how long a member has not answered, ``None`` if none is silent.
+    :param departing_seconds: how long a member that may work on has refused connections, ``None``
+        if none does.
     """
     if gone:
         return Verdict.DISSOLVE
-    if not silent and not departing:
+    unanswered = [seconds for seconds in (silent_seconds, departing_seconds) if seconds is not None]
+    if not unanswered:
         return Verdict.KEEP
-    if silent and silent_seconds >= MAX_PAUSE_SECONDS:
+    if silent_seconds is not None and silent_seconds >= MAX_PAUSE_SECONDS:
         return Verdict.DISSOLVE
-    is_unused = requests == 0 and silent_seconds >= LOAD_AGE_SECONDS
+    is_unused = requests == 0 and max(unanswered) >= LOAD_AGE_SECONDS
     return Verdict.DISSOLVE if is_unused else Verdict.WAIT
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -103,7 +103,7 @@
         del gw.heads[head_id]
     elif unreachable.all or (activity.is_stalled and activity.streaming):
         _report_stall(gw, head_id, head_requests, unreachable.all)
-        gone = stall_decision.find_gone(group, unreachable.gone, gw.registry.unlisted)
+        gone = stall_decision.find_gone(group, unreachable.refusing, gw.registry.unlisted)
         _end_attempts(head_requests, gone)
 
 
--- a/src/galenavane/gateway/member_check.py
+++ b/src/galenavane/gateway/member_check.py
@@ -23,33 +23,33 @@
 class Unreachable(msgspec.Struct, frozen=True):
     """Sorted ids of the targets that accepted no connection.
 
-    :ivar gone: those whose hosts refuse connections: no process listens there.
+    :ivar refusing: those whose hosts refuse connections: no process listens there.
     :ivar silent: those that did not answer; they may be lost, or pause.
     """
 
-    gone: tuple[str, ...]
+    refusing: tuple[str, ...]
     silent: tuple[str, ...]
 
     @property
     def all(self) -> tuple[str, ...]:
         """The ids of both kinds."""
-        return tuple(sorted((*self.gone, *self.silent)))
+        return tuple(sorted((*self.refusing, *self.silent)))
 
 
 async def find_unreachable(
     gw: states.Gateway, members: abc.Iterable[target.Target], attempts: int = ATTEMPTS
 ) -> Unreachable:
     """Return the members that no connection could be opened to."""
-    gone: list[str] = []
+    refusing: list[str] = []
     silent: list[str] = []
     async with trio.open_nursery() as nursery:
         for member in members:
-            nursery.start_soon(functools.partial(_check, gw, member, attempts, gone, silent))
-    return Unreachable(tuple(sorted(gone)), tuple(sorted(silent)))
+            nursery.start_soon(functools.partial(_check, gw, member, attempts, refusing, silent))
+    return Unreachable(tuple(sorted(refusing)), tuple(sorted(silent)))
 
 
 async def _check(
-    gw: states.Gateway, member: target.Target, attempts: int, gone: list[str], silent: list[str]
+    gw: states.Gateway, member: target.Target, attempts: int, refusing: list[str], silent: list[str]
 ) -> None:
     is_refused = False
     for _ in range(attempts):
@@ -63,4 +63,4 @@
             continue
         await conn.close()
         return
-    (gone if is_refused else silent).append(member.id)
+    (refusing if is_refused else silent).append(member.id)
--- a/src/galenavane/gateway/stall_check.py
+++ b/src/galenavane/gateway/stall_check.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import abc
+
 import trio
 
 from galenavane.control import controller, controller_state, stall_decision
@@ -29,6 +31,7 @@
     gw: states.Gateway, service: str, key: replica_group.Key, missing: tuple[str, ...]
 ) -> None:
     """Check a group's members until it is clear whether the group is lost."""
+    began_at = trio.current_time()
     unanswered_since: dict[str, float] = {}
     try:
         verdict = _Verdict.WAIT
@@ -42,11 +45,10 @@
             unanswered_since = {
                 member: unanswered_since.get(member, now) for member in unreachable.all
             }
-            silent_seconds = trio.current_time() - min(unanswered_since.values(), default=now)
-            verdict = _decide(gw, group, unreachable, silent_seconds)
+            verdict = _decide(gw, group, unreachable, unanswered_since)
             if verdict is _Verdict.WAIT:
                 await trio.sleep(RECHECK_INTERVAL_SECONDS)
-        _carry_out(gw, service, key, verdict, missing, unreachable, silent_seconds)
+        _carry_out(gw, service, key, verdict, missing, unreachable, trio.current_time() - began_at)
     finally:
         gw.stalls_in_check.discard(key)
 
@@ -55,16 +57,26 @@
     gw: states.Gateway,
     group: replica_group.Group,
     unreachable: member_check.Unreachable,
-    silent_seconds: float,
+    unanswered_since: abc.Mapping[str, float],
 ) -> stall_decision.Verdict:
     head_id = group.head.id if group.head is not None else ""
-    gone = stall_decision.find_gone(group, unreachable.gone, gw.registry.unlisted)
-    silent = [
-        member for member in unreachable.all if member in unreachable.silent or member == head_id
-    ]
-    departing = [member for member in unreachable.gone if member not in (*gone, head_id)]
-    requests = gw.sum_head_loads().get(head_id, 0)
-    return stall_decision.decide(gone, silent, departing, requests, silent_seconds)
+    gone = stall_decision.find_gone(group, unreachable.refusing, gw.registry.unlisted)
+    departing = [member for member in unreachable.refusing if member not in (*gone, head_id)]
+    silent = [member for member in unreachable.all if member not in (*gone, *departing)]
+    return stall_decision.decide(
+        gone,
+        gw.sum_head_loads().get(head_id, 0),
+        _find_longest(silent, unanswered_since),
+        _find_longest(departing, unanswered_since),
+    )
+
+
+def _find_longest(
+    member_ids: abc.Iterable[str], unanswered_since: abc.Mapping[str, float]
+) -> float | None:
+    """Return for how many seconds one of the members has not answered, ``None`` without one."""
+    since = min((unanswered_since[member] for member in member_ids), default=None)
+    return trio.current_time() - since if since is not None else None
 
 
 def _find_undecided_group(
@@ -87,7 +99,7 @@
     verdict: stall_decision.Verdict,
     missing: tuple[str, ...],
     unreachable: member_check.Unreachable,
-    silent_seconds: float,
+    seconds: float,
 ) -> None:
     if gw.control is None:
         return
@@ -96,10 +108,10 @@
         "group.dissolved" if is_lost else "group.kept",
         group=key.name,
         epoch=key.epoch,
-        gone=",".join(unreachable.gone),
+        refusing=",".join(unreachable.refusing),
         silent=",".join(unreachable.silent),
         told=",".join(missing),
-        seconds=round(silent_seconds, 3),
+        seconds=round(seconds, 3),
     )
     if is_lost:
         state = controller_state.find_service(gw.control, service)
--- a/src/galenavane/net/http_connection.py
+++ b/src/galenavane/net/http_connection.py
@@ -24,18 +24,28 @@
 
     :ivar stream: the byte stream.
     :ivar machine: the h11 connection state machine.
+    :ivar request_method: method of the request that was last received.
     :ivar has_sent_bytes: whether any byte was passed to the stream.
     :ivar is_cut: whether a write was cancelled or failed, so that a part of it may be missing.
     :ivar error_status: HTTP status to respond with when the peer's message is malformed.
     """
 
-    __slots__ = ("_is_eof", "error_status", "has_sent_bytes", "is_cut", "machine", "stream")
+    __slots__ = (
+        "_is_eof",
+        "error_status",
+        "has_sent_bytes",
+        "is_cut",
+        "machine",
+        "request_method",
+        "stream",
+    )
 
     def __init__(self, stream: trio.abc.Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.stream = stream
         self.machine = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.has_sent_bytes = False
         self.is_cut = False
+        self.request_method = ""
         self.error_status = 400
         self._is_eof = False
 
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -301,15 +301,15 @@
     event = await conn.next_event()
     if not isinstance(event, h11.Request):
         return None
+    conn.request_method = event.method.decode("ascii")
     _check_framing(event)
     if conn.machine.they_are_waiting_for_100_continue:
         await conn.send(h11.InformationalResponse(status_code=100, headers=[]))
     body = await conn.read_body(limits.body_bytes)
-    method = event.method.decode("ascii")
     target = event.target.decode("latin-1")
     fields = header_lists.Headers(event.headers)
     events.receive_stamp(fields.get(http_connection.CLOCK_HEADER.decode()))
-    return message.Request(method, target, fields, body)
+    return message.Request(conn.request_method, target, fields, body)
 
 
 def _check_framing(head: h11.Request) -> None:
@@ -358,4 +358,5 @@
     if conn.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     events.log("request.unread", code=error.code.name, status=status, text=error.message)
-    await Exchange(conn, message.Request("", "")).respond(_make_last_response(status, error))
+    exchange = Exchange(conn, message.Request(conn.request_method, ""))
+    await exchange.respond(_make_last_response(status, error))
