--- a/tests/gateway/silence_details.feature
+++ b/tests/gateway/silence_details.feature
@@ -20,7 +20,7 @@
     Given a platform with 2 domains of 6 targets, and an entry
     When a head is silent for 9 s after event 0, and accepts connections
     And a client asks for a stream that may run once, and waits for it in the background
-    And 3.7 s pass
+    And the clients wait for 3.7 s
     And 8 clients ask for streams of 10 events that may be resumed
     Then each gets events 1 to 10 and the end within 3.5 s
     And all these steps succeed
--- a/tests/steps/gateway_silence_details.py
+++ b/tests/steps/gateway_silence_details.py
@@ -159,7 +159,7 @@
         world.nursery.start_soon(ask)
 
 
-@when("{seconds:g} s pass")
+@when("the clients wait for {seconds:g} s")
 def wait(context, seconds):
     @plan_step(context)
     async def step(world):
