Call the connections of a listener conns, apart from replica groups

Names only, from the review's list: group meant a listener's connections in net/ and gateway/process and a replica group everywhere else, and open didn't count connections that are being served. net, stop and simulate features pass.

--- a/src/galenavane/gateway/frontend.py
+++ b/src/galenavane/gateway/frontend.py
@@ -18,17 +18,17 @@
 """Another entry can serve the request at once."""
 
 
-def make_handler(gw: states.Gateway, group: connections.Connections) -> http_server.Handler:
+def make_handler(gw: states.Gateway, conns: connections.Connections) -> http_server.Handler:
     """Return the handler of clients' requests.
 
-    :param group: their connections; it ends the work on requests before the process is killed.
+    :param conns: their connections; it ends the work on requests before the process is killed.
     """
 
     async def handle(exchange: http_server.Exchange) -> None:
         gw.active_requests += 1
         gw.last_request_at = trio.current_time()
         try:
-            await _serve(gw, exchange, group)
+            await _serve(gw, exchange, conns)
         finally:
             gw.active_requests -= 1
 
@@ -36,7 +36,7 @@
 
 
 async def _serve(
-    gw: states.Gateway, exchange: http_server.Exchange, group: connections.Connections
+    gw: states.Gateway, exchange: http_server.Exchange, conns: connections.Connections
 ) -> None:
     began_at = trio.current_time()
     inbound = gw.codec.decode_request(exchange.request)
@@ -45,7 +45,7 @@
         "this entry had to stop before the response was complete",
         _Outcome.UNKNOWN,
     )
-    with group.serve():
+    with conns.serve():
         error = await _answer_guarded(gw, exchange, inbound, began_at)
     _log_end(gw, inbound, error, trio.current_time() - began_at)
     if error is None or exchange.is_answered or error.code is codes.Code.CALLER_GONE:
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -73,12 +73,12 @@
             nursery.start_soon(_supervise, task, gw)
         await nursery.start(gw.net.listen, cfg.get(settings.READINESS), _make_readiness_handler(gw))
         limits = http_server.Limits(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS)
-        group = connections.Connections()
-        handler = frontend.make_handler(gw, group)
-        await nursery.start(gw.net.listen, cfg.get(settings.CALLERS), handler, limits, group)
+        conns = connections.Connections()
+        handler = frontend.make_handler(gw, conns)
+        await nursery.start(gw.net.listen, cfg.get(settings.CALLERS), handler, limits, conns)
         await _wait_for_stop_signal()
-        await _drain(gw, group)
-        events.log("entry.stop", active=gw.active_requests, reading=group.reading)
+        await _drain(gw, conns)
+        events.log("entry.stop", active=gw.active_requests, reading=conns.reading)
         sink.flush()
         nursery.cancel_scope.cancel()
 
@@ -107,7 +107,7 @@
             events.log("entry.reload", text="settings are read at the next start")
 
 
-async def _drain(gw: states.Gateway, group: connections.Connections) -> None:
+async def _drain(gw: states.Gateway, conns: connections.Connections) -> None:
     """Wait until the load balancer sends no more requests, then for the requests in flight.
 
     Those that are still being read then are refused, those that are still served are answered with
@@ -115,21 +115,21 @@
     """
     grace = gw.cfg.get(settings.GRACE)
     stop_at = trio.current_time() + grace - STOP_MARGIN_SECONDS
-    events.log("entry.leaving", active=gw.active_requests, reading=group.reading)
+    events.log("entry.leaving", active=gw.active_requests, reading=conns.reading)
     gw.is_stopping = True
     gw.wake_control()
     await trio.sleep(min(BALANCER_DELAY_SECONDS, grace / 2))
     gw.is_closing = True
     quiet_at = trio.current_time() + 1.0
     while trio.current_time() < stop_at:
-        is_quiet = gw.active_requests == 0 and group.reading == 0
+        is_quiet = gw.active_requests == 0 and conns.reading == 0
         if is_quiet and trio.current_time() >= quiet_at:
             break
         await trio.sleep(DRAIN_CHECK_SECONDS)
-    group.close()
-    group.end_serving()
+    conns.close()
+    conns.end_serving()
     with trio.move_on_after(LAST_ANSWERS_SECONDS):
-        while group.open or gw.active_requests:
+        while conns.waiting or gw.active_requests:
             await trio.sleep(http_server.LAST_RECEIVE_SECONDS)
 
 
--- a/src/galenavane/net/connections.py
+++ b/src/galenavane/net/connections.py
@@ -11,15 +11,15 @@
 class Connections:
     """The connections of one listener.
 
-    :ivar open: number of connections that wait for a request, read one or refuse it.
+    :ivar waiting: number of connections that wait for a request, read one or refuse it.
     :ivar reading: number of those on which the first byte of a request has arrived.
     :ivar is_closed: whether no more requests are waited for.
     """
 
-    __slots__ = ("_scopes", "_served", "is_closed", "open", "reading")
+    __slots__ = ("_scopes", "_served", "is_closed", "reading", "waiting")
 
     def __init__(self) -> None:
-        self.open = 0
+        self.waiting = 0
         self.reading = 0
         self.is_closed = False
         self._scopes: set[trio.CancelScope] = set()
--- a/src/galenavane/net/http_server.py
+++ b/src/galenavane/net/http_server.py
@@ -126,7 +126,7 @@
         :raises DisconnectError: when the client disconnected.
         :raises EncodingError: when the response is not valid HTTP.
         """
-        await _let_cancel()
+        await _raise_if_cancelled()
         framed = self.frame_chunk(fields, data)
         try:
             await self.conn.write(framed)
@@ -162,7 +162,7 @@
         await self._send(h11.Data(data=data), h11.EndOfMessage())
 
     async def _send(self, *parts: h11.Event) -> None:
-        await _let_cancel()
+        await _raise_if_cancelled()
         data = self._encode(*parts)
         try:
             with trio.fail_after(self._write_seconds):
@@ -179,7 +179,7 @@
         return data
 
 
-async def _let_cancel() -> None:
+async def _raise_if_cancelled() -> None:
     """Let a cancellation that is due happen before anything counts as sent.
 
     Without it, the first write would be cancelled after the response counts as begun.
@@ -194,16 +194,16 @@
     stream: trio.abc.Stream,
     handler: Handler,
     limits: Limits,
-    group: connections.Connections | None = None,
+    conns: connections.Connections | None = None,
 ) -> None:
     """Serve requests on one connection until it closes.
 
-    :param group: the connections of the same listener, which can be closed together.
+    :param conns: the connections of the same listener, which can be closed together.
     """
     conn = http_connection.HttpConnection(stream, h11.SERVER)
-    group = group or connections.Connections()
+    conns = conns or connections.Connections()
     try:
-        while await _serve_request(conn, handler, limits, group):
+        while await _serve_request(conn, handler, limits, conns):
             conn.machine.start_next_cycle()
     except disconnect.DisconnectError:
         # Nobody is left to answer; the handler logs the end of its request.
@@ -219,10 +219,10 @@
     conn: http_connection.HttpConnection,
     handler: Handler,
     limits: Limits,
-    group: connections.Connections,
+    conns: connections.Connections,
 ) -> bool:
     """Serve one request; return whether the connection can be reused."""
-    req = await _receive_request(conn, limits, group)
+    req = await _receive_request(conn, limits, conns)
     if req is None:
         return False
     exchange = Exchange(conn, req, limits.write_seconds)
@@ -240,33 +240,33 @@
 
 
 async def _receive_request(
-    conn: http_connection.HttpConnection, limits: Limits, group: connections.Connections
+    conn: http_connection.HttpConnection, limits: Limits, conns: connections.Connections
 ) -> message.Request | None:
     """Receive the next request; return ``None`` when there is none to be handled."""
-    group.open += 1
+    conns.waiting += 1
     try:
-        if not await _wait_for_request(conn, limits.idle_seconds, group):
+        if not await _wait_for_request(conn, limits.idle_seconds, conns):
             return None
-        group.reading += 1
+        conns.reading += 1
         try:
-            return await _read_whole_request(conn, limits, group)
+            return await _read_whole_request(conn, limits, conns)
         finally:
-            group.reading -= 1
+            conns.reading -= 1
     finally:
-        group.open -= 1
+        conns.waiting -= 1
 
 
 async def _wait_for_request(
-    conn: http_connection.HttpConnection, idle_seconds: float, group: connections.Connections
+    conn: http_connection.HttpConnection, idle_seconds: float, conns: connections.Connections
 ) -> bool:
     """Wait for the first byte of a request; return whether it came."""
     if conn.machine.trailing_data[0]:
         return True
     try:
-        if not group.is_closed:
-            with group.receive(idle_seconds):
+        if not conns.is_closed:
+            with conns.receive(idle_seconds):
                 return await conn.feed_machine()
-        if group.is_closed:
+        if conns.is_closed:
             with trio.move_on_after(LAST_RECEIVE_SECONDS):
                 return await conn.feed_machine()
     except transport_error.TransportError:
@@ -276,17 +276,17 @@
 
 
 async def _read_whole_request(
-    conn: http_connection.HttpConnection, limits: Limits, group: connections.Connections
+    conn: http_connection.HttpConnection, limits: Limits, conns: connections.Connections
 ) -> message.Request | None:
     """Read a request that has begun; refuse it and return ``None`` when it does not arrive."""
-    seconds = LAST_RECEIVE_SECONDS if group.is_closed else limits.read_seconds
+    seconds = LAST_RECEIVE_SECONDS if conns.is_closed else limits.read_seconds
     try:
-        with group.receive(seconds):
+        with conns.receive(seconds):
             return await _read_request(conn, limits)
     except transport_error.TransportError as exc:
         await _respond_error(conn, exc)
         return None
-    if group.is_closed:
+    if conns.is_closed:
         error = failure.Failure(codes.Code.LEAVING, "this entry is stopping")
     else:
         text = f"the request did not arrive within {limits.read_seconds} s"
--- a/src/galenavane/net/network.py
+++ b/src/galenavane/net/network.py
@@ -30,12 +30,12 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
-        group: connections.Connections | None = None,
+        conns: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve connections until cancelled.
 
-        :param group: keeps account of the connections, and can close them.
+        :param conns: keeps account of the connections, and can close them.
         :param task_status: receives the bound address when the socket is listening.
         """
--- a/src/galenavane/net/tcp.py
+++ b/src/galenavane/net/tcp.py
@@ -34,7 +34,7 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
-        group: connections.Connections | None = None,
+        conns: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -45,7 +45,7 @@
             http_server.serve_stream,
             handler=handler,
             limits=limits or http_server.Limits(),
-            group=group,
+            conns=conns,
         )
         await trio.serve_listeners(serve, listeners)
 
--- a/src/galenavane/simulate/memory_network.py
+++ b/src/galenavane/simulate/memory_network.py
@@ -21,7 +21,7 @@
     process: simulated_process.SimulatedProcess
     handler: http_server.Handler
     limits: http_server.Limits
-    group: connections.Connections | None
+    conns: connections.Connections | None
     nursery: trio.Nursery
     context: contextvars.Context
 
@@ -94,7 +94,7 @@
     async def _accept(self, listener: _Listener, server_end: stream.Stream) -> None:
         try:
             await http_server.serve_stream(
-                server_end, listener.handler, listener.limits, listener.group
+                server_end, listener.handler, listener.limits, listener.conns
             )
         finally:
             self._net.open_connections = [
@@ -106,7 +106,7 @@
         address: addresses.Address,
         handler: http_server.Handler,
         limits: http_server.Limits | None = None,
-        group: connections.Connections | None = None,
+        conns: connections.Connections | None = None,
         *,
         task_status: trio.TaskStatus[addresses.Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -115,7 +115,7 @@
             effective_limits = limits or http_server.Limits()
             context = contextvars.copy_context()
             self._net.listeners[address] = _Listener(
-                self._process, handler, effective_limits, group, nursery, context
+                self._process, handler, effective_limits, conns, nursery, context
             )
             task_status.started(address)
             try:
--- a/tests/steps/net_connections.py
+++ b/tests/steps/net_connections.py
@@ -24,13 +24,13 @@
 
     async def main():
         client, server = trio.testing.memory_stream_pair()
-        group = connections.Connections()
+        conns = connections.Connections()
         answer = b""
 
         async def close():
             await trio.sleep(CLOSE_SECONDS)
-            assert group.reading == expected_reading, group.reading
-            group.close()
+            assert conns.reading == expected_reading, conns.reading
+            conns.close()
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -38,13 +38,13 @@
                 server,
                 net_failed_answers.respond_ok,
                 http_server.Limits(),
-                group,
+                conns,
             )
             nursery.start_soon(client_task, client)
             nursery.start_soon(close)
             async for part in client:
                 answer += part
-        assert (group.open, group.reading) == (0, 0)
+        assert (conns.waiting, conns.reading) == (0, 0)
         return answer, trio.current_time() - CLOSE_SECONDS
 
     return virtual_clock.run(main, 1)
