Act on silence alone at the entry that sees it, and give closing groups their former time

CLOSE_SECONDS is back at 3 s: a head that never carries a close out kept its group out of service for 10 s.

--- a/src/galenavane/control/group_lifecycle.py
+++ b/src/galenavane/control/group_lifecycle.py
@@ -9,8 +9,8 @@
 """How long a group that a former lease holder began to form may stay incomplete."""
 ADOPT_LOAD_SECONDS = 20.0
 """The same once all members have joined: some may still load weights, which takes up to 16 s."""
-CLOSE_SECONDS = 10.0
-"""How long a closing head may take to end its streams, for which a leaving member stays."""
+CLOSE_SECONDS = 3.0
+"""How long a closing head may take to finish its streams; most last less than 3 s."""
 
 
 def advance(
--- a/src/galenavane/gateway/heads_task.py
+++ b/src/galenavane/gateway/heads_task.py
@@ -152,7 +152,9 @@
         gw.suspect(head_id, REPORTED_SUSPECT_SECONDS)
         return
     silent_seconds = head_watch.silent_seconds(head_requests.activity, trio.current_time())
-    if silent_seconds >= REPORTED_STALL_PASSES * head_requests.activity.pass_seconds:
+    if head_requests.activity.is_stalled:
+        _suspect(gw, head_id, head_requests)
+    elif silent_seconds >= REPORTED_STALL_PASSES * head_requests.activity.pass_seconds:
         _hedge_streams(gw, head_id, head_requests, ())
     elif not head_requests.attempts:
         gw.suspect(head_id, REPORTED_SUSPECT_SECONDS)
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -280,7 +280,8 @@
     is_new = gw.record_stall(key)
     gw.pending_stalls.append((report.service, key, tuple(report.missing)))
     gw.wake_control()
-    heads_task.handle_stall_report(gw, report.head, key)
+    if report.missing:
+        heads_task.handle_stall_report(gw, report.head, key)
     if is_new:
         peer_updates.send_stall(gw, report)
 
