--- /dev/null
+++ b/review/lib/case.py
@@ -0,0 +1,86 @@
+"""Runs a case: exit status 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import tempfile
+import time
+import traceback
+from collections import abc
+
+import deployment
+import store as stores
+
+LIMIT_SECONDS = 115.0
+
+
+class CannotRun(Exception):
+    """The case could not be played, so it shows nothing."""
+
+
+class Case:
+    """What a case needs: a store, entries and a record.
+
+    :ivar has_trouble: whether the disruption is played.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.store = stores.Store()
+        self.entries: list[deployment.Entry] = []
+        self.lines: list[str] = []
+        self.began_at = time.monotonic()
+        self.folder = folder
+
+    def note(self, text: str, at: float | None = None) -> None:
+        """Add a line to the record."""
+        seconds = (time.monotonic() if at is None else at) - self.began_at
+        self.lines.append(f"{seconds:9.3f} s  {text}")
+
+    def add_entries(self, count: int) -> None:
+        """Start entries, one in each zone in turn."""
+        for number in range(count):
+            entry = deployment.Entry(number, self.store.address, self.folder)
+            self.entries.append(entry)
+            entry.start()
+            self.note(f"{entry.name} starts")
+
+    async def wait_ready(self) -> None:
+        """Wait until all entries are ready."""
+        for entry in self.entries:
+            if not await entry.wait_ready():
+                raise CannotRun(f"{entry.name} does not become ready")
+            self.note(f"{entry.name} is ready")
+
+
+def run(folder_name: str, play: abc.Callable[[Case], abc.Awaitable[bool]]) -> None:
+    """Play a case and exit.
+
+    :param play: returns whether the rule was broken.
+    """
+    status = 2
+    with tempfile.TemporaryDirectory() as temporary:
+        case = Case(pathlib.Path(temporary))
+        try:
+            status = asyncio.run(_play(case, play))
+        except CannotRun as exc:
+            case.note(f"the case could not run: {exc}")
+        except Exception:
+            case.note(f"the case could not run: {traceback.format_exc()}")
+        finally:
+            for entry in case.entries:
+                entry.kill()
+        case.note(f"exit status {status}")
+        record = pathlib.Path(folder_name) / "record.txt"
+        record.write_text("\n".join(case.lines) + "\n")
+        print("\n".join(case.lines[-12:]), flush=True)
+    # Ends without waiting for streams of the event loop that has been closed.
+    os._exit(status)
+
+
+async def _play(case: Case, play: abc.Callable[[Case], abc.Awaitable[bool]]) -> int:
+    await case.store.start()
+    is_broken = await asyncio.wait_for(play(case), LIMIT_SECONDS)
+    return 1 if is_broken else 0
