--- a/review/5/play.py
+++ b/review/5/play.py
@@ -55,8 +55,10 @@
         case.note(f"the store has accepted that {leaving.id} is draining")
 
     def after_page(kind, after, has_more):
-        if kind == "servers" and not after and has_more and not accepted.done():
-            case.note("the store has answered the first of two pages")
+        if kind != "servers":
+            return
+        case.note(f"the store has answered the page of the list after '{after}'")
+        if has_more and not accepted.done():
             drain()
 
     restarted = case.entries[1]
