--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import pathlib
 import tempfile
@@ -10,7 +11,9 @@
 import traceback
 from collections import abc
 
+import client
 import deployment
+import replica as replicas
 import store as stores
 
 LIMIT_SECONDS = 115.0
@@ -39,6 +42,25 @@
         seconds = (time.monotonic() if at is None else at) - self.began_at
         self.lines.append(f"{seconds:9.3f} s  {text}")
 
+    def note_requests(
+        self, sent: abc.Iterable[client.Sent], served: abc.Iterable[replicas.Replica]
+    ) -> None:
+        """Add a line for each request: when it was sent, run and answered, by whom and how."""
+        runs: dict[str, list[str]] = {}
+        for each in served:
+            for at, attempt, _ in each.arrivals:
+                runs.setdefault(attempt, []).append(f"{at - self.began_at:.3f} {each.id}")
+        for request in sent:
+            response = request.response
+            ending = "complete" if response.is_complete else "cut"
+            answer = f"{response.status} {ending}" if response.has_bytes else "no answer"
+            self.note(
+                f"sent {request.attempt} {request.path} {request.entry}; "
+                f"run {', '.join(runs.get(request.attempt, ['never']))}; "
+                f"{answer} {request.ended - self.began_at:.3f}",
+                request.sent_at,
+            )
+
     def add_entries(self, count: int) -> None:
         """Start entries, one in each zone in turn."""
         for number in range(count):
@@ -61,6 +83,8 @@
     :param play: returns whether the rule was broken.
     """
     status = 2
+    # Channels that are open at the end of a case are not closed one by one.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(pathlib.Path(temporary))
         try:
@@ -74,8 +98,9 @@
                 entry.kill()
         case.note(f"exit status {status}")
         record = pathlib.Path(folder_name) / "record.txt"
-        record.write_text("\n".join(case.lines) + "\n")
-        print("\n".join(case.lines[-12:]), flush=True)
+        lines = sorted(case.lines, key=lambda line: float(line.split()[0]))
+        record.write_text("\n".join(lines) + "\n")
+        print("\n".join(lines[-12:]), flush=True)
     # Ends without waiting for streams of the event loop that has been closed.
     os._exit(status)
 
--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -77,7 +77,7 @@
             await self._writer.drain()
             reading = http_text.read_response(self._reader, sent.response)
             await asyncio.wait_for(reading, deadline_ms / 1000 + 0.5)
-        except (ConnectionError, OSError, asyncio.TimeoutError):
+        except (TimeoutError, ConnectionError, OSError):
             pass
         sent.ended = time.monotonic()
         is_kept = sent.response.headers.get("connection", "").lower() != "close"
@@ -102,6 +102,6 @@
         writer.write(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n".encode())
         await asyncio.wait_for(http_text.read_response(reader, response), 1.0)
         writer.close()
-    except (ConnectionError, OSError, asyncio.TimeoutError):
+    except (TimeoutError, ConnectionError, OSError):
         return 0
     return response.status
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -156,13 +156,28 @@
     }
 
 
-def write_config(store: stores.Store, version: int, routes: list[dict], services: list[str]) -> None:
-    """Write a configuration as the operator does."""
+def write_config(
+    store: stores.Store,
+    version: int,
+    routes: list[dict],
+    services: list[str],
+    engines: dict[str, dict] | None = None,
+) -> None:
+    """Write a configuration as the operator does.
+
+    :param engines: ``engine`` of the services that have one.
+    """
     spec = {
         "version": version,
         "routes": routes,
         "services": [
-            {"name": name, "health_path": "/healthz", "max_connections": 96, "protocol": "h1"}
+            {
+                "name": name,
+                "health_path": "/healthz",
+                "max_connections": 96,
+                "protocol": "h1",
+                **({"engine": engines[name]} if engines and name in engines else {}),
+            }
             for name in services
         ],
         "limits": {
