--- a/review/4/play.py
+++ b/review/4/play.py
@@ -220,4 +220,4 @@
     return got != list(range(1, EVENTS + 1))
 
 
-cases.run(str(FOLDER), play)
+cases.run(FOLDER / "record.txt", play)
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -108,4 +108,4 @@
     return bool(late)
 
 
-cases.run(str(FOLDER), play)
+cases.run(FOLDER / "record.txt", play)
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -77,9 +77,10 @@
             self.note(f"{entry.name} is ready")
 
 
-def run(folder_name: str, play: abc.Callable[[Case], abc.Awaitable[bool]]) -> None:
+def run(record: pathlib.Path, play: abc.Callable[[Case], abc.Awaitable[bool]]) -> None:
     """Play a case and exit.
 
+    :param record: file for what was sent, run and answered.
     :param play: returns whether the rule was broken.
     """
     status = 2
@@ -97,7 +98,6 @@
             for entry in case.entries:
                 entry.kill()
         case.note(f"exit status {status}")
-        record = pathlib.Path(folder_name) / "record.txt"
         lines = sorted(case.lines, key=lambda line: float(line.split()[0]))
         record.write_text("\n".join(lines) + "\n")
         print("\n".join(lines[-12:]), flush=True)
