Pass Last-Event-Id on to services without an engine

Cause: the field counted as one that only the system sets, so decoding took it out of the forwarded fields; the model path sets it again from the stream's position, the plain path passed 0. The parsed number also lost digits beyond 2**53 and leading zeros, on both paths.

Change: the client's own value is forwarded as it is, and replaced only when the system itself goes on after a later event; the plain path states the position like the model path.

--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -138,7 +138,9 @@
     if not plain_call.is_last(call):
         share_seconds = seconds_left * SILENCE_SHARE
         attempt.expect_answer(max(share_seconds, request.route.latency_target_seconds))
-    options = inbound_request.SendOptions(attempt.destination.id, request.account, seconds_left, 0)
+    options = inbound_request.SendOptions(
+        attempt.destination.id, request.account, seconds_left, request.inbound.last_event_id
+    )
     return await target_conn.send(options)
 
 
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -26,6 +26,7 @@
 _MAX_PART_CHARACTERS = 128
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
+_MAX_EVENT_DIGITS = 18
 # Present when the target itself produced the response body.
 _SIGNATURE = "replica-signature"
 # Present on a refusal: the request was not executed and never will be.
@@ -45,7 +46,6 @@
         EXPECTED_TARGET,
         _ACCOUNT,
         _KEY,
-        _LAST_EVENT,
         _PRIORITY,
         "content-length",
     )
@@ -73,7 +73,7 @@
         answer_tokens=int(length_hint) if length_hint is not None else max_tokens,
         max_answer_tokens=max_tokens,
         timeout_seconds=max(0.0, timeout_ms if timeout_ms is not None else _NO_DEADLINE_MS) / 1000,
-        last_event_id=int(_parse_number(fields.get(_LAST_EVENT)) or 0),
+        last_event_id=_parse_event_id(fields.get(_LAST_EVENT)),
         headers=fields.end_to_end().without(_RESERVED_FIELDS),
         body=req.body,
         prompt_parts=_parse_parts(fields.get(_PROMPT_PARTS)),
@@ -89,7 +89,9 @@
     fields.add(EXPECTED_TARGET, options.target_id)
     if options.account:
         fields.add(_ACCOUNT, options.account)
-    if options.last_event_id:
+    # The client's own value, which may be any text, holds until the system goes on after it.
+    if options.last_event_id != inbound.last_event_id:
+        fields = fields.without({_LAST_EVENT.encode()})
         fields.add(_LAST_EVENT, str(options.last_event_id))
     if options.is_resumed:
         fields.add(_PRIORITY, _HIGHEST_PRIORITY)
@@ -130,6 +132,12 @@
     return tuple(dict.fromkeys(parts[:-1]))[:_MAX_PROMPT_PARTS]
 
 
+def _parse_event_id(text: str) -> int:
+    """Parse the number of an event exactly; return 0 for any other text."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_EVENT_DIGITS
+    return int(text) if is_number else 0
+
+
 def _parse_number(text: str) -> float | None:
     """Parse a finite number; return ``None`` for any other text."""
     try:
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -112,3 +112,22 @@
       | deadline-ms   | 1500 | 1.5     | 0     |
       | last-event-id | nan  | 60      | 0     |
       | last-event-id | 7    | 60      | 7     |
+
+  # Guards against a resumed stream whose position is lost or changed on the way (ORDER, review/4).
+  Scenario Outline: The event that a client resumes after is passed on as it was sent
+    Given a request that resumes a stream after event "<text>"
+    When it is sent to target "t1" for account "acme" with 1.5 s left
+    Then the target is asked once to go on after event "<text>"
+
+    Examples:
+      | text             |
+      | 3                |
+      | 9007199254740993 |
+      | 0007             |
+      | chapter-2        |
+      | -4               |
+
+  Scenario: A stream that the system itself resumes goes on after the last event that was delivered
+    Given a request that resumes a stream after event "3"
+    When it is resumed on target "t1" after event 5
+    Then the target is asked once to go on after event "5"
--- a/tests/steps/gateway_resumed_answers.py
+++ b/tests/steps/gateway_resumed_answers.py
@@ -37,6 +37,14 @@
         )
 
 
+@then('the target was asked to go on after event "{last}"')
+def check_asked(context, last):
+    @plan_step(context)
+    async def step(world):
+        sent = [fields.get("last-event-id") for _, fields in world.arrivals]
+        assert sent == [last], sent
+
+
 @then("it gets events {first:d} to {last:d} as the rest")
 def check_rest(context, first, last):
     @plan_step(context)
--- a/tests/steps/gateway_unframed.py
+++ b/tests/steps/gateway_unframed.py
@@ -64,6 +64,7 @@
     "a request for 8 events": ("/model/x", 8, "POST"),
     "a request for 30 events": ("/model/x", 30, "POST"),
     "a request that may run once": ("/once/x", 8, "POST"),
+    "a request for 8 events of a feed": ("/feed/x", 8, "POST"),
 }
 
 
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -144,10 +144,21 @@
 @when('it is sent to target "{name}" for account "{account}" with {left:g} s left')
 def send(context, name, account, left):
     context.sent = wire_request.make_target_headers(
-        context.call, inbound_request.SendOptions(name, account, left, 0)
+        context.call, inbound_request.SendOptions(name, account, left, context.call.last_event_id)
     )
 
 
+@given('a request that resumes a stream after event "{text}"')
+def resume_request(context, text):
+    decode_request(context, (b"last-event-id", text.encode()))
+
+
+@then('the target is asked once to go on after event "{text}"')
+def check_position(context, text):
+    sent = [value for name, value in context.sent.pairs if name.lower() == b"last-event-id"]
+    assert sent == [text.encode()], sent
+
+
 @when('it is resumed on target "{name}" after event {number:d}')
 def send_on(context, name, number):
     options = inbound_request.SendOptions(name, "acme", 1.0, number, True)
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -178,7 +178,7 @@
             await self._execute_command(exchange, order)
         elif exchange.request.path == "/report":
             await exchange.respond(message.json_response(200, {**self.describe(), "pace": 1.0}))
-        elif self.service == "llm":
+        elif self.service == "llm" or exchange.request.headers.get("token-usage"):
             await self._stream(exchange)
         else:
             await self._plain(exchange)
@@ -363,7 +363,7 @@
                 self.world.announce_event(self.name, number)
                 while self._is_held_up():
                     await trio.sleep(EVENT_SECONDS)
-                if self.group is None:
+                if self.service == "llm" and self.group is None:
                     await exchange.conn.close()
                     return
                 event = b"id: %d\ndata: %d\n\n" % (number, number)
@@ -438,6 +438,7 @@
         self.routes = [
             self.route("/model/", "streaming", "llm", resumable=True, max_attempts=2),
             self.route("/once/", "streaming", "llm"),
+            self.route("/feed/", "streaming", "desk", resumable=True, max_attempts=2),
             self.route("/order/", "non_idempotent", "desk"),
             self.route("/status/", "idempotent", "desk", max_attempts=2),
         ]
