Relay streams of services without an engine event by event

Callers on a streaming route to a plain service got all events at once when the last one had been made, so that their clients had given up before the first; events out of order or of a second run went through unchecked; a break in the middle began the whole request again or ended in 502.

Change: stream_relay serves both paths, with what only models need (proof for prompt blocks, silence of heads) handed in by the caller.

--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import trio
 
 from galenavane.catalog import route
@@ -9,7 +11,14 @@
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
 from galenavane.fleet import target
-from galenavane.gateway import admission, attempts, plain_call, target_exchange
+from galenavane.gateway import (
+    admission,
+    attempts,
+    member_check,
+    plain_call,
+    stream_relay,
+    target_exchange,
+)
 from galenavane.gateway import state as states
 from galenavane.net import headers as header_lists
 from galenavane.net import http_server, message, transport_error
@@ -20,6 +29,7 @@
 SILENCE_SHARE = 0.45
 """Share of the remaining time after which another target is tried beside a silent one."""
 SUSPECT_SECONDS = 1.5
+EVENTS_TYPE = "text/event-stream"
 RETRY_AFTER_SECONDS = 0.1
 """Targets without replica groups have capacity again within tens of milliseconds."""
 Attempt = attempts.Attempt[target.Target]
@@ -63,6 +73,8 @@
             return _make_unreachable("the target or the account may no longer be used")
         await attempt.begin()
         response = await _send(call, attempt, target_conn)
+        if _is_stream(call, response):
+            return await _relay(gw, exchange, call, attempt, target_conn, response)
         body = await target_conn.read_body()
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, destination, exc)
@@ -132,18 +144,70 @@
     call: plain_call.PlainCall, attempt: Attempt, target_conn: target_exchange.TargetExchange
 ) -> target_response.TargetResponse:
     request = call.request
+    is_resumed = call.sends > 0
     call.sends += 1
     call.tried_ids.add(attempt.destination.id)
-    seconds_left = request.deadline - trio.current_time()
-    if not plain_call.is_last(call):
-        share_seconds = seconds_left * SILENCE_SHARE
-        attempt.expect_answer(max(share_seconds, request.route.latency_target_seconds))
+    _expect_answer(call, attempt)
     options = inbound_request.SendOptions(
-        attempt.destination.id, request.account, seconds_left, request.inbound.last_event_id
+        attempt.destination.id,
+        request.account,
+        request.deadline - trio.current_time(),
+        call.last_event,
+        is_resumed,
     )
     return await target_conn.send(options)
 
 
+def _expect_answer(call: plain_call.PlainCall, attempt: Attempt) -> None:
+    """Let another target be tried unless this one sends its answer, or more of it, in time."""
+    if plain_call.is_last(call):
+        return
+    share_seconds = (call.request.deadline - trio.current_time()) * SILENCE_SHARE
+    attempt.expect_answer(max(share_seconds, call.request.route.latency_target_seconds))
+
+
+def _is_stream(call: plain_call.PlainCall, response: target_response.TargetResponse) -> bool:
+    """Whether a response holds the events, or the rest of them, that the client waits for."""
+    is_events = response.media_type in ("", EVENTS_TYPE) or call.last_event > 0
+    is_success = response.status == 200 and response.is_signed and not response.is_not_run
+    is_stream = call.request.route.kind is route.Kind.STREAM and is_events
+    return is_stream and is_success and response.matches_request
+
+
+async def _relay(
+    gw: states.Gateway,
+    exchange: http_server.Exchange,
+    call: plain_call.PlainCall,
+    attempt: Attempt,
+    target_conn: target_exchange.TargetExchange,
+    response: target_response.TargetResponse,
+) -> failure.Failure | None:
+    """Send the events of a response to the client as they arrive."""
+    relay_failure = await stream_relay.relay(
+        gw,
+        exchange,
+        call,
+        attempt,
+        target_conn,
+        response,
+        lambda count, is_complete: _expect_answer(call, attempt),
+        functools.partial(_has_crashed, gw, attempt.destination),
+    )
+    if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
+        target_exchange.avoid_malformed(gw, attempt.destination, relay_failure.message)
+    return relay_failure
+
+
+async def _has_crashed(gw: states.Gateway, destination: target.Target) -> bool:
+    """Whether a target no longer accepts connections after its answer ended with one."""
+    unreachable = await member_check.find_unreachable(gw, (destination,))
+    if not unreachable.all:
+        return False
+    events.log("target.crashed", target=destination.id)
+    gw.suspect(destination.id, SUSPECT_SECONDS)
+    return True
+
+
 def _check_response(
     gw: states.Gateway,
     call: plain_call.PlainCall,
@@ -167,9 +231,12 @@
         return failure.Failure(
             codes.Code.TARGET_FAILED, "the response is not signed", _Outcome.FAILED
         )
-    is_idempotent = call.request.route.kind is route.Kind.IDEMPOTENT
+    if call.is_started:
+        return failure.Failure(
+            codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.FAILED
+        )
     may_improve = attempt.has_others or not plain_call.is_last(call)
-    if response.status >= 500 and is_idempotent and may_improve:
+    if response.status >= 500 and call.request.route.is_retryable and may_improve:
         return failure.Failure(
             codes.Code.TARGET_FAILED, f"status {response.status}", _Outcome.FAILED
         )
--- a/src/galenavane/gateway/plain_call.py
+++ b/src/galenavane/gateway/plain_call.py
@@ -19,6 +19,9 @@
     :ivar silent_ids: targets that it was sent to and that count as silent.
     :ivar sends: how often it was sent, refused sends included.
     :ivar reported_failure: failure to answer with if no other attempt answers.
+    :ivar last_event: number of the last event of a stream that the client has.
+    :ivar events: number of events that targets sent.
+    :ivar is_started: whether the client was sent any event.
     """
 
     request: admission.AdmittedRequest
@@ -26,6 +29,9 @@
     silent_ids: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     reported_failure: failure.Failure | None = None
+    last_event: int = 0
+    events: int = 0
+    is_started: bool = False
 
 
 def record_failure(call: PlainCall, send_failure: failure.Failure) -> None:
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -30,7 +30,7 @@
 
     :returns: the failure to answer with, or ``None`` if the request was answered.
     """
-    call = plain_call.PlainCall(request)
+    call = plain_call.PlainCall(request, last_event=request.inbound.last_event_id)
     send = functools.partial(plain_attempt.run, gw, exchange, call)
     return await attempts.serve(functools.partial(_serve_attempts, gw, call, send))
 
--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -14,6 +14,7 @@
     attempts,
     head_crash,
     heads_task,
+    prompt_blocks,
     stream_relay,
     target_exchange,
 )
@@ -133,8 +134,9 @@
         )
         if response_failure is not None or (exchange.is_answered and not stream.is_started):
             return response_failure
+        note_events = functools.partial(_note_events, gw, stream, group, head_requests)
         relay_failure = await stream_relay.relay(
-            gw, exchange, stream, attempt, head_requests, target_conn, response, check_crash
+            gw, exchange, stream, attempt, target_conn, response, note_events, check_crash
         )
         if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
             target_exchange.avoid_malformed(gw, head, relay_failure.message)
@@ -148,6 +150,23 @@
         await target_conn.close()
 
 
+def _note_events(
+    gw: states.Gateway,
+    stream: streams.Stream,
+    group: replica_group.Group,
+    head_requests: states.HeadRequests,
+    count: int,
+    is_complete: bool,
+) -> None:
+    """Record that a head has written events, which clears the parts of the prompt."""
+    request_id = stream.request.inbound.id
+    if not is_complete:
+        heads_task.record_event(gw, group, head_requests, request_id, trio.current_time())
+    is_proof = count >= prompt_suspects.PROVING_EVENTS or (is_complete and count > 0)
+    if is_proof and head_requests.waiting.pop(request_id, None) is not None:
+        prompt_blocks.record_success(gw, stream.parts)
+
+
 async def _check_response(
     gw: states.Gateway,
     exchange: http_server.Exchange,
--- a/src/galenavane/gateway/stream_relay.py
+++ b/src/galenavane/gateway/stream_relay.py
@@ -1,7 +1,8 @@
-"""Relays the events of one target's response to the client."""
+"""Relays the events of one target's response to the client, for models and plain services."""
 
 from __future__ import annotations
 
+import typing
 from collections import abc
 
 import trio
@@ -9,34 +10,50 @@
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.gateway import attempts, heads_task, prompt_blocks, target_exchange
+from galenavane.gateway import admission, attempts, target_exchange
 from galenavane.gateway import state as states
-from galenavane.gateway import stream as streams
 from galenavane.net import http_server, message
-from galenavane.route import prompt_suspects
 from galenavane.serve import event_splitter, target_response
 
 _Outcome = outcomes.Outcome
+_Destination = typing.TypeVar("_Destination")
+
+
+class Progress(typing.Protocol):
+    """Progress of a client's stream over all targets that it was sent to.
+
+    :ivar last_event: number of the last event that the client has.
+    :ivar events: number of events that targets sent.
+    :ivar is_started: whether the client was sent any event.
+    """
+
+    request: admission.AdmittedRequest
+    last_event: int
+    events: int
+    is_started: bool
+
+
+NoteEvents = abc.Callable[[int, bool], None]
+"""Called with the number of events in the response so far, and whether the response is complete."""
 
 
 async def relay(
     gw: states.Gateway,
     exchange: http_server.Exchange,
-    stream: streams.Stream,
-    attempt: attempts.GroupAttempt,
-    head_requests: states.HeadRequests,
+    stream: Progress,
+    attempt: attempts.Attempt[_Destination],
     target_conn: target_exchange.TargetExchange,
     response: target_response.TargetResponse,
+    note_events: NoteEvents,
     check_crash: abc.Callable[[], abc.Awaitable[bool]],
 ) -> failure.Failure | None:
     """Send the events of a response to the client as they arrive.
 
-    :param check_crash: finds out whether the head has crashed.
+    :param check_crash: finds out whether the target has crashed.
     :returns: the failure, or ``None`` if the stream is complete.
     """
     splitter = event_splitter.EventSplitter()
     events_before = stream.events
-    request_id = stream.request.inbound.id
     while (part := await target_conn.read_part()) is not None:
         try:
             whole_events = splitter.feed(part)
@@ -45,11 +62,9 @@
         if not whole_events:
             continue
         now = trio.current_time()
-        heads_task.record_event(gw, attempt.destination, head_requests, request_id, now)
+        note_events(stream.events + len(whole_events) - events_before, False)
         await attempt.claim()
         stream.events += len(whole_events)
-        if stream.events >= events_before + prompt_suspects.PROVING_EVENTS:
-            _record_proof(gw, stream, head_requests)
         if not stream.is_started:
             waited_seconds = now - stream.request.received_at
             gw.metrics.first_event_seconds.observe(
@@ -68,8 +83,7 @@
     break_text = await _find_break(stream, splitter, target_conn, check_crash, has_events)
     if break_text:
         return failure.Failure(codes.Code.TARGET_LOST, break_text, _Outcome.UNKNOWN)
-    if has_events:
-        _record_proof(gw, stream, head_requests)
+    note_events(stream.events - events_before, True)
     await attempt.claim()
     if not stream.is_started:
         fields = target_exchange.make_client_headers(response)
@@ -80,7 +94,7 @@
 
 
 async def _find_break(
-    stream: streams.Stream,
+    stream: Progress,
     splitter: event_splitter.EventSplitter,
     target_conn: target_exchange.TargetExchange,
     check_crash: abc.Callable[[], abc.Awaitable[bool]],
@@ -89,8 +103,8 @@
     """Return why a stream that has ended is incomplete; empty if it is complete.
 
     The end of a connection also ends a stream without a length or chunks, so such a stream is
-    complete only if its head still works. Without any event in this response, it is so only if the
-    client already has as many events as the answer may have tokens.
+    complete only if its target still works. Without any event in this response, it is so only if
+    the client already has as many events as the answer may have tokens.
 
     :param has_events: whether this response held an event.
     """
@@ -102,20 +116,12 @@
     max_events = stream.request.inbound.max_answer_tokens
     if not has_events and not 0 < max_events <= stream.last_event:
         return "the connection was closed before the first event"
-    return "the head crashed" if has_crashed else ""
-
-
-def _record_proof(
-    gw: states.Gateway, stream: streams.Stream, head_requests: states.HeadRequests
-) -> None:
-    """Clear the parts of a prompt to which the head has written an answer."""
-    if head_requests.waiting.pop(stream.request.inbound.id, None) is not None:
-        prompt_blocks.record_success(gw, stream.parts)
+    return "the target crashed" if has_crashed else ""
 
 
 async def _send_events(
     exchange: http_server.Exchange,
-    stream: streams.Stream,
+    stream: Progress,
     response: target_response.TargetResponse,
     data: bytes,
 ) -> None:
--- a/src/galenavane/gateway/target_exchange.py
+++ b/src/galenavane/gateway/target_exchange.py
@@ -25,8 +25,8 @@
     """One request to one target.
 
     :ivar is_sent: whether any byte of the request may have reached the target.
-    :ivar has_framing: whether the response states a length or comes in chunks; one without either
-        ends with its connection.
+    :ivar has_framing: whether the response states a length, comes in chunks or never has a body;
+        any other one ends with its connection.
     """
 
     __slots__ = ("_conn", "_gw", "_inbound", "has_framing", "is_sent")
@@ -65,8 +65,12 @@
             response = await self._conn.read_response_head()
         else:
             response = await self._send_long_body(parts)
-        self.has_framing = bool(
-            response.headers.get("content-length") or response.headers.get("transfer-encoding")
+        self.has_framing = (
+            bool(
+                response.headers.get("content-length") or response.headers.get("transfer-encoding")
+            )
+            or self._inbound.method == "HEAD"
+            or response.status in (204, 304)
         )
         return self._gw.codec.decode_response(self._inbound, response)
 
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -118,6 +118,7 @@
         matches_request=fields.get(_REQUEST_ID, inbound.id) == inbound.id,
         is_signed=bool(fields.get(_SIGNATURE)) and not is_encoded,
         faulty_member=fields.get(_FAULTY_MEMBER),
+        media_type=fields.get("content-type").partition(";")[0].strip().lower(),
     )
 
 
--- a/src/galenavane/serve/target_response.py
+++ b/src/galenavane/serve/target_response.py
@@ -14,6 +14,7 @@
     :ivar is_not_run: whether the target did not execute the request and never will.
     :ivar matches_request: whether the response is for this request and not for an earlier one.
     :ivar is_signed: whether the body was produced by the target itself.
+    :ivar media_type: of the body, without parameters; empty if not stated.
     :ivar faulty_member: group member to which a refusal is attributed; empty for none.
     """
 
@@ -23,3 +24,4 @@
     matches_request: bool
     is_signed: bool
     faulty_member: str
+    media_type: str = ""
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -275,6 +275,9 @@
                 await stream.receive_some(1)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        if answer.end == "crashes":
+            self.kill()
+            await trio.sleep(0)
         if answer.end == "resets":
             linger = struct.pack("ii", 1, 0)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
