Check that the target works after an unframed plain answer

Cause: the end of the connection was taken for the end of the body; the stream path asked whether the target still accepts connections, the plain path did not. Change: it asks too; an idempotent request goes to another target, any other one is answered 502, the target is avoided.

--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -76,6 +76,8 @@
         if _is_stream(call, response):
             return await _relay(gw, exchange, call, attempt, target_conn, response)
         body = await target_conn.read_body()
+        if not target_conn.has_framing and await _has_crashed(gw, destination):
+            return failure.Failure(codes.Code.TARGET_LOST, "the target crashed", _Outcome.UNKNOWN)
     except transport_error.TransportError as exc:
         target_exchange.note_failure(gw, destination, exc)
         return failure.Failure(codes.Code.TARGET_LOST, str(exc), _Outcome.UNKNOWN)
