List targets at one revision when the store answers in pages

Cause: the list had the revision of its last page, so a change made on an earlier page meanwhile was in neither the list nor the watch. Change: changes since the first page are read and applied before the list is used. That works because the last change of each name up to the common revision decides, whatever page held it; no older event can follow. One more call for a list of several pages.

--- a/src/galenavane/platform/store_client.py
+++ b/src/galenavane/platform/store_client.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_SECONDS = 0.6
 """The store responds in 4 ms, and takes up to 60 times as long when it is slow."""
 WATCH_MARGIN_SECONDS = 0.6
+CATCH_UP_SECONDS = 0.001
+"""Changes that were made already are returned at once."""
 MAX_RESPONSE_BYTES = 8_000_000
 _TARGETS_KIND = "servers"
 _CONFIG_KEY = "config/main"
@@ -77,19 +79,48 @@
         self.calls = 0
 
     async def list_targets(self) -> _Result[object_store.TargetList, failure.Failure]:
-        targets: list[target.Target] = []
+        targets: dict[str, target.Target] = {}
+        revision = 0
         after = ""
         while True:
-            page = await self._get(f"/objects/{_TARGETS_KIND}{_query(after=after)}", _Page)
-            if page.is_error():
-                return expression.Error(page.error)
-            for listed in page.ok.items:
-                decoded = wire_target.decode_target(listed.metadata.name, listed.spec)
-                if decoded is not None:
-                    targets.append(decoded)
-            if not page.ok.has_more or not page.ok.items:
-                return expression.Ok(object_store.TargetList(page.ok.as_of, targets))
-            after = page.ok.items[-1].metadata.name
+            result = await self._get(f"/objects/{_TARGETS_KIND}{_query(after=after)}", _Page)
+            if result.is_error():
+                return expression.Error(result.error)
+            page = result.ok
+            # Changes of a page that has been read come after the first page's revision.
+            revision = revision or page.as_of
+            for listed in page.items:
+                _apply(targets, listed.metadata.name, _decode_target(listed))
+            if not page.has_more:
+                return await self._catch_up(targets, revision, page.as_of)
+            if not page.items:
+                text = "a page without objects is not the last one"
+                return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, text))
+            after = page.items[-1].metadata.name
+
+    async def _catch_up(
+        self, targets: dict[str, target.Target], revision: int, last_revision: int
+    ) -> _Result[object_store.TargetList, failure.Failure]:
+        """Apply the changes that were made between the pages, so that all hold at one revision.
+
+        :param revision: of the first page.
+        :param last_revision: of the last page.
+        """
+        while revision < last_revision:
+            watched = await self._watch(_TARGETS_KIND, revision, CATCH_UP_SECONDS, reuse_share=0.5)
+            if watched.is_error():
+                return expression.Error(watched.error)
+            for event in watched.ok.events:
+                changed = None if event.deleted else _decode_target(event.object)
+                _apply(targets, event.object.metadata.name, changed)
+            if not watched.ok.events:
+                revision = max(last_revision, watched.ok.as_of)
+            elif watched.ok.as_of <= revision:
+                text = "a watch does not go on"
+                return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, text))
+            else:
+                revision = watched.ok.as_of
+        return expression.Ok(object_store.TargetList(revision, list(targets.values())))
 
     async def watch_targets(
         self, revision: int, wait_seconds: float
@@ -141,12 +172,12 @@
         return (await self._call(req, CALL_TIMEOUT_SECONDS)).map(lambda _: None)
 
     async def _watch(
-        self, kind: str, revision: int, wait_seconds: float
+        self, kind: str, revision: int, wait_seconds: float, reuse_share: float = 1.0
     ) -> _Result[_Events, failure.Failure]:
         query = _query(watch=str(revision), wait_ms=str(int(wait_seconds * 1000)))
         timeout_seconds = wait_seconds + WATCH_MARGIN_SECONDS
         req = message.Request("GET", f"/objects/{kind}{query}")
-        response = await self._call(req, timeout_seconds, reuse_share=1.0)
+        response = await self._call(req, timeout_seconds, reuse_share)
         return response.bind(lambda ok_response: _decode(ok_response, _Events))
 
     async def _write(
@@ -215,10 +246,20 @@
     )
 
 
+def _decode_target(listed: _Object) -> target.Target | None:
+    return wire_target.decode_target(listed.metadata.name, listed.spec)
+
+
+def _apply(targets: dict[str, target.Target], name: str, changed: target.Target | None) -> None:
+    """Put a target in place of the one of its name, or remove that one."""
+    targets.pop(name, None)
+    if changed is not None:
+        targets[name] = changed
+
+
 def _make_changes(watched: _Events) -> object_store.TargetChanges:
     changes: list[object_store.TargetChange] = []
     for event in watched.events:
-        name = event.object.metadata.name
-        changed = None if event.deleted else wire_target.decode_target(name, event.object.spec)
-        changes.append(object_store.TargetChange(name, changed))
+        changed = None if event.deleted else _decode_target(event.object)
+        changes.append(object_store.TargetChange(event.object.metadata.name, changed))
     return object_store.TargetChanges(watched.as_of, changes)
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -26,9 +26,18 @@
 
 
 class Store:
-    """Metadata store with objects by kind and name, revisions and watches."""
+    """Metadata store with objects by kind and name, revisions, pages and watches.
+
+    :ivar page_items: number of objects in a page of a list.
+    :ivar after_page: called with the name after which a page began, once it was answered.
+    :ivar away_after: names after which pages can't be read.
+    """
 
     def __init__(self):
+        self.page_items = 500
+        self.oldest_revision = 0
+        self.after_page = None
+        self.away_after = set()
         self.revision = 1
         self.objects = {}
         self.log = []
@@ -48,6 +57,11 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def forget_history(self):
+        """Forget all changes so far, so that they can't be watched any more."""
+        self.log.clear()
+        self.oldest_revision = self.revision
+
     async def handle(self, exchange):
         """Handle one HTTP request."""
         if self.is_away:
@@ -64,11 +78,21 @@
             stored = self.objects.get(parts[0], {}).get(parts[1])
             await self._respond(exchange, stored, 200 if stored else 404)
         else:
-            listed = sorted(
-                self.objects.get(parts[0], {}).values(), key=lambda item: item["metadata"]["name"]
-            )
-            page = {"items": listed, "has_more": False, "as_of": self.revision}
-            await self._respond(exchange, page)
+            await self._list(exchange, parts[0], params.get("after", ""))
+
+    async def _list(self, exchange, kind, after):
+        if after in self.away_after:
+            await exchange.respond(message.Response(503))
+            return
+        listed = [item for name, item in sorted(self.objects.get(kind, {}).items()) if name > after]
+        page = {
+            "items": listed[: self.page_items],
+            "has_more": len(listed) > self.page_items,
+            "as_of": self.revision,
+        }
+        await self._respond(exchange, page)
+        if self.after_page is not None:
+            self.after_page(after)
 
     async def _respond(self, exchange, value, status=200):
         await exchange.respond(message.json_response(status, value))
@@ -96,6 +120,9 @@
                 if changed_at > revision and changed_kind == kind
             ]
 
+        if revision < self.oldest_revision:
+            await exchange.respond(message.Response(410))
+            return
         with trio.move_on_after(wait_ms / 1000):
             while not changes():
                 await self.changed.wait()
