Read the list of entries to its end

Cause: list_objects read one page and ignored that there are more. Change: it returns one page and where the next begins; the listing task reads them to the end, keeps what is known when one fails, and takes the own entry for missing only if all pages were read. The interval counts the calls, so that all entries together still make ten a second at most: 375 s at 413 entries, 81 s at 195; a list with a tenth of new entries is read again after 3 s. An entry is forgotten after three listings, at least 60 s.

Evidence: two scenarios of peers.feature failed before (10 others expected, 3 and 3 known) and pass.

--- a/src/galenavane/gateway/object_store.py
+++ b/src/galenavane/gateway/object_store.py
@@ -32,6 +32,16 @@
     objects: list[StoredObject]
 
 
+class ObjectPage(msgspec.Struct, frozen=True):
+    """A part of a list of objects, in the order of their names.
+
+    :ivar next_after: the name after which the next part begins, empty for the last part.
+    """
+
+    objects: list[StoredObject]
+    next_after: str
+
+
 class TargetList(msgspec.Struct, frozen=True):
     """All listed targets at a revision of the store."""
 
@@ -85,8 +95,13 @@
     async def read(self, kind: str, name: str) -> _Result[StoredObject, failure.Failure]:
         """Return one of the product's own objects."""
 
-    async def list_objects(self, kind: str) -> _Result[list[StoredObject], failure.Failure]:
-        """Return the product's own objects of a kind; the list may be seconds old."""
+    async def list_objects(
+        self, kind: str, after: str = ""
+    ) -> _Result[ObjectPage, failure.Failure]:
+        """Return a part of the product's own objects of a kind, which may be seconds old.
+
+        :param after: the name after which the part begins, empty for the first part.
+        """
 
     async def create(
         self, kind: str, name: str, value: object
--- a/src/galenavane/gateway/peers.py
+++ b/src/galenavane/gateway/peers.py
@@ -28,6 +28,8 @@
 entries of the data centre send heartbeats to that relay."""
 FORGET_SECONDS = 60.0
 """An entry that was neither listed nor heard from for this long is dropped."""
+FORGET_LISTINGS = 3.0
+"""It is dropped only if it was missing for this many listings too, one of which may have failed."""
 LEAD_STORE_AGE_SECONDS = 1.0
 """A relay that watches hears from the store twice a second, unless the store is slow."""
 
@@ -247,6 +249,10 @@
     ]
 
 
-def find_expired(peers: abc.Mapping[str, Peer], now: float) -> list[str]:
-    """Return the entries that were neither listed nor heard from for long."""
-    return [name for name, peer in peers.items() if now - peer.last_known_at > FORGET_SECONDS]
+def find_expired(peers: abc.Mapping[str, Peer], listing_seconds: float, now: float) -> list[str]:
+    """Return the entries that were neither listed nor heard from for long.
+
+    :param listing_seconds: interval at which the entries' list is read.
+    """
+    forget_seconds = max(FORGET_SECONDS, FORGET_LISTINGS * listing_seconds)
+    return [name for name, peer in peers.items() if now - peer.last_known_at > forget_seconds]
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import msgspec
 import trio
 
@@ -28,8 +30,10 @@
 to its first relay; a message costs about 0.1 ms of processor time at each end."""
 LIST_INTERVAL_SECONDS = 3.0
 LIST_ENTRY_SECONDS = 0.1
-"""Added to the interval for each known entry, so that all entries together make ten calls a second
-at most."""
+"""Added to the interval for each known entry and each call that a list takes, so that all entries
+together make ten calls a second at most."""
+GROWING_SHARE = 0.1
+"""A list with this share of new entries is read again soon, as others may be registering too."""
 FIRST_LIST_INTERVAL_SECONDS = 0.5
 STALE_LISTING_SECONDS = 10.0
 """A listing may be seconds old, so it may lack an entry that registered within this time."""
@@ -57,19 +61,52 @@
         if not is_listed:
             is_listed = await _register_own(gw)
             registered_at = boot_clock.now()
-        listing = await gw.store.list_objects(ENTRIES_KIND)
-        if listing.is_ok():
-            for stored in listing.ok:
-                _add_peer(gw, stored.name, stored.value)
-            is_in_listing = any(stored.name == gw.name for stored in listing.ok)
+        known = len(gw.peers)
+        listing = await _read_listing(gw)
+        if listing.is_complete:
             is_stale = boot_clock.now() - registered_at < STALE_LISTING_SECONDS
-            is_listed = is_listed and (is_in_listing or is_stale)
+            is_listed = is_listed and (gw.name in listing.names or is_stale)
         delay_seconds = FIRST_LIST_INTERVAL_SECONDS
         if is_listed and gw.peers:
-            delay_seconds = LIST_INTERVAL_SECONDS + LIST_ENTRY_SECONDS * len(gw.peers)
+            is_growing = len(gw.peers) - known > GROWING_SHARE * known
+            delay_seconds = LIST_INTERVAL_SECONDS
+            if not is_growing or not listing.is_complete:
+                delay_seconds += LIST_ENTRY_SECONDS * len(gw.peers) * listing.calls
+            gw.listing_seconds = delay_seconds
         await trio.sleep(delay_seconds * (0.8 + 0.4 * gw.rng.random()))
 
 
+@dataclasses.dataclass(slots=True)
+class _Listing:
+    """The entries as listed in the store, whose list is answered in pages.
+
+    :ivar calls: number of calls that it took.
+    :ivar is_complete: whether all pages could be read.
+    """
+
+    names: set[str] = dataclasses.field(default_factory=set)
+    calls: int = 0
+    is_complete: bool = False
+
+
+async def _read_listing(gw: states.Gateway) -> _Listing:
+    """Read the addresses of all entries; those of the pages that can't be read stay as known."""
+    listing = _Listing()
+    after = ""
+    while True:
+        page = await gw.store.list_objects(ENTRIES_KIND, after)
+        listing.calls += 1
+        if page.is_error():
+            return listing
+        for stored in page.ok.objects:
+            _add_peer(gw, stored.name, stored.value)
+            listing.names.add(stored.name)
+        if page.ok.next_after <= after:
+            listing.is_complete = not page.ok.next_after
+            return listing
+        after = page.ok.next_after
+
+
 async def _register_own(gw: states.Gateway) -> bool:
     value = ListedEntry(own_address(gw), gw.data_centre, gw.cfg.get(settings.BANDWIDTH))
     created = await gw.store.create(ENTRIES_KIND, gw.name, value)
@@ -311,6 +348,6 @@
                 events.log("peer.removed", peer=name)
                 gw.drop_peer(name)
                 await gw.store.delete(ENTRIES_KIND, name)
-        for name in peers.find_expired(gw.peers, now):
+        for name in peers.find_expired(gw.peers, gw.listing_seconds, now):
             events.log("peer.forgotten", peer=name)
             gw.drop_peer(name)
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -117,6 +117,7 @@
     :ivar lapsed_control: state of the controller while this entry's lease has lapsed.
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
     :ivar accept_pauses: targets without a group that answered no attempt to connect.
+    :ivar listing_seconds: interval at which the list of entries is read.
     :ivar reported_loads: requests of this entry by head, as last sent to relays.
     :ivar known_stalls: stalls that were reported, and when, on trio's clock.
     :ivar pending_stalls: service, key and missing members of stalled groups to be checked.
@@ -154,6 +155,7 @@
         "lapsed_control",
         "last_request_at",
         "lease",
+        "listing_seconds",
         "metrics",
         "name",
         "net",
@@ -195,6 +197,7 @@
         self.config_state = config_state.ConfigState()
         self.registry = target_registry.Registry()
         self.peers: dict[str, peers.Peer] = {}
+        self.listing_seconds = 0.0
         self.lease = lease.LeaseState(f"{self.name}/{incarnation}")
         self.holder_report = lease.HolderReport()
         self.control: controller_state.Control | None = None
--- a/src/galenavane/platform/store_client.py
+++ b/src/galenavane/platform/store_client.py
@@ -149,11 +149,11 @@
         return (await self._get(f"/objects/{kind}/{name}", _Object)).map(_make_stored)
 
     async def list_objects(
-        self, kind: str
-    ) -> _Result[list[object_store.StoredObject], failure.Failure]:
+        self, kind: str, after: str = ""
+    ) -> _Result[object_store.ObjectPage, failure.Failure]:
         # A list of peers may be seconds old, and a stale read costs a tenth of a fresh one.
-        page = await self._get(f"/objects/{kind}?stale_ok=1", _Page)
-        return page.map(lambda listing: [_make_stored(item) for item in listing.items])
+        query = _query(stale_ok="1", after=after)
+        return (await self._get(f"/objects/{kind}{query}", _Page)).map(_make_page)
 
     async def create(
         self, kind: str, name: str, value: object
@@ -240,6 +240,11 @@
         return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, str(exc)))
 
 
+def _make_page(page: _Page) -> object_store.ObjectPage:
+    next_after = page.items[-1].metadata.name if page.has_more and page.items else ""
+    return object_store.ObjectPage([_make_stored(item) for item in page.items], next_after)
+
+
 def _make_stored(decoded: _Object) -> object_store.StoredObject:
     return object_store.StoredObject(
         decoded.metadata.name, decoded.metadata.revision, bytes(decoded.spec)
--- a/tests/gateway/peers.feature
+++ b/tests/gateway/peers.feature
@@ -48,3 +48,31 @@
     And 31 s later it removes the silent one
     And an entry that became the first relay 5 s ago removes none
     And an entry of another data centre is not removed
+
+  # Guards against entries that are known to nobody but whom they have written to themselves.
+  Scenario: An entry knows all others when the store lists them in pages
+    Given a platform with 0 domains of 0 targets, and an entry
+    When 10 other entries are listed, 3 in a page
+    Then the entry knows 10 others within 3 s
+    And all these steps succeed
+
+  Scenario: A page that can't be read keeps what is known
+    Given a platform with 0 domains of 0 targets, and an entry
+    When 10 other entries are listed, 3 in a page
+    And the pages after the second one can't be read
+    Then the entry knows 6 others within 3 s
+    When all pages can be read again
+    Then the entry knows 10 others within 6 s
+    And the entry is listed
+    And all these steps succeed
+
+  Scenario Outline: An entry is forgotten when it was missing in several listings
+    Given an entry that was last listed at 0 s
+    Then at <at> s, with a listing each <interval> s, it is <outcome>
+
+    Examples:
+      | at   | interval | outcome   |
+      | 59   | 4        | known     |
+      | 61   | 4        | forgotten |
+      | 1000 | 375      | known     |
+      | 1126 | 375      | forgotten |
--- a/tests/steps/gateway_peers.py
+++ b/tests/steps/gateway_peers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import trio
 from behave import given, then, when
-from steps import gateway_config_state
+from steps import gateway_config_state, gateway_whole_path
 
-from galenavane.gateway import config_state, peer_message, peers
+from galenavane.gateway import config_state, peer_message, peers, peers_task
+
+plan_step = gateway_whole_path.plan_step
 
 
 @given('26 entries of data centre "a", two of them with wide links')
@@ -176,3 +179,55 @@
 @then("an entry of another data centre is not removed")
 def check_elsewhere(context):
     assert "elsewhere" not in find_silent(context, 0.0, 300.0)
+
+
+@when("{count:d} other entries are listed, {page:d} in a page")
+def list_entries(context, count, page):
+    @plan_step(context)
+    async def step(world):
+        world.store.page_items = page
+        for number in range(count):
+            value = {"address": "127.0.0.1:1", "data_centre": "dc", "bandwidth": 1.0}
+            world.store.put(peers_task.ENTRIES_KIND, f"a{number}", value)
+
+
+@when("the pages after the second one can't be read")
+def fail_pages(context):
+    @plan_step(context)
+    async def step(world):
+        world.store.away_after.add("a5")
+
+
+@when("all pages can be read again")
+def read_pages(context):
+    @plan_step(context)
+    async def step(world):
+        world.store.away_after.clear()
+
+
+@then("the entry knows {count:d} others within {seconds:d} s")
+def check_known(context, count, seconds):
+    @plan_step(context)
+    async def step(world):
+        with trio.move_on_after(seconds):
+            while len(world.entry.peers) < count:
+                await trio.sleep(0.05)
+        assert len(world.entry.peers) == count, sorted(world.entry.peers)
+
+
+@then("the entry is listed")
+def check_listed(context):
+    @plan_step(context)
+    async def step(world):
+        assert "e1" in world.store.objects[peers_task.ENTRIES_KIND]
+
+
+@given("an entry that was last listed at 0 s")
+def make_listed(context):
+    context.peers = {"e": peers.make_peer("e", "", "a", 20.0, 0.0)}
+
+
+@then("at {at:d} s, with a listing each {interval:d} s, it is {outcome}")
+def check_forgotten(context, at, interval, outcome):
+    is_forgotten = peers.find_expired(context.peers, float(interval), float(at)) == ["e"]
+    assert is_forgotten == (outcome == "forgotten")
