Decode objects of other writers one by one

Cause: pages and batches of events were decoded as a whole; nesting raised RecursionError; numbers beyond 64 bits could not be sent on to other entries; an entry's address was not checked. Change: parts that can't be decoded as a whole are decoded one by one, counts are bounded, depth is a decoding error.

--- a/src/galenavane/gateway/lease.py
+++ b/src/galenavane/gateway/lease.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from galenavane.net import untrusted_json
+
 RENEW_INTERVAL_SECONDS = 0.8
 """Each renewal costs a write to the store, and a successor waits for two missed renewals."""
 LEASE_SECONDS = 2.4
@@ -41,8 +43,8 @@
     """
 
     holder: str
-    token: int
-    renewal: int
+    token: untrusted_json.Count
+    renewal: untrusted_json.Count
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/galenavane/gateway/lease_task.py
+++ b/src/galenavane/gateway/lease_task.py
@@ -9,6 +9,7 @@
 from galenavane.failure import code as codes
 from galenavane.gateway import boot_clock, lease, object_store, peers
 from galenavane.gateway import state as states
+from galenavane.net import untrusted_json
 from galenavane.observe import events
 
 LEASE_KIND = "galenavane-leases"
@@ -117,7 +118,7 @@
 
 def _decode_record(stored: object_store.StoredObject) -> lease.LeaseRecord:
     try:
-        return msgspec.json.decode(stored.value, type=lease.LeaseRecord)
+        return untrusted_json.decode(stored.value, lease.LeaseRecord)
     except msgspec.DecodeError as exc:
         events.log("lease.damaged", text=str(exc))
         return lease.LeaseRecord("", 0, 0)
--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -183,5 +183,5 @@
     """Return a decoded message, or ``None`` if the bytes are malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -20,6 +20,7 @@
     settings,
 )
 from galenavane.gateway import state as states
+from galenavane.net import untrusted_json
 from galenavane.observe import events
 
 ENTRIES_KIND = "galenavane-entries"
@@ -119,7 +120,7 @@
     if name == gw.name:
         return
     try:
-        entry = msgspec.json.decode(value, type=ListedEntry)
+        entry = untrusted_json.decode(value, ListedEntry)
     except msgspec.DecodeError as exc:
         events.log("peer.damaged", peer=name, text=str(exc))
         return
--- a/src/galenavane/peer/zmq_transport.py
+++ b/src/galenavane/peer/zmq_transport.py
@@ -62,7 +62,11 @@
         self._close_idle(now)
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = _Peer(self._connect(address))
+            try:
+                peer = self._peers[address] = _Peer(self._connect(address))
+            except (zmq.ZMQError, ValueError):
+                # The address is another writer's text.
+                return False
         peer.used_at = now
         # Only the socket with the peer's current key completes its handshake.
         queued = [dealer.send([data]) for dealer in peer.sockets]
--- a/src/galenavane/platform/store_client.py
+++ b/src/galenavane/platform/store_client.py
@@ -13,7 +13,8 @@
 from galenavane.failure import outcome as outcomes
 from galenavane.fleet import target
 from galenavane.gateway import object_store
-from galenavane.net import address, connection_pool, message, transport_error
+from galenavane.net import address, connection_pool, message, transport_error, untrusted_json
+from galenavane.observe import events as event_log
 from galenavane.platform import wire_target
 
 CALL_TIMEOUT_SECONDS = 0.6
@@ -24,6 +25,8 @@
 MAX_RESPONSE_BYTES = 8_000_000
 _TARGETS_KIND = "servers"
 _CONFIG_KEY = "config/main"
+_LOGGED_BYTES = 200
+"""Of an object that can't be decoded."""
 
 _T = typing.TypeVar("_T")
 _Result = expression.Result
@@ -93,8 +96,8 @@
                 _apply(targets, listed.metadata.name, _decode_target(listed))
             if not page.has_more:
                 return await self._catch_up(targets, revision, page.as_of)
-            if not page.items:
-                text = "a page without objects is not the last one"
+            if not page.items or page.items[-1].metadata.name <= after:
+                text = "the list does not go on after a page"
                 return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, text))
             after = page.items[-1].metadata.name
 
@@ -235,11 +238,59 @@
 
 def _decode(response: message.Response, kind: type[_T]) -> _Result[_T, failure.Failure]:
     try:
-        return expression.Ok(msgspec.json.decode(response.body, type=kind))
+        return expression.Ok(_decode_body(response.body, kind))
     except msgspec.DecodeError as exc:
         return expression.Error(failure.Failure(codes.Code.OBJECT_DAMAGED, str(exc)))
 
 
+def _decode_body(body: bytes, kind: type[_T]) -> _T:
+    """Decode a body; objects of other writers that can't be decoded don't hide the others.
+
+    :raises msgspec.DecodeError: if the body itself is malformed.
+    """
+    try:
+        return untrusted_json.decode(body, kind)
+    except msgspec.DecodeError:
+        if kind is _Object:
+            found = _decode_object(body)
+            if found is None:
+                raise
+            return typing.cast(_T, found)
+        members = untrusted_json.split_object(body)
+        revision = untrusted_json.decode(members.get(b"as_of", b""), int)
+        if kind is _Page:
+            items = untrusted_json.split_array(members.get(b"items", b"[]"))
+            found_items = [item for item in map(_decode_object, items) if item is not None]
+            has_more = members.get(b"has_more", b"").strip() == b"true"
+            return typing.cast(_T, _Page(revision, found_items, has_more))
+        changes = untrusted_json.split_array(members.get(b"events", b"[]"))
+        found_events = [event for event in map(_decode_event, changes) if event is not None]
+        return typing.cast(_T, _Events(revision, found_events))
+
+
+def _decode_object(data: bytes) -> _Object | None:
+    """Decode an object, without its value if only that can't be decoded."""
+    try:
+        return untrusted_json.decode(data, _Object)
+    except msgspec.DecodeError as exc:
+        event_log.log("store.odd_object", text=str(exc), start=ascii(data[:_LOGGED_BYTES]))
+    try:
+        metadata = untrusted_json.split_object(data).get(b"metadata", b"")
+        return _Object(untrusted_json.decode(metadata, _Metadata))
+    except msgspec.DecodeError:
+        return None
+
+
+def _decode_event(data: bytes) -> _Event | None:
+    try:
+        members = untrusted_json.split_object(data)
+    except msgspec.DecodeError:
+        return None
+    found = _decode_object(members.get(b"object", b""))
+    is_deleted = members.get(b"deleted", b"").strip() == b"true"
+    return _Event(found, is_deleted) if found is not None else None
+
+
 def _make_page(page: _Page) -> object_store.ObjectPage:
     next_after = page.items[-1].metadata.name if page.has_more and page.items else ""
     return object_store.ObjectPage([_make_stored(item) for item in page.items], next_after)
--- a/src/galenavane/platform/wire_config.py
+++ b/src/galenavane/platform/wire_config.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from galenavane.catalog import account, catalog, engine, limits, route, service
+from galenavane.net import untrusted_json
 
 
 class _Split(msgspec.Struct):
@@ -88,7 +89,7 @@
 class Config(msgspec.Struct):
     """The operator's complete configuration."""
 
-    version: int
+    version: untrusted_json.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -107,7 +108,7 @@
 
     :raises msgspec.ValidationError: when it does not match the published schema.
     """
-    config = msgspec.json.decode(body, type=Config)
+    config = untrusted_json.decode(body, Config)
     return catalog.Catalog(
         config.version,
         [_make_route(spec) for spec in config.routes],
--- a/src/galenavane/platform/wire_target.py
+++ b/src/galenavane/platform/wire_target.py
@@ -6,14 +6,14 @@
 
 from galenavane.control import group_command
 from galenavane.fleet import target, target_report
-from galenavane.net import address, headers, message
+from galenavane.net import address, headers, message, untrusted_json
 from galenavane.platform import wire_request
 
 
 class _Group(msgspec.Struct):
     name: str
-    epoch: int
-    rank: int
+    epoch: untrusted_json.Count
+    rank: untrusted_json.Count
     state: str
 
 
@@ -34,7 +34,7 @@
     zone: str
     # "ready" even while the target can't serve; "draining" before it leaves.
     state: str
-    slots: int = 1
+    slots: untrusted_json.Count = 1
     # Fabric domain; not a network domain name.
     domain: str = ""
     # Models whose weights are on the host, in use or not.
@@ -43,7 +43,7 @@
     models: list[_Model] = []
     group: _Group | None = None
     # Unix time in milliseconds at which the target started.
-    born: int = 0
+    born: untrusted_json.Count = 0
 
 
 class TargetReport(msgspec.Struct):
@@ -53,13 +53,13 @@
     """
 
     # Number of commands that its process has accepted.
-    sequence: int | None = None
+    sequence: untrusted_json.Count | None = None
 
     domain: str = ""
     staged: list[str] = []
     models: list[_Model] = []
     group: _Group | None = None
-    born: int = 0
+    born: untrusted_json.Count = 0
     pace: float = 1.0
 
 
@@ -69,7 +69,7 @@
 def decode_target(target_id: str, spec: msgspec.Raw) -> target.Target | None:
     """Decode a listed target; return ``None`` when it is unusable."""
     try:
-        listed = msgspec.json.decode(spec, type=ListedTarget)
+        listed = untrusted_json.decode(spec, ListedTarget)
         target_address = address.parse(listed.address)
         if listed.state not in ("ready", "draining") or not listed.backend:
             return None
@@ -99,7 +99,7 @@
     :returns: ``None`` when the report is invalid.
     """
     try:
-        report = msgspec.json.decode(body, type=TargetReport)
+        report = untrusted_json.decode(body, TargetReport)
         membership = _decode_group(report.group)
     except (msgspec.DecodeError, ValueError, KeyError):
         return None
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -20,6 +20,17 @@
       | with an address that is a number                                             |
       | with an unknown state                                                        |
       | with an unknown state of its group                                           |
+      | with 10**30 slots                                                            |
+      | with -5 slots                                                                |
+      | with 2**63 slots                                                             |
+      | that started 10**30 ms after 1970                                            |
+      | that started -2**63 ms after 1970                                            |
+      | with an epoch of 10**30                                                      |
+      | with an epoch of 2**64-1                                                     |
+      | with a rank of -7                                                            |
+      | with a port of 99999                                                         |
+      | with a port of 5000 digits                                                   |
+      | with a field nested 8000 deep                                                |
 
   Scenario: A listed target with unknown fields is decoded
     Then a listed target is decoded with its group, model and start time
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -91,6 +91,7 @@
 
 @then("a listed target {what} is skipped")
 def check_skipped(context, what):
+    group = {"name": "g", "epoch": 7, "rank": 1, "state": "ready"}
     entries = {
         "that is no JSON object": 5,
         "without an address": {
@@ -101,7 +102,21 @@
         "with an unknown state of its group": make_entry(
             group={"name": "g", "epoch": 7, "rank": 1, "state": "novel"}
         ),
+        "with 10**30 slots": make_entry(slots=10**30),
+        "with -5 slots": make_entry(slots=-5),
+        "with 2**63 slots": make_entry(slots=2**63),
+        "that started 10**30 ms after 1970": make_entry(born=10**30),
+        "that started -2**63 ms after 1970": make_entry(born=-(2**63)),
+        "with an epoch of 10**30": make_entry(group={**group, "epoch": 10**30}),
+        "with an epoch of 2**64-1": make_entry(group={**group, "epoch": 2**64 - 1}),
+        "with a rank of -7": make_entry(group={**group, "rank": -7}),
+        "with a port of 99999": make_entry(address="10.0.0.1:99999"),
+        "with a port of 5000 digits": make_entry(address="10.0.0.1:" + "9" * 5000),
     }
+    if what == "with a field nested 8000 deep":
+        text = json.dumps(make_entry()).replace('{"x": 1}', "[" * 8000 + "]" * 8000)
+        assert wire_target.decode_target("t1", msgspec.Raw(text.encode())) is None
+        return
     assert decode_entry(entries[what]) is None
 
 
