Keep receiving signals while an entry stops

Cause: the receiver was left after the first signal, which restores the default action; the second one ended the process. Change: it stays to the end, further signals are logged. Evidence: stop.feature's three new scenarios; without the fix the first of them fails on the handler it finds, and the run ends.

--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -78,11 +78,14 @@
         conns = connections.Connections()
         handler = frontend.make_handler(gw, conns)
         await nursery.start(gw.net.listen, cfg.get(settings.CALLERS), handler, limits, conns)
-        await _wait_for_stop_signal()
-        await _drain(gw, conns)
-        events.log("entry.stop", active=gw.active_requests, reading=conns.reading)
-        sink.flush()
-        nursery.cancel_scope.cancel()
+        # Received to the end: the default action of a second signal would end the process at once.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            await anext(received)
+            nursery.start_soon(_log_further_signals, received)
+            await _drain(gw, conns)
+            events.log("entry.stop", active=gw.active_requests, reading=conns.reading)
+            sink.flush()
+            nursery.cancel_scope.cancel()
 
 
 async def _supervise(task: Task, gw: states.Gateway) -> None:
@@ -96,10 +99,9 @@
         await trio.sleep(RESTART_DELAY_SECONDS)
 
 
-async def _wait_for_stop_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            return
+async def _log_further_signals(received: abc.AsyncIterator[int]) -> None:
+    async for number in received:
+        events.log("entry.signal", number=number, text="this entry is stopping already")
 
 
 async def _log_reloads() -> None:
--- a/tests/gateway/stop.feature
+++ b/tests/gateway/stop.feature
@@ -16,3 +16,18 @@
     And a client sends an order and the entry gets SIGTERM with a grace time of 4 s
     Then the request gets status 504 with outcome unknown before the grace time ends
     And all these steps succeed
+
+  # Guards against a second signal that ends the process and cuts its requests off (review/3).
+  Scenario Outline: A further signal while an entry stops cuts no request off
+    Given a platform with 2 domains of 6 targets, and an entry
+    When a target answers an order after 2 s
+    And the entry gets SIGTERM with a grace time of 6 s
+    And it gets <signals> 0.5 s later
+    Then the order is answered with "done"
+    And all these steps succeed
+
+    Examples:
+      | signals                 |
+      | SIGTERM                 |
+      | SIGINT                  |
+      | SIGTERM SIGINT SIGTERM  |
--- a/tests/steps/gateway_stop.py
+++ b/tests/steps/gateway_stop.py
@@ -154,3 +154,41 @@
         assert head.startswith(b"HTTP/1.1 %d " % status), end
         assert json.loads(body)["error"]["outcome"] == "unknown" and not end.is_reset, end
         assert end.at < world.killed_at, end.at - world.killed_at
+
+
+@when("a target answers an order after {seconds:g} s")
+def send_slow_order(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        world.plain_seconds = seconds
+        world.order = None
+
+        async def call():
+            world.order = await world.call("/order/x")
+
+        world.nursery.start_soon(call)
+        await trio.sleep(0.3)
+
+
+@when("it gets {signals} {seconds:g} s later")
+def stop_again(context, signals, seconds):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(seconds)
+        for name in signals.split():
+            number = signal.Signals[name]
+            handler = signal.getsignal(number)
+            # The default action would end the tests.
+            assert handler not in (signal.SIG_DFL, signal.default_int_handler), handler
+            signal.raise_signal(number)
+            await trio.sleep(0.1)
+
+
+@then('the order is answered with "{body}"')
+def check_order_answered(context, body):
+    @plan_step(context)
+    async def step(world):
+        with trio.fail_after(4):
+            while world.order is None:
+                await trio.sleep(0.05)
+        assert (world.order.status, world.order.body) == (200, body.encode()), world.order
