Refuse requests that would be begun too late in a planned stop

Other operators' report: requests passed on late in the grace of a planned stop were cut at its end. New ones are refused here from 2.6 s on, but one that waited for a target that accepts no connection was sent afterwards, whatever its deadline. Cause: the last check before the first byte asked for the target and the account only. Change: it asks too whether the request is due before the entry ends, on both paths; else the request is refused as not run.

Evidence: three scenarios of stop.feature failed before (200 in place of the refusal) and pass; one that is due in time is still served.

--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -237,6 +237,8 @@
 def _may_send(gw: states.Gateway, stream: streams.Stream, has_others: bool = False) -> bool:
     if stream.request.account and not gw.may_use_keys():
         return False
+    if stream.sends == 0 and not gw.may_begin(stream.request.deadline):
+        return False
     if stream.sends + stream.refusals == 0 and not has_others:
         return True
     budget = gw.get_send_budget(stream.request.service)
--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -69,7 +69,7 @@
     except transport_error.TransportError as exc:
         return _make_unreachable(str(exc))
     try:
-        if not _may_send(gw, call.request, destination):
+        if not _may_send(gw, call, destination):
             return _make_unreachable("the target or the account may no longer be used")
         await attempt.begin()
         response = await _send(call, attempt, target_conn)
@@ -179,7 +179,7 @@
             until = accept_pause.wait_until(
                 gw.accept_pauses, destination.id, request.received_at, request.deadline
             )
-            if trio.current_time() >= until or not _may_send(gw, request, destination):
+            if trio.current_time() >= until or not _may_send(gw, call, destination):
                 raise
         else:
             accept_pause.record_answered(gw.accept_pauses, destination.id)
@@ -190,13 +190,16 @@
         await trio.sleep_until(began_at + target_exchange.CONNECT_TIMEOUT_SECONDS)
 
 
-def _may_send(
-    gw: states.Gateway, request: admission.AdmittedRequest, destination: target.Target
-) -> bool:
-    """Whether a target is still listed as it was chosen, and the client's key still known."""
+def may_begin(gw: states.Gateway, call: plain_call.PlainCall) -> bool:
+    """Whether a request may be sent while the entry stops, as far as that matters."""
+    return call.sends > 0 or gw.may_begin(call.request.deadline)
+
+
+def _may_send(gw: states.Gateway, call: plain_call.PlainCall, destination: target.Target) -> bool:
+    """Whether a target is still listed as it was chosen, and the request may still be sent."""
     known = gw.registry.targets.get(destination.id)
     is_listed = known is not None and not known.is_leaving and known.address == destination.address
-    return is_listed and may_use_account(gw, request)
+    return is_listed and may_begin(gw, call) and may_use_account(gw, call.request)
 
 
 def may_use_account(gw: states.Gateway, request: admission.AdmittedRequest) -> bool:
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -56,7 +56,7 @@
     gw: states.Gateway, call: plain_call.PlainCall, send: _Function, tries: _Attempts
 ) -> bool:
     """Try another target if that is allowed and one is left; return whether it is tried."""
-    if not _may_start(call, tries):
+    if not _may_start(call, tries) or not plain_attempt.may_begin(gw, call):
         return False
     busy_ids = {attempt.destination.id for attempt in tries.in_progress}
     destination = _choose_target(gw, call.request.service, call.tried_ids | busy_ids)
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -123,6 +123,7 @@
     gw.is_stopping = True
     gw.wake_control()
     await trio.sleep(min(BALANCER_DELAY_SECONDS, grace / 2))
+    gw.ends_at = stop_at
     gw.is_closing = True
     quiet_at = trio.current_time() + 1.0
     while trio.current_time() < stop_at:
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -134,6 +134,7 @@
     :ivar target_in_flight: requests of this entry at each target without a group.
     :ivar is_stopping: whether the process was asked to stop.
     :ivar is_closing: whether answers close their connections.
+    :ivar ends_at: when the work on requests ends because the process stops, on trio's clock.
     :ivar active_requests: number of requests being served.
     :ivar control_wakeup: set and replaced to wake the control task, mostly after target changes.
     """
@@ -152,6 +153,7 @@
         "control",
         "control_wakeup",
         "data_centre",
+        "ends_at",
         "heads",
         "holder_report",
         "incarnation",
@@ -234,6 +236,7 @@
         self.metrics = gateway_metrics.make()
         self.is_stopping = False
         self.is_closing = False
+        self.ends_at = float("inf")
         self.active_requests = 0
         self.last_request_at = float("-inf")
         self.control_wakeup = trio.Event()
@@ -331,6 +334,15 @@
         revoke = self.cfg.get(settings.REVOKE)
         return config_state.may_use_keys(self.config_state, revoke, boot_clock.now())
 
+    def may_begin(self, deadline: float) -> bool:
+        """Whether a request that no target has got yet may be sent to one.
+
+        While the entry stops, another one serves it if this one might not see its answer.
+
+        :param deadline: when its response is due, on trio's clock.
+        """
+        return not self.is_closing or deadline <= self.ends_at
+
     def suspect(self, target_id: str, seconds: float) -> None:
         """Avoid a target for a while."""
         self.suspect_until(target_id, trio.current_time() + seconds)
--- a/tests/gateway/stop.feature
+++ b/tests/gateway/stop.feature
@@ -31,3 +31,27 @@
       | SIGTERM                 |
       | SIGINT                  |
       | SIGTERM SIGINT SIGTERM  |
+
+  # Guards against requests that are begun late in the grace time and cut at its end (issue 33).
+  Scenario Outline: A request that still waits when the entry has left the balancer is refused
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the entry gets SIGTERM with a grace time of 6 s
+    And 2.3 s later the plain targets accept no connection for 1 s
+    And a client <request> that has to wait
+    Then it is refused as not run within 1.5 s
+    And 0 requests arrived
+    And all these steps succeed
+
+    Examples:
+      | request                     |
+      | places an order             |
+      | looks an order up           |
+      | asks for a stream of a feed |
+
+  Scenario: A request that is due before the entry ends is still served
+    Given a platform with 2 domains of 6 targets, and an entry
+    When the entry gets SIGTERM with a grace time of 6 s
+    And 2.3 s later the plain targets accept no connection for 1 s
+    And a client places a quick order that has to wait
+    Then it gets the body "done" with status 200
+    And all these steps succeed
--- a/tests/steps/gateway_stop.py
+++ b/tests/steps/gateway_stop.py
@@ -192,3 +192,40 @@
             while world.order is None:
                 await trio.sleep(0.05)
         assert (world.order.status, world.order.body) == (200, body.encode()), world.order
+
+
+@when("{seconds:g} s later the plain targets accept no connection for {pause:g} s")
+def pause_targets(context, seconds, pause):
+    @plan_step(context)
+    async def step(world):
+        await trio.sleep(seconds)
+        names = [name for name, target in world.targets.items() if target.service == "desk"]
+        world.silence(names, pause, is_reachable=False)
+
+
+WAITING_REQUESTS = {
+    "places an order": ("/order/x", 0),
+    "places a quick order": ("/quick/x", 0),
+    "looks an order up": ("/status/x", 0),
+    "asks for a stream of a feed": ("/feed/x", 8),
+}
+
+
+@when("a client {request} that has to wait")
+def send_waiting(context, request):
+    path, events = WAITING_REQUESTS[request]
+
+    @plan_step(context)
+    async def step(world):
+        began_at = trio.current_time()
+        world.answer = await world.call(path, events)
+        world.answer_seconds = trio.current_time() - began_at
+
+
+@then("it is refused as not run within {seconds:g} s")
+def check_refused_in_time(context, seconds):
+    @plan_step(context)
+    async def step(world):
+        assert world.answer.status == 503, world.answer
+        assert json.loads(world.answer.body)["error"]["outcome"] == "not_run", world.answer.body
+        assert world.answer_seconds <= seconds, world.answer_seconds
