Go by what targets say in their answers about further requests

Each reason not to send stood in a check of its own: the list (plain path only, right before the first byte), suspicion, pauses.

Change: route/target_permit.py decides for both paths whether a target may be sent requests, until when not and why; asked at the choice and right before the first byte, which the model path did not do. Leaving is marked in the list, so that groups, the holder and relays go by it; other entries get one message each target and incarnation. Requests wait for a target that is free within a third of their time, else they are refused at once with the shortest wait. The holder's commands don't wait (docs/design/notices.md).

--- a/src/galenavane/fleet/target_registry.py
+++ b/src/galenavane/fleet/target_registry.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections import abc
 
+import msgspec
+
 from galenavane.fleet import group_index, target
 
 RECOVERY_GRACE_SECONDS = 2.0
@@ -16,6 +18,10 @@
 missing records count as gone at once."""
 
 
+MAX_LEAVING = 10_000
+"""Targets that have said that they leave are forgotten beyond this number, the oldest first."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Unlisted:
     """A member whose record lapsed.
@@ -39,6 +45,8 @@
     :ivar grace_until: time until which a missing record may just have lapsed in an outage.
     :ivar unlisted: members of open groups whose records lapsed, by id. A member that has lost
         only its connection to the store still works.
+    :ivar leaving: id and incarnation of the targets that have said themselves that they leave,
+        whatever their records say.
     :ivar index: groups that the listed and the unlisted targets form.
     """
 
@@ -48,6 +56,7 @@
     presumed_alive_until: dict[str, float] = dataclasses.field(default_factory=dict)
     grace_until: float = 0.0
     unlisted: dict[str, Unlisted] = dataclasses.field(default_factory=dict)
+    leaving: dict[tuple[str, int], None] = dataclasses.field(default_factory=dict)
     index: group_index.GroupIndex = dataclasses.field(default_factory=group_index.GroupIndex)
 
 
@@ -80,6 +89,22 @@
     _put(registry, listed)
 
 
+def mark_leaving(registry: Registry, target_id: str, incarnation: int) -> bool:
+    """Record that a target has said that it leaves; return whether that is new.
+
+    It holds until its record ends or is that of a new incarnation.
+    """
+    if (target_id, incarnation) in registry.leaving:
+        return False
+    registry.leaving[(target_id, incarnation)] = None
+    if len(registry.leaving) > MAX_LEAVING:
+        del registry.leaving[next(iter(registry.leaving))]
+    known = registry.targets.get(target_id)
+    if known is not None and known.incarnation == incarnation:
+        _put(registry, known)
+    return True
+
+
 def remove(registry: Registry, target_id: str, now: float) -> bool:
     """Record that a target is no longer listed; return whether it counts as gone now."""
     return _remove(registry, target_id, now)
@@ -123,6 +148,7 @@
     gone = registry.targets.pop(target_id, None)
     if gone is None:
         return
+    registry.leaving.pop((gone.id, gone.incarnation), None)
     membership = gone.membership
     # The platform forbids sending requests to a target without a record, so this excludes heads.
     is_member = membership is not None and membership.rank > 0 and not gone.is_leaving
@@ -147,6 +173,8 @@
 def _put(registry: Registry, listed: target.Target) -> None:
     registry.presumed_alive_until.pop(listed.id, None)
     drop_unlisted(registry, listed.id)
+    if (listed.id, listed.incarnation) in registry.leaving and not listed.is_leaving:
+        listed = msgspec.structs.replace(listed, is_leaving=True)
     former = registry.targets.get(listed.id)
     if former == listed:
         return
--- a/src/galenavane/gateway/codec.py
+++ b/src/galenavane/gateway/codec.py
@@ -33,6 +33,9 @@
     ) -> target_response.TargetResponse:
         """Decode the status and headers of a target's response to a request."""
 
+    def decode_notice(self, response: message.Response) -> target_response.Notice:
+        """Decode what a target's answer to anything says about further requests."""
+
     def make_command_request(self, command: group_command.Command) -> message.Request:
         """Return the request that sends a command to a target."""
 
--- a/src/galenavane/gateway/command_sender.py
+++ b/src/galenavane/gateway/command_sender.py
@@ -14,7 +14,7 @@
     join_history,
 )
 from galenavane.fleet import target, target_report
-from galenavane.gateway import boot_clock, lease_task
+from galenavane.gateway import boot_clock, lease_task, permits
 from galenavane.gateway import state as states
 from galenavane.net import message, round_trip, transport_error
 from galenavane.observe import events
@@ -105,6 +105,7 @@
         MAX_RESPONSE_BYTES,
         is_allowed=lambda: lease_task.may_command(gw, control),
     )
+    permits.record_notice(gw, command.target, gw.codec.decode_notice(response))
     return response.status
 
 
@@ -144,7 +145,7 @@
 ) -> message.Response:
     """Send a join, which is never sent twice."""
     is_allowed = functools.partial(_may_send_join, gw, control, state, join)
-    return await round_trip.send(
+    response = await round_trip.send(
         gw.net,
         join.target.address,
         gw.codec.make_command_request(join),
@@ -152,6 +153,8 @@
         MAX_RESPONSE_BYTES,
         is_allowed=is_allowed,
     )
+    permits.record_notice(gw, join.target, gw.codec.decode_notice(response))
+    return response
 
 
 def _may_send_join(
@@ -195,4 +198,5 @@
         COMMAND_TIMEOUT_SECONDS,
         MAX_RESPONSE_BYTES,
     )
+    permits.record_notice(gw, listed_target, gw.codec.decode_notice(response))
     return gw.codec.decode_report(listed_target, response.body) if response.status == 200 else None
--- a/src/galenavane/gateway/gateway_metrics.py
+++ b/src/galenavane/gateway/gateway_metrics.py
@@ -23,12 +23,14 @@
         "groups",
         "in_flight",
         "lease_token",
+        "notices",
         "peers",
         "registry",
         "requests",
         "stalls",
         "store_calls",
         "targets",
+        "targets_avoided",
     )
 
     def __init__(self) -> None:
@@ -48,6 +50,12 @@
         self.commands = metric_factory.make_counter(
             self.registry, "commands_total", "Commands to targets by result."
         )
+        self.notices = metric_factory.make_counter(
+            self.registry, "target_notices_total", "Targets that leave or ask to wait, by reason."
+        )
+        self.targets_avoided = metric_factory.make_gauge(
+            self.registry, "targets_avoided", "Listed targets not sent requests now, by reason."
+        )
         self.first_event_seconds = metric_factory.make_histogram(
             self.registry,
             "first_event_seconds",
--- a/src/galenavane/gateway/model_serving.py
+++ b/src/galenavane/gateway/model_serving.py
@@ -18,6 +18,7 @@
 from galenavane.gateway import (
     admission,
     attempts,
+    permits,
     prompt_blocks,
     stream_attempt,
 )
@@ -66,7 +67,10 @@
             return refusal
         choice = _choose_group(gw, stream)
         if choice is None:
-            return stream.reported_failure or _make_no_group_failure(gw)
+            wait_end = _find_wait_end(gw, stream)
+            if await permits.wait(gw, wait_end, stream.request.deadline):
+                continue
+            return _choose_failure(gw, stream, wait_end)
         queue_failure = _check_queue(gw, stream, choice[1])
         if queue_failure is not None:
             return queue_failure
@@ -213,7 +217,7 @@
     )
     for group in serving:
         head = group.head
-        if head is None or gw.is_suspect(head.id):
+        if head is None or permits.check(gw, head).reason is not None:
             continue
         in_flight = loads.get(head.id, 0)
         is_near = head.data_centre == gw.data_centre
@@ -234,6 +238,33 @@
     return (groups_by_head[choice.head], choice.in_flight) if choice is not None else None
 
 
+def _find_wait_end(gw: states.Gateway, stream: streams.Stream) -> float:
+    """Return when the stream may be sent to a head that asked to be left alone.
+
+    :returns: infinity unless all heads that serve the model have asked for it.
+    """
+    serving = group_index.find_serving(
+        gw.registry.index,
+        stream.request.service,
+        stream.constants,
+        stream.request.inbound.model,
+    )
+    found = [permits.check(gw, group.head) for group in serving if group.head is not None]
+    if not all(permit.is_binding for permit in found):
+        return math.inf
+    return permits.find_wait_end(found)
+
+
+def _choose_failure(gw: states.Gateway, stream: streams.Stream, wait_end: float) -> failure.Failure:
+    """Return the failure to answer with when no group is left."""
+    reported = stream.reported_failure
+    if reported is not None and reported.outcome is not _Outcome.NOT_RUN:
+        return reported
+    if wait_end < math.inf:
+        return permits.make_wait_failure(wait_end)
+    return reported or _make_no_group_failure(gw)
+
+
 def _may_send(gw: states.Gateway, stream: streams.Stream, has_others: bool = False) -> bool:
     if stream.request.account and not gw.may_use_keys():
         return False
--- a/src/galenavane/gateway/peer_message.py
+++ b/src/galenavane/gateway/peer_message.py
@@ -108,6 +108,17 @@
     missing: list[str]
 
 
+class LeavingTarget(msgspec.Struct, frozen=True, tag="leaving", array_like=True):
+    """Reports that a target has said that it leaves.
+
+    :ivar incarnation: the start of the target that said so.
+    """
+
+    sender: str
+    target: str
+    incarnation: int
+
+
 class PartCrash(msgspec.Struct, frozen=True, array_like=True):
     """A crash of a group's head while a request with the part of a prompt waited there.
 
@@ -168,6 +179,7 @@
     | TargetSnapshot
     | TargetDelta
     | StallReport
+    | LeavingTarget
     | SuspectParts
     | ClearedParts
 )
--- a/src/galenavane/gateway/peer_updates.py
+++ b/src/galenavane/gateway/peer_updates.py
@@ -85,13 +85,22 @@
     _send(gw, delta, peers.find_subscribers(gw.peers, boot_clock.now()))
 
 
+def send_leaving(gw: states.Gateway, target_id: str, incarnation: int) -> None:
+    """Tell this entry's relays and subscribers, and through them the rest, that a target leaves."""
+    _send_around(gw, peer_message.LeavingTarget(gw.name, target_id, incarnation))
+
+
 def send_stall(gw: states.Gateway, report: peer_message.StallReport) -> None:
     """Send a stall report to this entry's relays and subscribers, which forward it to the rest."""
+    _send_around(gw, report)
+
+
+def _send_around(gw: states.Gateway, message: peer_message.Message) -> None:
     now = boot_clock.now()
     peer_names = choose_upstream_relays(gw, now) | {
         peer.name for peer in peers.find_subscribers(gw.peers, now)
     }
-    _send(gw, report, [gw.peers[name] for name in sorted(peer_names)])
+    _send(gw, message, [gw.peers[name] for name in sorted(peer_names)])
 
 
 def share_blocked_parts(gw: states.Gateway, message: peer_message.SuspectParts) -> None:
--- a/src/galenavane/gateway/peers_task.py
+++ b/src/galenavane/gateway/peers_task.py
@@ -16,6 +16,7 @@
     peer_message,
     peer_updates,
     peers,
+    permits,
     prompt_blocks,
     settings,
 )
@@ -268,6 +269,8 @@
             _apply_delta(gw, message)
         case peer_message.StallReport():
             _handle_stall(gw, message)
+        case peer_message.LeavingTarget():
+            permits.record_leaving(gw, message.target, message.incarnation)
         case peer_message.SuspectParts():
             prompt_blocks.handle_suspects(gw, message)
         case peer_message.ClearedParts():
--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -15,6 +15,7 @@
     admission,
     attempts,
     member_check,
+    permits,
     plain_call,
     stream_relay,
     target_exchange,
@@ -196,10 +197,9 @@
 
 
 def _may_send(gw: states.Gateway, call: plain_call.PlainCall, destination: target.Target) -> bool:
-    """Whether a target is still listed as it was chosen, and the request may still be sent."""
-    known = gw.registry.targets.get(destination.id)
-    is_listed = known is not None and not known.is_leaving and known.address == destination.address
-    return is_listed and may_begin(gw, call) and may_use_account(gw, call.request)
+    """Whether the request may still be sent to the target that was chosen."""
+    is_permitted = not permits.check(gw, destination).is_binding
+    return is_permitted and may_begin(gw, call) and may_use_account(gw, call.request)
 
 
 def may_use_account(gw: states.Gateway, request: admission.AdmittedRequest) -> bool:
@@ -292,7 +292,7 @@
         return failure.Failure(
             codes.Code.TARGET_REFUSED,
             f"status {response.status}",
-            retry_after_seconds=RETRY_AFTER_SECONDS,
+            retry_after_seconds=response.notice.wait_seconds or RETRY_AFTER_SECONDS,
         )
     if response.status < 300 and not response.is_signed:
         return failure.Failure(
--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -8,16 +8,19 @@
 
 import functools
 import math
+from collections import abc
 
 import trio
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
+from galenavane.failure import outcome as outcomes
 from galenavane.fleet import target
-from galenavane.gateway import admission, attempts, plain_attempt, plain_call
+from galenavane.gateway import admission, attempts, permits, plain_attempt, plain_call
 from galenavane.gateway import state as states
 from galenavane.net import http_server
 from galenavane.observe import events
+from galenavane.route import target_permit
 
 _Attempts = attempts.Attempts[target.Target]
 _Function = attempts.Function[target.Target]
@@ -42,7 +45,10 @@
     while True:
         is_started = tries.is_silent and _start_attempt(gw, call, send, tries)
         if not is_started and not tries.in_progress:
-            return call.reported_failure or _make_no_target_failure()
+            wait_end = _find_wait_end(gw, call)
+            if await permits.wait(gw, wait_end, call.request.deadline):
+                continue
+            return _choose_failure(gw, call, wait_end)
         for ended in await tries.wait(_choose_wait_seconds(call, tries)):
             if ended.error is not None:
                 raise ended.error
@@ -92,14 +98,9 @@
 
 
 def _choose_target(gw: states.Gateway, service: str, excluded: set[str]) -> target.Target | None:
-    usable = [
-        candidate
-        for candidate in gw.registry.targets.values()
-        if candidate.service == service
-        and not candidate.is_leaving
-        and candidate.id not in excluded
-    ]
-    trusted = [candidate for candidate in usable if not gw.is_suspect(candidate.id)] or usable
+    found = _check_targets(gw, service, excluded)
+    usable = [candidate for candidate, permit in found if not permit.is_binding]
+    trusted = [candidate for candidate, permit in found if permit.reason is None] or usable
     if not trusted:
         return None
     return min(
@@ -107,10 +108,47 @@
     )
 
 
-def _make_no_target_failure() -> failure.Failure:
+def _check_targets(
+    gw: states.Gateway, service: str, excluded: abc.Set[str] = frozenset()
+) -> list[tuple[target.Target, target_permit.Permit]]:
+    return [
+        (candidate, permits.check(gw, candidate))
+        for candidate in gw.registry.targets.values()
+        if candidate.service == service and candidate.id not in excluded
+    ]
+
+
+def _find_wait_end(gw: states.Gateway, call: plain_call.PlainCall) -> float:
+    """Return when the request may be sent to a target that asked to be left alone."""
+    if not plain_call.may_send_again(call, is_under_way=False) or not plain_attempt.may_begin(
+        gw, call
+    ):
+        return math.inf
+    found = _check_targets(gw, call.request.service, call.tried_ids)
+    if not all(permit.is_binding for _, permit in found):
+        return math.inf
+    return permits.find_wait_end(permit for _, permit in found)
+
+
+def _choose_failure(
+    gw: states.Gateway, call: plain_call.PlainCall, wait_end: float
+) -> failure.Failure:
+    """Return the failure to answer with when no target is left."""
+    reported = call.reported_failure
+    if reported is not None and reported.outcome is not outcomes.Outcome.NOT_RUN:
+        return reported
+    found = [permit for _, permit in _check_targets(gw, call.request.service)]
+    if found and all(permit.is_binding for permit in found):
+        wait_end = min(wait_end, permits.find_wait_end(found))
+        if wait_end < math.inf:
+            return permits.make_wait_failure(wait_end)
+    return reported or _make_no_target_failure(target_permit.describe(found))
+
+
+def _make_no_target_failure(reasons: str) -> failure.Failure:
     return failure.Failure(
         codes.Code.TARGET_UNREACHABLE,
-        "no target of the service is available",
+        f"no target of the service is available ({reasons or 'none is listed'})",
         retry_after_seconds=plain_attempt.RETRY_AFTER_SECONDS,
     )
 
--- a/src/galenavane/gateway/process.py
+++ b/src/galenavane/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import signal
 from collections import abc
 
@@ -17,12 +18,14 @@
     lease_task,
     part_news,
     peers_task,
+    permits,
     settings,
     targets_task,
 )
 from galenavane.gateway import state as states
 from galenavane.net import connections, http_server, message
 from galenavane.observe import events, log_sink, trace_text
+from galenavane.route import target_permit
 
 FLUSH_INTERVAL_SECONDS = 0.2
 BALANCER_DELAY_SECONDS = 2.6
@@ -173,6 +176,11 @@
     metrics.store_calls.set({}, gw.store.calls)
     metrics.peers.set({}, gw.count_entries() - 1)
     metrics.targets.set({}, len(gw.registry.targets))
+    avoided = collections.Counter(
+        permits.check(gw, listed).reason for listed in gw.registry.targets.values()
+    )
+    for reason in target_permit.Reason:
+        metrics.targets_avoided.set({"reason": reason.value}, avoided[reason])
     metrics.lease_token.set({}, gw.control.token if gw.control is not None else 0)
     response = message.Response(200, body=gateway_metrics.render(metrics))
     response.headers.add("content-type", "text/plain; version=0.0.4")
--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -27,7 +27,13 @@
 )
 from galenavane.net import buffer_budget, network
 from galenavane.peer import transport
-from galenavane.route import accept_pause, head_watch, prompt_suspects, send_budget
+from galenavane.route import (
+    accept_pause,
+    head_watch,
+    prompt_suspects,
+    send_budget,
+    target_permit,
+)
 
 STALL_DEDUP_SECONDS = 1.0
 """Reports of the same stall by several entries within this time are forwarded once."""
@@ -119,6 +125,7 @@
     :ivar control: state of the controller, ``None`` while this entry may not command.
     :ivar lapsed_control: state of the controller while this entry's lease has lapsed.
     :ivar suspects: targets that are avoided, and until when, on trio's clock.
+    :ivar waits: targets that asked to be left alone for a while.
     :ivar accept_pauses: targets without a group that answered no attempt to connect.
     :ivar listing_seconds: interval at which the list of entries is read.
     :ivar reported_loads: requests of this entry by head, as last sent to relays.
@@ -182,6 +189,7 @@
         "suspects",
         "target_in_flight",
         "transport",
+        "waits",
     )
 
     def __init__(
@@ -221,6 +229,7 @@
         self.stalls_in_check: set[replica_group.Key] = set()
         self.heads: dict[str, HeadRequests] = {}
         self.suspects: dict[str, float] = {}
+        self.waits: dict[str, target_permit.Wait] = {}
         self.accept_pauses: dict[str, accept_pause.Pause] = {}
         self.prompt_suspects = prompt_suspects.Suspects(
             proof_seconds=cfg.get(settings.CONTACT),
--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -14,6 +14,7 @@
     attempts,
     head_crash,
     heads_task,
+    permits,
     prompt_blocks,
     stream_relay,
     target_exchange,
@@ -121,6 +122,10 @@
         stream.refusals += 1
         return failure.Failure(codes.Code.TARGET_UNREACHABLE, str(exc))
     try:
+        permit = permits.check(gw, head)
+        if permit.is_binding:
+            stream.refusals += 1
+            return failure.Failure(codes.Code.TARGET_REFUSED, f"the head is {permit.reason}")
         seconds_left = stream.request.deadline - trio.current_time()
         is_resumed = stream.sends > 0
         options = inbound_request.SendOptions(
@@ -189,11 +194,16 @@
     if response.is_not_run:
         stream.sends -= 1
         stream.refusals += 1
-        gw.suspect(head.id, REFUSED_SUSPECT_SECONDS)
+        if not response.notice.wait_seconds:
+            gw.suspect(head.id, REFUSED_SUSPECT_SECONDS)
         if response.faulty_member:
             gw.pending_stalls.append((stream.request.service, group.key, (response.faulty_member,)))
             gw.wake_control()
-        return failure.Failure(codes.Code.TARGET_REFUSED, f"status {response.status}")
+        return failure.Failure(
+            codes.Code.TARGET_REFUSED,
+            f"status {response.status}",
+            retry_after_seconds=response.notice.wait_seconds or None,
+        )
     if response.status == 200:
         if response.is_signed:
             return None
--- a/src/galenavane/gateway/target_exchange.py
+++ b/src/galenavane/gateway/target_exchange.py
@@ -6,6 +6,7 @@
 import trio
 
 from galenavane.fleet import target
+from galenavane.gateway import permits
 from galenavane.gateway import state as states
 from galenavane.net import buffer_budget, http_connection, http_encoding, message, transport_error
 from galenavane.net import headers as header_lists
@@ -33,6 +34,7 @@
 
     __slots__ = (
         "_conn",
+        "_destination",
         "_gw",
         "_inbound",
         "has_framing",
@@ -45,9 +47,11 @@
         self,
         gw: states.Gateway,
         conn: http_connection.HttpConnection,
+        destination: target.Target,
         inbound: inbound_request.InboundRequest,
     ) -> None:
         self._gw = gw
+        self._destination = destination
         self._conn = conn
         self._inbound = inbound
         self.is_sent = False
@@ -83,7 +87,9 @@
         self.has_framing = is_framed or not has_body
         # h11 has checked that the length is a number.
         self.stated_bytes = int(length) if length and has_body else None
-        return self._gw.codec.decode_response(self._inbound, response)
+        decoded = self._gw.codec.decode_response(self._inbound, response)
+        permits.record_notice(self._gw, self._destination, decoded.notice)
+        return decoded
 
     async def _send_long_body(self, parts: list[h11.Event]) -> message.Response:
         failures: list[transport_error.TransportError] = []
@@ -177,7 +183,7 @@
     :raises TransportError: with kind ``NOT_CONNECTED``.
     """
     conn = await gw.net.dial(destination.address, CONNECT_TIMEOUT_SECONDS)
-    return TargetExchange(gw, conn, inbound)
+    return TargetExchange(gw, conn, destination, inbound)
 
 
 def make_client_headers(response: target_response.TargetResponse) -> header_lists.Headers:
--- a/src/galenavane/gateway/targets_task.py
+++ b/src/galenavane/gateway/targets_task.py
@@ -79,7 +79,11 @@
         known_revision = gw.registry.revision
         gw.registry.revision = max(known_revision, result.ok.revision)
         gw.wake_control()
-        changed = [change.target for change in result.ok.changes if change.target is not None]
+        changed = [
+            gw.registry.targets.get(change.id, change.target)
+            for change in result.ok.changes
+            if change.target is not None
+        ]
         _send_delta(gw, known_revision, result.ok.revision, changed, gone_ids)
     return expression.Ok(result.ok.revision)
 
--- a/src/galenavane/platform/wire_codec.py
+++ b/src/galenavane/platform/wire_codec.py
@@ -30,6 +30,9 @@
     ) -> target_response.TargetResponse:
         return wire_request.decode_response(inbound, head)
 
+    def decode_notice(self, head: message.Response) -> target_response.Notice:
+        return wire_request.decode_notice(head)
+
     def make_command_request(self, command: group_command.Command) -> message.Request:
         return wire_target.make_command_request(command)
 
--- a/src/galenavane/platform/wire_request.py
+++ b/src/galenavane/platform/wire_request.py
@@ -34,6 +34,8 @@
 # Id of the group member because of which the head refuses a request.
 _FAULTY_MEMBER = "at-server"
 _PRIORITY = "request-priority"
+# "1" in each answer of a target that leaves.
+_LEAVING = "server-leaving"
 _BEARER = "bearer "
 _HIGHEST_PRIORITY = "0"
 """Range 0 (admitted first) to 9; requests without the field have 5."""
@@ -118,10 +120,19 @@
         matches_request=fields.get(_REQUEST_ID, inbound.id) == inbound.id,
         is_signed=bool(fields.get(_SIGNATURE)) and not is_encoded,
         faulty_member=fields.get(_FAULTY_MEMBER),
+        notice=decode_notice(head),
         media_type=fields.get("content-type").partition(";")[0].strip().lower(),
     )
 
 
+def decode_notice(head: message.Response) -> target_response.Notice:
+    """Decode what a target's answer to anything says about further requests."""
+    wait_seconds = 0.0
+    if head.status == 503:
+        wait_seconds = max(0.0, _parse_number(head.headers.get("retry-after")) or 0.0)
+    return target_response.Notice(head.headers.get(_LEAVING).strip() == "1", wait_seconds)
+
+
 def _parse_parts(text: str) -> tuple[str, ...]:
     """Return the ids of all parts but the last, up to a limit; none for a malformed list.
 
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -142,3 +142,26 @@
     Given a request that resumes a stream after event "3"
     When it is resumed on target "t1" after event 5
     Then the target is asked once to go on after event "5"
+
+  Scenario Outline: What an answer says about further requests
+    Then an answer of status <status> with "<name>: <value>" says <notice>
+
+    Examples:
+      | status | name           | value                         | notice              |
+      | 200    | Server-Leaving | 1                             | that it leaves      |
+      | 503    | server-leaving | 1                             | that it leaves      |
+      | 200    | Server-Leaving | 0                             | nothing             |
+      | 200    | Server-Leaving | yes                           | nothing             |
+      | 200    | Server-Leaving | 11                            | nothing             |
+      | 503    | Retry-After    | 2                             | to wait 2 s         |
+      | 503    | Retry-After    | 0.25                          | to wait 0.25 s      |
+      | 200    | Retry-After    | 2                             | nothing             |
+      | 429    | Retry-After    | 2                             | nothing             |
+      | 503    | Retry-After    | 0                             | nothing             |
+      | 503    | Retry-After    | -3                            | nothing             |
+      | 503    | Retry-After    | soon                          | nothing             |
+      | 503    | Retry-After    | inf                           | nothing             |
+      | 503    | Retry-After    | nan                           | nothing             |
+      | 503    | Retry-After    | 1e999                         | nothing             |
+      | 503    | Retry-After    | Wed, 21 Oct 2026 07:28:00 GMT | nothing             |
+      | 503    | Retry-After    | 1e30                          | to wait 1e+30 s     |
--- a/tests/steps/gateway_commands.py
+++ b/tests/steps/gateway_commands.py
@@ -18,6 +18,7 @@
     object_store,
     targets_task,
 )
+from galenavane.serve import target_response
 
 plan_step = gateway_whole_path.plan_step
 
@@ -105,7 +106,9 @@
 
     report = target_report.TargetReport(context.reported, 1.0, 3)
     codec = types.SimpleNamespace(
-        make_report_request=lambda: None, decode_report=lambda listed, body: report
+        make_report_request=lambda: None,
+        decode_report=lambda listed, body: report,
+        decode_notice=lambda response: target_response.Notice(),
     )
     gw = types.SimpleNamespace(
         registry=registry,
--- a/tests/steps/platform_wire.py
+++ b/tests/steps/platform_wire.py
@@ -332,3 +332,13 @@
 def check_part_length(context, allowed, excess):
     assert len(decode_parts(f"{'a' * allowed}:1,b:1,c:1")) == 2
     assert decode_parts(f"{'a' * excess}:1,b:1,c:1") == ()
+
+
+@then('an answer of status {status:d} with "{name}: {value}" says {notice}')
+def check_notice(context, status, name, value, notice):
+    head = message.Response(status, headers.Headers([(name.encode(), value.encode())]))
+    found = wire_request.decode_notice(head)
+    said = "that it leaves" if found.is_leaving else "nothing"
+    if found.wait_seconds:
+        said = f"to wait {found.wait_seconds:g} s"
+    assert said == notice, found
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -149,6 +149,8 @@
         self.last_model = ""
         self.staged = []
         self.is_leaving = False
+        self.says_leaving = False
+        self.asks_to_wait = ""
         self.scope = trio.CancelScope()
         self.published_address = ""
 
@@ -204,7 +206,9 @@
                 return
             await self._execute_command(exchange, order)
         elif exchange.request.path == "/report":
-            await exchange.respond(message.json_response(200, {**self.describe(), "pace": 1.0}))
+            report = message.json_response(200, {**self.describe(), "pace": 1.0})
+            self._add_notice(report.headers)
+            await exchange.respond(report)
         elif self.service == "llm" or exchange.request.headers.get("token-usage"):
             await self._stream(exchange)
         else:
@@ -250,7 +254,19 @@
             self.group["state"] = "closing" if self.streaming else "ready"
         self.command_count += status == 202
         self.publish()
-        await exchange.respond(message.Response(status))
+        await exchange.respond(message.Response(status, self._add_notice(headers.Headers())))
+
+    def _add_notice(self, fields):
+        """Add to an answer's fields that the target leaves, if it does."""
+        return fields.add("server-leaving", "1") if self.says_leaving else fields
+
+    async def _turn_away(self, exchange):
+        """Refuse a request with the wish to be left alone; return whether there is one."""
+        if not self.asks_to_wait:
+            return False
+        fields = self._answer_headers(exchange).add("not-executed", "1")
+        await exchange.respond(message.Response(503, fields.add("retry-after", self.asks_to_wait)))
+        return True
 
     async def _become(self, group_key, group_state, seconds):
         await trio.sleep(seconds)
@@ -262,7 +278,7 @@
 
     def _answer_headers(self, exchange):
         fields = headers.Headers().add("attempt-id", exchange.request.headers.get("attempt-id"))
-        return fields.add("replica-signature", f"{self.name}.sig")
+        return self._add_notice(fields.add("replica-signature", f"{self.name}.sig"))
 
     async def _flood(self, exchange):
         """Send bytes that are no answer, or more than one, until the entry closes."""
@@ -351,7 +367,7 @@
     async def _plain(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
         await trio.sleep(self.world.plain_seconds)
-        if await self._pause(exchange):
+        if await self._pause(exchange) or await self._turn_away(exchange):
             return
         if await self._send_raw(exchange):
             return
@@ -384,7 +400,7 @@
 
     async def _stream(self, exchange):
         self.world.arrivals.append((self.name, exchange.request.headers))
-        if await self._send_raw(exchange):
+        if await self._turn_away(exchange) or await self._send_raw(exchange):
             return
         if self.world.flood and await self._flood(exchange):
             return
