Soak targets that say they leave or ask to be left alone

The check goes by what the targets saw: after an entry has passed on an answer that says its target leaves, no request sent half a second later reaches that start of it from that process; two at most reach one that asked to wait. It reports both violations from made-up records.

A route of the test platform with a short timeout, which would have weakened the soak's check of answers, is now added only where it is used.

--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -18,6 +18,7 @@
 
 SEEDS_PATHS = {
     "faults": pathlib.Path(__file__).parent / "seeds.txt",
+    "notices": pathlib.Path(__file__).parent / "notices_seeds.txt",
     "planned": pathlib.Path(__file__).parent / "planned_seeds.txt",
 }
 DEFAULT_FAULT_SECONDS = 10.0
@@ -30,7 +31,7 @@
     count: int = 1,
     jobs: int = 2,
     seconds: float = DEFAULT_FAULT_SECONDS,
-    plan: typing.Literal["faults", "planned"] = "faults",
+    plan: typing.Literal["faults", "notices", "planned"] = "faults",
 ) -> int:
     """Run seeds of the fault soak; with a count of 1 and a seed, run it in this process.
 
@@ -40,7 +41,8 @@
     :param count: number of seeds to run in addition to the kept ones
     :param jobs: number of seeds to run at a time
     :param seconds: time for which faults are injected for each seed
-    :param plan: faults, or only planned work and targets that pause, which excuse no lost answer
+    :param plan: faults; notices of targets that leave or ask to be left alone, among faults; or only
+        planned work and targets that pause, which excuse no lost answer
     """
     if count == 1 and seed is not None:
         return _run_one(seed, seconds, plan)
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -11,6 +11,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 REVOCATION_LIMIT_SECONDS = 5.0
 """The platform guarantees that a removed key works no longer than this."""
+NOTICE_SECONDS = 0.5
+"""After this time an entry goes by what a target has said in its answer."""
+WAITING_ARRIVALS = 2
 LEAVING_LIMIT_SECONDS = 4.0
 """After this time, a leaving target gets no new requests from entries that reach the store."""
 
@@ -205,3 +208,47 @@
         and request.ended_at >= last_part_at
         and any(arrival.ended_at == 0.0 or arrival.ended_at >= last_part_at for arrival in arrivals)
     )
+
+
+def check_left_alone(
+    sent: abc.Sequence[records.SentRequest],
+    arrivals: abc.Sequence[records.Arrival],
+    notices: abc.Iterable[records.Notice],
+) -> list[str]:
+    """Check that an entry goes by what a target has said in an answer to it.
+
+    A target that leaves gets nothing sent later than a moment after the entry has passed on its
+    answer; one that asked to be left alone gets two requests at most until its time is over.
+
+    :param arrivals: all requests that reached targets, also those that were turned away.
+    """
+    by_attempt = {request.attempt: request for request in sent}
+    violations = []
+    for notice in notices:
+        told = by_attempt.get(notice.attempt)
+        if told is None:
+            continue
+        since, until = notice.said_at + NOTICE_SECONDS, notice.said_at + notice.wait_seconds
+        if not notice.wait_seconds:
+            is_passed_on = told.status == 200 and told.is_complete
+            if not is_passed_on or _find_last_target(arrivals, notice.attempt) != notice.target:
+                continue
+            since, until = told.ended_at + NOTICE_SECONDS, float("inf")
+        late = [
+            arrival.attempt
+            for arrival in arrivals
+            if (arrival.target, arrival.born) == (notice.target, notice.born)
+            and since < arrival.arrived_at < until
+            and arrival.attempt in by_attempt
+            and by_attempt[arrival.attempt].entry_run == told.entry_run
+            and (notice.wait_seconds or by_attempt[arrival.attempt].started_at > since)
+        ]
+        if len(late) > (WAITING_ARRIVALS if notice.wait_seconds else 0):
+            violations.append(f"{late[:4]} reached {notice.target} after {notice}")
+    return violations
+
+
+def _find_last_target(arrivals: abc.Sequence[records.Arrival], attempt: str) -> str:
+    """Return the target that a request arrived at last."""
+    found = [arrival for arrival in arrivals if arrival.attempt == attempt]
+    return max(found, key=lambda arrival: arrival.arrived_at).target if found else ""
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -97,15 +97,35 @@
             await super().handle(exchange)
             return
         now = trio.current_time()
-        arrival = records.Arrival(attempt, self.name, headers.get("tenant") or "", now)
+        account = headers.get("tenant") or ""
+        arrival = records.Arrival(attempt, self.name, account, now, born=self.born)
         self.world.ledger.append(arrival)
         self.open_requests += 1
+        if self.says_leaving:
+            self.world.notices.append(records.Notice(attempt, self.name, self.born, now))
         try:
             await super().handle(exchange)
         finally:
             self.open_requests -= 1
             arrival.ended_at = max(trio.current_time(), self.paused_until)
 
+    async def _turn_away(self, exchange):
+        wait_seconds = float(self.asks_to_wait or 0)
+        is_turned_away = await super()._turn_away(exchange)
+        if is_turned_away:
+            attempt = exchange.request.headers.get("attempt-id")
+            now = trio.current_time()
+            notice = records.Notice(attempt, self.name, self.born, now, wait_seconds)
+            self.world.notices.append(notice)
+            refused = [
+                arrival
+                for arrival in self.world.ledger
+                if (arrival.attempt, arrival.target) == (attempt, self.name)
+            ]
+            self.world.ledger.remove(refused[-1])
+            self.world.turned_away.append(refused[-1])
+        return is_turned_away
+
     def has_work(self):
         """Return whether this target, or the head of its group, has requests or is paused."""
         head = self.world.targets.get(self.members[0]) if self.group and self.members else None
@@ -166,6 +186,8 @@
     """The whole deployment, with entries as separate processes.
 
     :ivar ledger: requests that arrived at targets.
+    :ivar notices: what targets said about further requests.
+    :ivar turned_away: requests that arrived at targets and were refused at once.
     :ivar taken_targets: descriptions of targets that were taken from a serving group.
     :ivar departures: name of each target that left, when it announced that, and when it ended.
     :ivar revoked_at: time of removal by API key.
@@ -180,6 +202,8 @@
         self.store = Store()
         self.ledger = []
         self.taken_targets = []
+        self.notices = []
+        self.turned_away = []
         self.departures = []
         self.revoked_at = {}
         self.stopped_at = {}
--- a/tests/fault_soak/injector.py
+++ b/tests/fault_soak/injector.py
@@ -16,6 +16,7 @@
 """Time for a process to decide on signals; before that, SIGHUP ends any process."""
 LEAVING_WORK_SECONDS = 10.0
 """The platform lets a leaving target end its requests for so long."""
+ASKING_SECONDS = 0.3
 ADDED_ROUTES = 60
 BURST_CHANGES = 5
 BURST_GAP_SECONDS = 0.08
@@ -130,6 +131,49 @@
         if fault.choice < 0.5:
             await self.world.add_target(target.name, target.service, target.domain)
 
+    async def _target_says_it_leaves(self, fault):
+        await self._say_leaving(self._choose_plain(fault), fault)
+
+    async def _head_says_it_leaves(self, fault):
+        await self._say_leaving(self._choose_head(fault), fault)
+
+    async def _say_leaving(self, target, fault):
+        """Let a target say that it leaves, and end some time later; its record stays ready."""
+        if target is None:
+            return
+        target.says_leaving = True
+        await trio.sleep(fault.duration_seconds + 1.0)
+        born = target.born
+        target.kill()
+        await trio.sleep(fleet.EXPIRY_SECONDS)
+        self.world.expire_target(target, born)
+        await self.world.add_target(target.name, target.service, target.domain)
+
+    async def _target_asks_to_wait(self, fault):
+        await self._ask_to_wait(self._choose_plain(fault), fault)
+
+    async def _head_asks_to_wait(self, fault):
+        await self._ask_to_wait(self._choose_head(fault), fault)
+
+    async def _ask_to_wait(self, target, fault):
+        """Let a target turn requests away for a moment, and ask to be left alone for longer."""
+        if target is None:
+            return
+        target.asks_to_wait = f"{fault.duration_seconds:.2f}"
+        await trio.sleep(ASKING_SECONDS)
+        target.asks_to_wait = ""
+
+    def _choose_plain(self, fault):
+        """Choose a plain target that has said nothing, unless it is the last one."""
+        names = sorted(name for name in self.world.alive if name.startswith("p"))
+        targets = [self.world.targets[name] for name in names]
+        silent = [target for target in targets if not target.says_leaving]
+        return self._choose(silent, fault) if len(silent) > 1 else None
+
+    def _choose_head(self, fault):
+        serving = sorted(self.world.serving(), key=lambda head: head.name)
+        return self._choose([head for head in serving if not head.says_leaving], fault)
+
     async def _disturb_target(self, fault, faults, service="llm"):
         target = self._choose_target(fault, service)
         if target is None:
--- a/tests/fault_soak/plan.py
+++ b/tests/fault_soak/plan.py
@@ -38,6 +38,20 @@
     "repeated_pause": 2,
 }
 """Planned work and pauses of sound targets, which excuse no lost answer."""
+NOTICE_WEIGHTS = {
+    "target_says_it_leaves": 2,
+    "head_says_it_leaves": 2,
+    "target_asks_to_wait": 4,
+    "head_asks_to_wait": 4,
+    "target_leave": 1,
+    "target_kill": 1,
+    "entry_stop": 1,
+    "entry_kill": 1,
+    "store_away": 2,
+    "store_silent": 1,
+    "config_routes": 1,
+}
+"""Targets that say that they leave or ask to be left alone, among other faults."""
 FIRST_FAULT_SECONDS = 1.0
 MEAN_GAP_SECONDS = 0.7
 REPEAT_PROBABILITY = 0.3
@@ -61,6 +75,7 @@
 
 PLANS = {
     "faults": Plan(FAULT_WEIGHTS, MEAN_GAP_SECONDS, REPEAT_PROBABILITY, 3.0, is_planned=False),
+    "notices": Plan(NOTICE_WEIGHTS, 0.4, 0.4, 2.0, is_planned=False),
     "planned": Plan(PLANNED_WEIGHTS, 0.3, 0.4, 1.3, is_planned=True),
 }
 
--- a/tests/fault_soak/records.py
+++ b/tests/fault_soak/records.py
@@ -42,6 +42,7 @@
     """A request that arrived at a target, which runs it at once.
 
     :ivar ended_at: when the target had passed on its answer or broke off, 0 before that.
+    :ivar born: the start of the target.
     """
 
     attempt: str
@@ -49,3 +50,19 @@
     account: str
     arrived_at: float
     ended_at: float = 0.0
+    born: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Notice:
+    """What a target said about further requests in its answer to one.
+
+    :ivar born: the start of the target that said it.
+    :ivar wait_seconds: how long it asked to be left alone, 0 if it said that it leaves.
+    """
+
+    attempt: str
+    target: str
+    born: int
+    said_at: float
+    wait_seconds: float = 0.0
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -142,6 +142,8 @@
     violations += checks.check_not_run(sent, world.ledger)
     violations += checks.check_revoked(sent, world.ledger, world.revoked_at)
     violations += checks.check_leaving(world.ledger, world.departures)
+    reached = world.ledger + world.turned_away
+    violations += checks.check_left_alone(sent, reached, world.notices)
     violations += checks.check_versions(versions_by_entry)
     violations += checks.check_joins(world.taken_targets)
     if is_planned:
@@ -149,6 +151,7 @@
         violations += checks.check_answered(
             sent, world.ledger, world.stopped_at, world.departures, timeout_seconds
         )
+    (folder / "notices.txt").write_text("\n".join(str(notice) for notice in world.notices))
     (folder / "faults.txt").write_text("\n".join(fault_log))
     (folder / "broken.txt").write_text("\n".join(violations))
     (folder / "sent.txt").write_text("\n".join(str(request) for request in sent))
--- a/tests/fault_soak/soak.feature
+++ b/tests/fault_soak/soak.feature
@@ -18,6 +18,14 @@
       | 2    |
       | 8    |
 
+  Scenario Outline: Targets that leave or ask to be left alone are left alone
+    When the notices of seed <seed> are given for 4 s
+    Then no guarantee is violated
+
+    Examples:
+      | seed |
+      | 5    |
+
   Scenario Outline: Each check reports its violation
     Given records in which <violation>
     Then the check of "<check>" reports it
@@ -30,6 +38,8 @@
       | a request that was told 503 ran                     | not_run  |
       | a request ran 7 s after its key was removed         | revoked  |
       | a request reached a target 5 s after it left        | leaving  |
+      | a request reached a target that had said it leaves  | alone    |
+      | 3 requests reached a target that had asked to wait  | alone    |
       | a process went back to an earlier configuration     | versions |
       | a target was taken from a serving group             | joins    |
       | a stream is broken off and its target goes on       | answered |
--- a/tests/gateway/stop.feature
+++ b/tests/gateway/stop.feature
@@ -50,7 +50,8 @@
 
   Scenario: A request that is due before the entry ends is still served
     Given a platform with 2 domains of 6 targets, and an entry
-    When the entry gets SIGTERM with a grace time of 6 s
+    When the configuration has a route for quick orders
+    And the entry gets SIGTERM with a grace time of 6 s
     And 2.3 s later the plain targets accept no connection for 1 s
     And a client places a quick order that has to wait
     Then it gets the body "done" with status 200
--- a/tests/steps/fault_soak_runs.py
+++ b/tests/steps/fault_soak_runs.py
@@ -26,6 +26,19 @@
     return checks.check_answered([request], arrivals, stops, departures, 6.0)
 
 
+def check_alone(wait_seconds, count):
+    """Apply the check to requests that reach a target 1 s after it said something."""
+    told = make_request(status=200, is_complete=True, ended_at=100.2)
+    arrivals = [make_arrival()]
+    sent = [told]
+    for number in range(count):
+        name = f"b{number}"
+        sent.append(records.SentRequest(name, "stream", "e0/1", 101.0))
+        arrivals.append(records.Arrival(name, "t0", "acme", 101.2))
+    notice = records.Notice("a1", "t0", 0, 100.1, wait_seconds)
+    return checks.check_left_alone(sent, arrivals, [notice])
+
+
 FOUND_BY_RECORDS = {
     "a stream misses an event": lambda: checks.check_streams([make_request(events=[1, 3])]),
     "a stream ends normally before its last event": lambda: checks.check_streams(
@@ -43,6 +56,8 @@
     "a request reached a target 5 s after it left": lambda: checks.check_leaving(
         [make_arrival()], [("t0", 95.0, 101.0)]
     ),
+    "a request reached a target that had said it leaves": lambda: check_alone(0.0, 1),
+    "3 requests reached a target that had asked to wait": lambda: check_alone(2.0, 3),
     "a process went back to an earlier configuration": lambda: checks.check_versions(
         {"e0/1": [3, 4, 3]}
     ),
@@ -107,6 +122,11 @@
     _run_seed(context, seed, seconds, "faults")
 
 
+@when("the notices of seed {seed:d} are given for {seconds:d} s")
+def run_notices(context, seed, seconds):
+    _run_seed(context, seed, seconds, "notices")
+
+
 @when("the planned work of seed {seed:d} is carried out for {seconds:d} s")
 def run_planned_work(context, seed, seconds):
     _run_seed(context, seed, seconds, "planned")
--- a/tests/steps/gateway_stop.py
+++ b/tests/steps/gateway_stop.py
@@ -203,6 +203,15 @@
         world.silence(names, pause, is_reachable=False)
 
 
+@when("the configuration has a route for quick orders")
+def add_quick_route(context):
+    @plan_step(context)
+    async def step(world):
+        world.routes.append(world.route("/quick/", "non_idempotent", "desk", timeout_ms=3000))
+        world.publish_config([platform_world.KEY])
+        await trio.sleep(0.3)
+
+
 WAITING_REQUESTS = {
     "places an order": ("/order/x", 0),
     "places a quick order": ("/quick/x", 0),
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -502,7 +502,6 @@
             self.route("/once/", "streaming", "llm"),
             self.route("/feed/", "streaming", "desk", resumable=True, max_attempts=2),
             self.route("/order/", "non_idempotent", "desk"),
-            self.route("/quick/", "non_idempotent", "desk", timeout_ms=3000),
             self.route("/status/", "idempotent", "desk", max_attempts=2),
         ]
 
