Say that the entry is stopping when it refuses a request for that

A permit without a reason is one object. Evidence: stop, target_notices and target_permit features pass.

--- a/src/galenavane/gateway/plain_serving.py
+++ b/src/galenavane/gateway/plain_serving.py
@@ -137,6 +137,12 @@
     reported = call.reported_failure
     if reported is not None and reported.outcome is not outcomes.Outcome.NOT_RUN:
         return reported
+    if not plain_attempt.may_begin(gw, call):
+        return failure.Failure(
+            codes.Code.LEAVING,
+            "this entry is stopping before the response is due",
+            retry_after_seconds=plain_attempt.RETRY_AFTER_SECONDS,
+        )
     found = [permit for _, permit in _check_targets(gw, call.request.service)]
     if found and all(permit.is_binding for permit in found):
         wait_end = min(wait_end, permits.find_wait_end(found))
@@ -148,7 +154,7 @@
 def _make_no_target_failure(reasons: str) -> failure.Failure:
     return failure.Failure(
         codes.Code.TARGET_UNREACHABLE,
-        f"no target of the service is available ({reasons or 'none is listed'})",
+        f"no target of the service is available ({reasons or 'none is left'})",
         retry_after_seconds=plain_attempt.RETRY_AFTER_SECONDS,
     )
 
--- a/src/galenavane/route/target_permit.py
+++ b/src/galenavane/route/target_permit.py
@@ -43,6 +43,9 @@
         return self.reason in _BINDING
 
 
+_ALLOWED = Permit()
+
+
 class Wait(msgspec.Struct, frozen=True):
     """A target's wish to be left alone.
 
@@ -79,7 +82,7 @@
         return Permit(Reason.ASKED_TO_WAIT, wait.until)
     if now < suspected_until:
         return Permit(Reason.PAUSED if is_paused else Reason.SUSPECTED, suspected_until)
-    return Permit()
+    return _ALLOWED
 
 
 def record_wait(
