Close a group whose model was changed before it is dissolved

Cause: the size is taken from the configuration in force alone, so such a group looked as if it had lost members, and all were told to leave at once. Change: the holder remembers the size with which an open group was complete; one that still has all of them is closed first. A successor that has not seen the group before the change still dissolves it at once.

--- a/src/galenavane/control/controller.py
+++ b/src/galenavane/control/controller.py
@@ -126,6 +126,11 @@
     state: controller_state.ControllerState,
     groups_by_key: abc.Mapping[replica_group.Key, replica_group.Group],
 ) -> None:
-    for times_by_key in (state.dissolving, state.closing, state.incomplete_since):
+    for times_by_key in (
+        state.dissolving,
+        state.closing,
+        state.incomplete_since,
+        state.served_sizes,
+    ):
         for key in [known_key for known_key in times_by_key if known_key not in groups_by_key]:
             del times_by_key[key]
--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -48,6 +48,8 @@
     :ivar dissolving: groups whose members are commanded to leave, with the time of the decision.
     :ivar closing: groups whose heads are commanded to finish their streams, with the time of
         the decision.
+    :ivar served_sizes: number of members with which each open group was complete, also if the
+        configuration has changed its model since then.
     :ivar unreachable_until: targets that did not answer, and until when they are not used.
     :ivar sent_at: recently sent commands by kind, target id and epoch.
     :ivar incomplete_since: when groups of a former holder were first seen incomplete.
@@ -64,6 +66,7 @@
     forming: dict[replica_group.Key, FormingGroup] = dataclasses.field(default_factory=dict)
     dissolving: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
     closing: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
+    served_sizes: dict[replica_group.Key, int] = dataclasses.field(default_factory=dict)
     unreachable_until: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_at: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
     incomplete_since: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
--- a/src/galenavane/control/group_lifecycle.py
+++ b/src/galenavane/control/group_lifecycle.py
@@ -23,6 +23,10 @@
     if controller_state.is_standby(key) or key in state.forming:
         return []
     if group.state is target.GroupState.OPEN and group.is_complete:
+        state.served_sizes[key] = len(group.members)
+        return _advance_serving(state, group, now)
+    if group.state is target.GroupState.OPEN and _is_outdated(state, group):
+        state.closing.setdefault(key, now)
         return _advance_serving(state, group, now)
     if group.state is target.GroupState.CLOSING or key in state.closing:
         return _advance_closing(state, group, now)
@@ -50,12 +54,21 @@
     return []
 
 
+def _is_outdated(state: controller_state.ControllerState, group: replica_group.Group) -> bool:
+    """Whether a group has all members of its model as it was before the configuration changed it.
+
+    Its streams still run, so it is closed first.
+    """
+    return not group.is_complete and state.served_sizes.get(group.key) == len(group.members)
+
+
 def _advance_closing(
     state: controller_state.ControllerState, group: replica_group.Group, now: float
 ) -> list[group_command.Command]:
     since = state.closing.setdefault(group.key, now)
     is_closed = group.state not in (target.GroupState.CLOSING, target.GroupState.OPEN)
-    if is_closed or not group.is_complete or now >= since + CLOSE_SECONDS:
+    is_whole = group.is_complete or _is_outdated(state, group)
+    if is_closed or not is_whole or now >= since + CLOSE_SECONDS:
         state.dissolving[group.key] = now
         return _dissolve(state, group, now)
     return []
