--- a/src/galenavane/control/controller_state.py
+++ b/src/galenavane/control/controller_state.py
@@ -38,12 +38,22 @@
     deadline: float
 
 
+@dataclasses.dataclass(slots=True)
+class Numbering:
+    """Numbers the formations of a holder, those of all its services together.
+
+    :ivar count: formations that have been numbered.
+    """
+
+    count: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class ControllerState:
     """What the lease holder is doing; times are monotonic seconds.
 
     :ivar token: number of the lease.
-    :ivar formed_count: formations that this holder has numbered.
+    :ivar numbering: shared by the services, so that no two groups of a holder have the same key.
     :ivar forming: groups that are being formed.
     :ivar dissolving: groups whose members are commanded to leave, with the time of the decision.
     :ivar closing: groups whose heads are commanded to finish their streams, with the time of
@@ -62,7 +72,7 @@
     """
 
     token: int
-    formed_count: int = 0
+    numbering: Numbering = dataclasses.field(default_factory=Numbering)
     forming: dict[replica_group.Key, FormingGroup] = dataclasses.field(default_factory=dict)
     dissolving: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
     closing: dict[replica_group.Key, float] = dataclasses.field(default_factory=dict)
@@ -82,13 +92,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Control:
-    """What the lease holder is doing for all services; they share the lease and nothing else.
+    """What the lease holder is doing for all services; they share the lease and the numbering.
 
     :ivar token: number of the lease.
+    :ivar numbering: of the formations of all services.
     :ivar services: state by service name.
     """
 
     token: int
+    numbering: Numbering = dataclasses.field(default_factory=Numbering)
     services: dict[str, ControllerState] = dataclasses.field(default_factory=dict)
 
 
@@ -96,7 +108,7 @@
     """Return the state of a service, which is empty the first time."""
     state = control.services.get(service)
     if state is None:
-        state = control.services[service] = ControllerState(control.token)
+        state = control.services[service] = ControllerState(control.token, control.numbering)
     return state
 
 
@@ -118,8 +130,8 @@
 
     :param kind: prefix of the group's name.
     """
-    state.formed_count += 1
-    epoch = (state.token << EPOCH_BITS) + state.formed_count
+    state.numbering.count += 1
+    epoch = (state.token << EPOCH_BITS) + state.numbering.count
     return replica_group.Key(f"{kind}-{epoch:x}", epoch)
 
 
--- a/tests/control/controller.feature
+++ b/tests/control/controller.feature
@@ -155,3 +155,8 @@
     When a group of each service stalls and both services are decided in turn
     Then each service's group is still being dissolved
     And the load of each service is smoothed over its own time
+
+  # Guards against the stall of one service's group that is taken for another one's.
+  Scenario: The groups of two services under one holder have different names and epochs
+    Given a holder of two services that numbers 3 formations of each in turn
+    Then the 6 names and epochs are all different
--- a/tests/steps/control_controller.py
+++ b/tests/steps/control_controller.py
@@ -702,3 +702,19 @@
         for service in context.services
     )
     assert first == second > 0, (first, second)
+
+
+@given("a holder of two services that numbers {count:d} formations of each in turn")
+def number_formations(context, count):
+    control = controller_state.Control(7)
+    context.keys = [
+        controller_state.allocate_key(controller_state.find_service(control, service), "group")
+        for _ in range(count)
+        for service in ("llm", "other")
+    ]
+
+
+@then("the {count:d} names and epochs are all different")
+def check_keys(context, count):
+    assert len({key.name for key in context.keys}) == count, context.keys
+    assert len({key.epoch for key in context.keys}) == count, context.keys
