--- a/src/galenavane/config/setting.py
+++ b/src/galenavane/config/setting.py
@@ -61,3 +61,14 @@
     if not 0 <= value < float("inf"):
         raise ValueError(f'"{text}" is not a finite, non-negative number')
     return value
+
+
+def parse_positive(text: str) -> float:
+    """Parse a finite number above zero.
+
+    :raises ValueError: when it is anything else.
+    """
+    value = parse_number(text)
+    if value == 0:
+        raise ValueError(f'"{text}" is not above zero')
+    return value
--- a/src/galenavane/gateway/settings.py
+++ b/src/galenavane/gateway/settings.py
@@ -21,7 +21,7 @@
 MEMORY = _S(
     "entry",
     "memory",
-    setting.parse_number,
+    setting.parse_positive,
     200.0,
     "MB",
     "Of this instance; a share of it may be used for bodies.",
