Watch the probe of a target whose unframed answer has ended

Change: an accepted probe is watched for 50 ms; if it ends, the target is asked once more. A target with too many connections ends new ones and goes on to accept them, so it isn't taken for crashed.

--- a/src/galenavane/gateway/member_check.py
+++ b/src/galenavane/gateway/member_check.py
@@ -14,6 +14,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.07
 """Opening a connection within a region takes a few milliseconds."""
+END_SECONDS = 0.05
+"""All connections of a process that is killed end within some milliseconds."""
 ATTEMPTS = 2
 """Attempts per member, so that one lost packet doesn't make it count as unreachable."""
 MAX_LOOP_LAG_SECONDS = 0.05
@@ -48,6 +50,28 @@
     return Unreachable(tuple(sorted(refusing)), tuple(sorted(silent)))
 
 
+async def has_stopped(gw: states.Gateway, answerer: target.Target) -> bool:
+    """Whether a target's process has ended, whose connection has just done so.
+
+    The parts of a process end one after the other, so a new connection may still be accepted by
+    one that is ending. It ends in turn then, within ``END_SECONDS``.
+    """
+    try:
+        conn = await gw.net.dial(answerer.address, CONNECT_TIMEOUT_SECONDS)
+    except transport_error.TransportError:
+        return bool((await find_unreachable(gw, (answerer,))).all)
+    has_ended = False
+    try:
+        with trio.move_on_after(END_SECONDS):
+            has_ended = not await conn.receive()
+    except transport_error.TransportError:
+        has_ended = True
+    finally:
+        await conn.close()
+    # A target that has too many connections ends new ones too, but goes on to accept them.
+    return has_ended and bool((await find_unreachable(gw, (answerer,))).all)
+
+
 async def _check(
     gw: states.Gateway, member: target.Target, attempts: int, refusing: list[str], silent: list[str]
 ) -> None:
--- a/src/galenavane/gateway/plain_attempt.py
+++ b/src/galenavane/gateway/plain_attempt.py
@@ -267,8 +267,7 @@
 
 async def _has_crashed(gw: states.Gateway, destination: target.Target) -> bool:
     """Whether a target no longer accepts connections after its answer ended with one."""
-    unreachable = await member_check.find_unreachable(gw, (destination,))
-    if not unreachable.all:
+    if not await member_check.has_stopped(gw, destination):
         return False
     events.log("target.crashed", target=destination.id)
     gw.suspect(destination.id, SUSPECT_SECONDS)
--- a/src/galenavane/gateway/stream_attempt.py
+++ b/src/galenavane/gateway/stream_attempt.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import functools
+from collections import abc
 
 import trio
 
 from galenavane.failure import code as codes
 from galenavane.failure import failure
 from galenavane.failure import outcome as outcomes
-from galenavane.fleet import replica_group
+from galenavane.fleet import replica_group, target
 from galenavane.gateway import (
     attempts,
     head_crash,
     heads_task,
+    member_check,
     permits,
     prompt_blocks,
     stream_relay,
@@ -141,7 +143,14 @@
             return response_failure
         note_events = functools.partial(_note_events, gw, stream, group, head_requests)
         relay_failure = await stream_relay.relay(
-            gw, exchange, stream, attempt, target_conn, response, note_events, check_crash
+            gw,
+            exchange,
+            stream,
+            attempt,
+            target_conn,
+            response,
+            note_events,
+            functools.partial(_has_crashed, gw, head, check_crash),
         )
         if relay_failure is not None and relay_failure.code is codes.Code.TARGET_FAILED:
             target_exchange.avoid_malformed(gw, head, relay_failure.message)
@@ -155,6 +164,14 @@
         await target_conn.close()
 
 
+async def _has_crashed(
+    gw: states.Gateway, head: target.Target, check_crash: abc.Callable[[], abc.Awaitable[bool]]
+) -> bool:
+    """Whether a head has crashed whose response ended with its connection."""
+    has_stopped = await member_check.has_stopped(gw, head)
+    return await check_crash() or has_stopped
+
+
 def _note_events(
     gw: states.Gateway,
     stream: streams.Stream,
--- a/tests/gateway/plain_streams.feature
+++ b/tests/gateway/plain_streams.feature
@@ -53,16 +53,20 @@
   # Guards against half an answer that is passed on as a whole one (MIXED, review/2).
   Scenario Outline: An answer that ends with its connection is incomplete when its target has crashed
     Given a platform with 2 domains of 6 targets, and an entry
-    When the next target answers HTTP/1.1 200 OK with no fields, <body>, and crashes
+    When the next target answers HTTP/1.1 200 OK with no fields, <body>, and <end>
     And a client sends <request> over a connection of its own
     Then <outcome>
     And all these steps succeed
 
     Examples:
-      | body          | request                          | outcome                         |
-      | a text        | a look-up                        | it gets the body "done" with status 200 |
-      | a text        | an order                         | it gets a failure of status 502 |
-      | events 1 to 4 | a request for 8 events of a feed | it gets events 1 to 8 and the end |
+      | body          | end                 | request                          | outcome                                |
+      | a text        | crashes             | a look-up                        | it gets the body "done" with status 200 |
+      | a text        | crashes             | an order                         | it gets a failure of status 502        |
+      | events 1 to 4 | crashes             | a request for 8 events of a feed | it gets events 1 to 8 and the end      |
+      | a text        | ends a moment later | a look-up                        | it gets the body "done" with status 200 |
+      | a text        | ends a moment later | an order                         | it gets a failure of status 502        |
+      | events 1 to 4 | ends a moment later | a request for 8 events of a feed | it gets events 1 to 8 and the end      |
+      | events 1 to 4 | ends a moment later | a request for 8 events           | it gets events 1 to 8 and the end      |
 
   Scenario: An answer that is no stream is passed on whole
     Given a platform with 2 domains of 6 targets, and an entry
--- a/tests/steps/platform_world.py
+++ b/tests/steps/platform_world.py
@@ -21,6 +21,7 @@
 HOST = "127.0.0.1"
 LATE_SECONDS = 1.5
 EVENT_SECONDS = 0.02
+CRASH_SECONDS = 0.02
 KEY = "key-1"
 MODEL = "m0"
 
@@ -168,6 +169,11 @@
         self.scope.cancel()
         self.world.alive.discard(self.name)
 
+    async def _kill_later(self):
+        """Stop a moment after the connection has ended, as the parts of a crash take their time."""
+        await trio.sleep(CRASH_SECONDS)
+        self.kill()
+
     def publish(self):
         """Write the target's object to the store."""
         self.world.store.put("servers", self.name, self.describe())
@@ -330,6 +336,8 @@
                 await stream.receive_some(1)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        if answer.end == "ends a moment later":
+            self.world.nursery.start_soon(self._kill_later)
         if answer.end == "crashes":
             self.kill()
             await trio.sleep(0)
