Give kept answers a sixth of the memory, so that the largest one fits

Change: a sixth, of which one answer may take half: 16 MB, the limit of an answer, on an instance of 200 MB.

--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -39,9 +39,11 @@
 """Reports of the same stall by several entries within this time are forwarded once."""
 HOLDS_PER_CONTACT = 3
 """Requests are held for this share of the time in which entries have to hear of a change."""
-BODY_MEMORY_SHARE = 1 / 16
-"""Of the instance's memory, for bodies of answers, and as much for those of requests. A body takes
-about three times its size while it is read, joined and written."""
+ANSWER_MEMORY_SHARE = 1 / 6
+"""Of the instance's memory, for answers that are kept. The largest answer fits into half of it on an
+instance of 200 MB. An answer takes about three times its size while it is joined and written."""
+REQUEST_MEMORY_SHARE = 1 / 16
+"""Of the instance's memory, for bodies of requests."""
 RELAY_CHOICE_SECONDS = 0.05
 """How long a choice of relays is used; short against the time after which one counts as lost."""
 
@@ -208,9 +210,9 @@
         self.incarnation = incarnation
         self.store = store
         self.codec = wire_codec
-        body_bytes = cfg.get(settings.MEMORY) * 1e6 * BODY_MEMORY_SHARE
-        self.answer_budget = buffer_budget.Budget(body_bytes)
-        self.request_budget = buffer_budget.Budget(body_bytes)
+        memory_bytes = cfg.get(settings.MEMORY) * 1e6
+        self.answer_budget = buffer_budget.Budget(memory_bytes * ANSWER_MEMORY_SHARE)
+        self.request_budget = buffer_budget.Budget(memory_bytes * REQUEST_MEMORY_SHARE)
         self.net = net
         self.transport = peer_transport
         self.rng = rng
