--- a/src/galenavane/gateway/state.py
+++ b/src/galenavane/gateway/state.py
@@ -40,8 +40,8 @@
 HOLDS_PER_CONTACT = 3
 """Requests are held for this share of the time in which entries have to hear of a change."""
 ANSWER_MEMORY_SHARE = 1 / 6
-"""Of the instance's memory, for answers that are kept. The largest answer fits into half of it on an
-instance of 200 MB. An answer takes about three times its size while it is joined and written."""
+"""Of the instance's memory, for answers that are kept. On an instance of 200 MB the largest answer
+fits into half of it. An answer takes about three times its size while it is joined and written."""
 REQUEST_MEMORY_SHARE = 1 / 16
 """Of the instance's memory, for bodies of requests."""
 RELAY_CHOICE_SECONDS = 0.05
